--- a/Makefile
+++ b/Makefile
@@ -13,9 +13,10 @@
 
 # Deciding modules: no I/O, no clock, no state of their own.
 DECIDE = str err act subkey contract view member sync place host job jobmove lend \
-	own front node
+	own front node route sess fleet coord runner
 # What carries their actions out.
-IO = log httpc store link web trail back api ops metric
+IO = log httpc store link web trail back api ops metric serve entryd agentd \
+	platform/wire platform/kv platform/follow
 COMMON = $(DECIDE) conf proto_xdr
 LIBS = -ltirpc -lev -lmicrohttpd -lcurl -lpopt -llog4c -ljansson -lxxhash \
 	-lnettle -lm
@@ -64,7 +65,7 @@
 	$(CC) $(CPPFLAGS) -std=gnu11 $(OPT) $(SAN) -w -c -o $@ $<
 
 $(B)/%.o: %.c
-	@mkdir -p $(B)
+	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
 
 $(B)/%.o: test/%.c
@@ -84,8 +85,8 @@
 	rpcgen -N -C -h proto.x > proto.h
 	rpcgen -N -C -c proto.x > proto_xdr.c
 
-SOURCES = $(filter-out proto.h proto_xdr.c,$(wildcard *.c *.h *.cc test/*.c \
-	test/*.cc test/*.h))
+SOURCES = $(filter-out proto.h proto_xdr.c,$(wildcard *.c *.h *.cc platform/*.c \
+	platform/*.h test/*.c test/*.cc test/*.h))
 
 format:
 	clang-format -i $(SOURCES)
@@ -133,7 +134,7 @@
 clean:
 	rm -rf build build-asan out
 
--include $(wildcard $(B)/*.d)
+-include $(wildcard $(B)/*.d $(B)/platform/*.d)
 
 .PHONY: all proto clean format format-check lint test test-unit test-path test-regress \
 	test-asan demo capacity
--- a/conf.c
+++ b/conf.c
@@ -3,9 +3,17 @@
 #include <arpa/inet.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
-enum kind { KIND_U16, KIND_U32, KIND_TEXT, KIND_CHOICE };
+enum kind { KIND_U16, KIND_U32, KIND_SECONDS, KIND_TEXT, KIND_CHOICE };
+
+/* Whether a setting must be there. */
+enum need {
+    NEED_NOT,
+    NEED_ALWAYS,
+    NEED_ALONE /* unless the process runs on the users' platform */
+};
 
 typedef bool (*check_fn)(const char *text);
 
@@ -15,7 +23,7 @@
     size_t offset;
     int64_t min; /* for text: the most bytes is max */
     int64_t max;
-    bool required;
+    enum need need;
     const char *const *choices;
     check_fn check;
     const char *allowed;
@@ -53,6 +61,15 @@
            strncmp(text, "https://", 8) == 0;
 }
 
+/* Empty, or ADDRESS:PORT. */
+static bool
+is_endpoint(const char *text)
+{
+    struct conf_endpoint at;
+
+    return text[0] == '\0' || conf_endpoint(&at, text);
+}
+
 static bool
 is_token(const char *text)
 {
@@ -69,40 +86,46 @@
     }
 #define NUMBER(k, field, lo, hi)                                              \
     {                                                                         \
-        k, KIND_U32, AT(field), lo, hi, false, NULL, NULL, NULL               \
+        k, KIND_U32, AT(field), lo, hi, NEED_NOT, NULL, NULL, NULL            \
     }
-#define PORT(k, field)                                                        \
+#define PORT(k, field, req)                                                   \
     {                                                                         \
-        k, KIND_U16, AT(field), 1, 65535, true, NULL, NULL, NULL              \
+        k, KIND_U16, AT(field), 1, 65535, req, NULL, NULL, NULL               \
+    }
+#define SECONDS(k, field, lo, hi)                                             \
+    {                                                                         \
+        k, KIND_SECONDS, AT(field), lo, hi, NEED_NOT, NULL, NULL, NULL        \
     }
 
 static const struct setting settings[] = {
-    {"process.role", KIND_CHOICE, AT(node.me.role), 0, 0, true, roles, NULL,
-        NULL},
-    TEXT("process.name", node.me.name, true, is_name, NAME_ALLOWED),
-    TEXT("process.domain", node.me.domain, true, is_name, NAME_ALLOWED),
-    TEXT("process.rack", node.me.rack, false, is_name, NAME_ALLOWED),
-    TEXT("process.address", node.me.addr, true, is_address,
+    {"process.role", KIND_CHOICE, AT(node.me.role), 0, 0, NEED_ALWAYS, roles,
+        NULL, NULL},
+    TEXT("process.name", node.me.name, NEED_ALWAYS, is_name, NAME_ALLOWED),
+    TEXT("process.domain", node.me.domain, NEED_ALWAYS, is_name, NAME_ALLOWED),
+    TEXT("process.rack", node.me.rack, NEED_NOT, is_name, NAME_ALLOWED),
+    TEXT("process.address", node.me.addr, NEED_ALWAYS, is_address,
         "a numeric IPv4 address"),
-    PORT("process.port", node.me.port),
-    PORT("process.http_port", node.me.http),
+    PORT("process.port", node.me.port, NEED_ALWAYS),
+    PORT("process.http_port", node.me.http, NEED_ALONE),
     NUMBER("process.leave_max_ms", leave_max_ms, 1000, 3600000),
-    TEXT("store.url", store_url, true, is_url, "an http:// or https:// URL"),
+    TEXT("store.url", store_url, NEED_ALONE, is_url,
+        "an http:// or https:// URL"),
     NUMBER("store.timeout_ms", store_timeout_ms, 50, 60000),
-    TEXT(
-        "operators.token", operator_token, false, is_token, "8 bytes or more"),
+    TEXT("operators.token", operator_token, NEED_NOT, is_token,
+        "8 bytes or more"),
     NUMBER("operators.audit_kept", audit_kept, 10, 100000),
-    TEXT("log.file", log_file, false, NULL, "a path"),
-    {"log.level", KIND_CHOICE, AT(log_level), 0, 0, false, levels, NULL, NULL},
+    TEXT("log.file", log_file, NEED_NOT, NULL, "a path"),
+    {"log.level", KIND_CHOICE, AT(log_level), 0, 0, NEED_NOT, levels, NULL,
+        NULL},
     NUMBER("log.trail", trail_max, 1, 10000000),
     NUMBER("worker.slots", node.host.slots, 1, 10000),
     NUMBER("worker.millicores", node.host.millicores, 1, 1024000),
     NUMBER("worker.memory_mb", node.host.memory_mb, 1, 4194304),
     NUMBER("worker.queue", node.host.queue_max, 0, 100000),
     NUMBER("worker.lease_ms", lease_ms, 500, 600000),
-    TEXT(
-        "worker.url", worker_url, false, is_url, "an http:// or https:// URL"),
-    TEXT("backend.url", backend_url, false, is_url,
+    TEXT("worker.url", worker_url, NEED_NOT, is_url,
+        "an http:// or https:// URL"),
+    TEXT("backend.url", backend_url, NEED_NOT, is_url,
         "an http:// or https:// URL"),
     NUMBER("backend.connections", connections, 1, 10000),
     NUMBER("backend.announce_ms", announce_ms, 500, 600000),
@@ -125,7 +148,7 @@
     NUMBER("jobs.waiting", node.job.waiting_max, 1, 10000000),
     NUMBER("jobs.move_ms", node.job.move_ms, 10, 600000),
     NUMBER("jobs.queue_allow", node.place.queue_allow, 0, 1000),
-    {"jobs.placement", KIND_CHOICE, AT(node.place.policy), 0, 0, false,
+    {"jobs.placement", KIND_CHOICE, AT(node.place.policy), 0, 0, NEED_NOT,
         placements, NULL, NULL},
     NUMBER("jobs.scan_max", node.place.scan_max, 0, 10000),
     NUMBER("jobs.sample", node.place.sample, 1, 64),
@@ -133,6 +156,21 @@
     NUMBER("loans.valid_ms", node.lend.valid_ms, 2000, 600000),
     NUMBER("loans.hold_ms", node.lend.hold_ms, 1000, 3600000),
     NUMBER("loans.wait_ms", node.lend.wait_ms, 0, 60000),
+    TEXT("platform.store", platform.store, NEED_NOT, is_url,
+        "an http:// or https:// URL"),
+    TEXT("platform.callers", platform.callers, NEED_NOT, is_endpoint,
+        "ADDRESS:PORT"),
+    TEXT("platform.readiness", platform.readiness, NEED_NOT, is_endpoint,
+        "ADDRESS:PORT"),
+    TEXT("platform.announce", platform.announce, NEED_NOT, is_endpoint,
+        "ADDRESS:PORT"),
+    TEXT("platform.worker", platform.worker, NEED_NOT, is_endpoint,
+        "ADDRESS:PORT"),
+    TEXT("platform.metrics", platform.metrics, NEED_NOT, is_endpoint,
+        "ADDRESS:PORT"),
+    TEXT("platform.service", platform.service, NEED_NOT, NULL, "a text"),
+    SECONDS("platform.grace_s", platform.grace_ms, 1, 3600),
+    NUMBER("platform.resend_ms", platform.resend_ms, 1, 3600000),
 };
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
@@ -154,6 +192,8 @@
     c->leave_max_ms = 60000;
     c->trail_max = 20000;
     c->audit_kept = 2000;
+    c->platform.grace_ms = 6000;
+    c->platform.resend_ms = 1300;
 }
 
 static enum conf_status
@@ -185,6 +225,26 @@
     return CONF_OK;
 }
 
+/* Kept as ms. */
+static enum conf_status
+set_seconds(const struct reading *r, const struct setting *s,
+    const struct toml_value *v, struct err *e)
+{
+    char allowed[96];
+    double n = v->kind == TOML_REAL ? v->real : (double)v->number;
+
+    if ((v->kind != TOML_NUMBER && v->kind != TOML_REAL) ||
+        n < (double)s->min || n > (double)s->max) {
+        snprintf(allowed, sizeof(allowed),
+            "a number of seconds from %lld to "
+            "%lld",
+            (long long)s->min, (long long)s->max);
+        return refuse(r, v, allowed, e);
+    }
+    *(uint32_t *)((char *)r->c + s->offset) = (uint32_t)(n * 1000.0);
+    return CONF_OK;
+}
+
 static enum conf_status
 set_text(const struct reading *r, const struct setting *s,
     const struct toml_value *v, struct err *e)
@@ -233,6 +293,8 @@
         case KIND_U16:
         case KIND_U32:
             return set_number(r, s, v, e);
+        case KIND_SECONDS:
+            return set_seconds(r, s, v, e);
         case KIND_TEXT:
             return set_text(r, s, v, e);
         case KIND_CHOICE:
@@ -259,6 +321,22 @@
             path, n->job.max_age_ms + 4000);
         return CONF_BAD_VALUE;
     }
+    if (c->platform.store[0] != '\0' && n->me.role == VIEW_ENTRY &&
+        (c->platform.callers[0] == '\0' || c->platform.readiness[0] == '\0')) {
+        err_set(e,
+            "%s: an entry with 'platform.store' wants "
+            "'platform.callers' and 'platform.readiness'",
+            path);
+        return CONF_BAD_VALUE;
+    }
+    if (c->platform.store[0] != '\0' && n->me.role == VIEW_AGENT &&
+        (c->platform.announce[0] == '\0' || c->platform.worker[0] == '\0')) {
+        err_set(e,
+            "%s: an agent with 'platform.store' wants "
+            "'platform.announce' and 'platform.worker'",
+            path);
+        return CONF_BAD_VALUE;
+    }
     if (n->me.rack[0] == '\0') {
         memcpy(n->me.rack, n->me.name, sizeof(n->me.rack));
     }
@@ -270,6 +348,30 @@
     return CONF_OK;
 }
 
+static bool
+is_needed(const struct conf *c, const struct setting *s)
+{
+    return s->need == NEED_ALWAYS ||
+           (s->need == NEED_ALONE && c->platform.store[0] == '\0');
+}
+
+bool
+conf_endpoint(struct conf_endpoint *at, const char *text)
+{
+    const char *colon = strrchr(text, ':');
+    char *end;
+    unsigned long port;
+
+    if (colon == NULL) {
+        return false;
+    }
+    str_copy(
+        at->addr, sizeof(at->addr), str_make(text, (size_t)(colon - text)));
+    port = strtoul(colon + 1, &end, 10);
+    at->port = (uint16_t)port;
+    return is_address(at->addr) && *end == '\0' && port > 0 && port < 65536;
+}
+
 enum conf_status
 conf_read(struct conf *c, const char *path, struct err *e)
 {
@@ -280,7 +382,7 @@
     set_defaults(c);
     st = toml_each(path, set_value, &r, e);
     for (size_t i = 0; i < SETTING_COUNT && st == CONF_OK; i++) {
-        if (settings[i].required && !seen[i]) {
+        if (is_needed(c, &settings[i]) && !seen[i]) {
             err_set(e, "%s: key '%s' is missing", path, settings[i].key);
             st = CONF_BAD_VALUE;
         }
--- a/conf.h
+++ b/conf.h
@@ -6,6 +6,7 @@
 #ifndef CONF_H
 #define CONF_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "err.h"
@@ -18,6 +19,19 @@
 
 #define CONF_TEXT_MAX 256
 
+/* Where the users' platform is met; store is empty without one. */
+struct conf_platform {
+    char store[CONF_TEXT_MAX];     /* URL */
+    char callers[CONF_TEXT_MAX];   /* entry: ADDRESS:PORT */
+    char readiness[CONF_TEXT_MAX]; /* entry: ADDRESS:PORT */
+    char announce[CONF_TEXT_MAX];  /* agent: its worker reports there */
+    char worker[CONF_TEXT_MAX];    /* agent: ADDRESS:PORT of its worker */
+    char service[CONF_TEXT_MAX];   /* agent: what its worker runs */
+    char metrics[CONF_TEXT_MAX];   /* ADDRESS:PORT; empty: none */
+    uint32_t grace_ms;             /* from SIGTERM until SIGKILL */
+    uint32_t resend_ms;            /* until callers try elsewhere */
+};
+
 struct conf {
     char store_url[CONF_TEXT_MAX];
     uint32_t store_timeout_ms;
@@ -37,16 +51,24 @@
     uint32_t leave_max_ms; /* a planned stop takes no longer */
     uint32_t trail_max;    /* notes kept for explain */
     struct node_cfg node;
+    struct conf_platform platform;
 };
 
 enum conf_status { CONF_OK, CONF_BAD_FILE, CONF_BAD_SYNTAX, CONF_BAD_VALUE };
 
+struct conf_endpoint {
+    char addr[CONF_TEXT_MAX];
+    uint16_t port;
+};
+
+/* Split ADDRESS:PORT; false if text is anything else. */
+bool conf_endpoint(struct conf_endpoint *at, const char *text);
 /* Read a file into c, which gets defaults first. */
 enum conf_status conf_read(struct conf *c, const char *path, struct err *e);
 
 /* --- the reader of the format; toml.cc --- */
 
-enum toml_kind { TOML_TEXT, TOML_NUMBER, TOML_BOOL, TOML_OTHER };
+enum toml_kind { TOML_TEXT, TOML_NUMBER, TOML_REAL, TOML_BOOL, TOML_OTHER };
 
 struct toml_value {
     const char *key; /* "section.name" */
@@ -54,6 +76,7 @@
     enum toml_kind kind;
     const char *text;
     int64_t number;
+    double real;
 };
 
 /* Called for each value; not CONF_OK ends the reading. */
--- /dev/null
+++ b/coord.c
@@ -0,0 +1,802 @@
+#include "coord.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "num.h"
+#include "runner.h"
+
+/* ms that an order may wait at the agent for cores that another entry's run
+ * still holds. */
+#define AGENT_WAIT_MS 40U
+/* A run number that the worker calls old is raised by this: more than what
+ * the clocks of two entries differ by in ms. */
+#define RUN_LEAP 5000U
+/* Jobs looked at in vain before placing ends: sizes are much alike, so what
+ * does not fit now will hardly fit for the next. */
+#define MISSES_MAX 4U
+/* ms that ended jobs are remembered for late copies of a request. */
+#define ENDED_MS 20000U
+/* ms a frozen entry's jobs are good for; callers have tried elsewhere. */
+#define PAUSE_MS 900U
+#define RETRY_MS 1000U
+/* Estimates are too high by up to this part; a job is hopeless only if even
+ * so much less would be too late. */
+#define EST_LEAST_PERCENT 35U
+/* Waiting work beyond this many ms of the whole fleet is turned away. */
+#define BACKLOG_MS 900U
+
+void
+co_init(struct coord *c, const struct co_ops *ops, void *ctx, uint64_t seed,
+    const char *address, uint16_t port)
+{
+    *c = (struct coord){0};
+    c->ops = ops;
+    c->ctx = ctx;
+    fl_init(&c->fleet, seed);
+    str_copy(c->address, sizeof(c->address), str_of(address));
+    c->port = port;
+}
+
+/* --- the queue of jobs with waiting tasks --- */
+
+static int
+by_objective(struct co_job *a, struct co_job *b)
+{
+    return a->objective_ms < b->objective_ms ? -1 : 1;
+}
+
+static uint64_t
+task_work(const struct co_task *t)
+{
+    return (uint64_t)t->spec.millicores * t->spec.est_ms;
+}
+
+static void
+enqueue(struct coord *c, struct co_job *j)
+{
+    if (!j->queued) {
+        DL_INSERT_INORDER(c->queue, j, by_objective);
+        j->queued = true;
+    }
+}
+
+static void
+dequeue(struct coord *c, struct co_job *j)
+{
+    if (j->queued) {
+        DL_DELETE(c->queue, j);
+        j->queued = false;
+    }
+}
+
+static void
+set_state(struct coord *c, struct co_job *j, struct co_task *t,
+    enum co_task_state state)
+{
+    if (t->state == CO_WAITING) {
+        j->waiting--;
+        c->waiting_work -= task_work(t);
+    }
+    t->state = state;
+    if (state == CO_WAITING) {
+        j->waiting++;
+        c->waiting_work += task_work(t);
+        enqueue(c, j);
+    }
+    else if (j->waiting == 0) {
+        dequeue(c, j);
+    }
+}
+
+/* --- messages to agents --- */
+
+static dw_orders *
+batch_of(struct coord *c, struct fl_agent *a)
+{
+    if (a->batch == NULL) {
+        a->batch = dw_zero(1, sizeof(*a->batch));
+        a->batch->type = DW_ORDERS;
+    }
+    (void)c;
+    return &a->batch->dw_msg_u.orders;
+}
+
+static void
+add_stop(struct coord *c, struct fl_agent *a, uint64_t job, uint32_t index,
+    uint64_t run)
+{
+    dw_orders *o = batch_of(c, a);
+    dw_run_ref *ref;
+
+    o->stops.stops_val = dw_grow(o->stops.stops_val,
+        (o->stops.stops_len + 1) * sizeof(*o->stops.stops_val));
+    ref = &o->stops.stops_val[o->stops.stops_len++];
+    ref->job = job;
+    ref->index = index;
+    ref->run = run;
+}
+
+static dw_run_group *
+group_of(dw_orders *o, const struct co_job *j)
+{
+    dw_run_group *g;
+
+    if (o->groups.groups_len > 0) {
+        g = &o->groups.groups_val[o->groups.groups_len - 1];
+        if (g->job == j->id) {
+            return g;
+        }
+    }
+    o->groups.groups_val = dw_grow(o->groups.groups_val,
+        (o->groups.groups_len + 1) * sizeof(*o->groups.groups_val));
+    g = &o->groups.groups_val[o->groups.groups_len++];
+    memset(g, 0, sizeof(*g));
+    g->job = j->id;
+    g->priority = j->priority;
+    g->spec = str_to_bytes(str_make(j->spec, j->spec_n));
+    return g;
+}
+
+static void
+add_run(struct coord *c, struct fl_agent *a, const struct co_job *j,
+    uint32_t index)
+{
+    const struct co_task *t = &j->tasks[index];
+    dw_run_group *g = group_of(batch_of(c, a), j);
+    dw_run *run;
+
+    g->runs.runs_val =
+        dw_grow(g->runs.runs_val, (g->runs.runs_len + 1) * sizeof(*run));
+    run = &g->runs.runs_val[g->runs.runs_len++];
+    run->index = index;
+    run->run = t->run;
+    run->millicores = t->spec.millicores;
+    run->memory_mb = t->spec.memory_mb;
+    run->gpus = t->spec.gpus;
+    run->est_ms = t->spec.est_ms;
+    run->wait_ms = AGENT_WAIT_MS;
+}
+
+static void
+send_beat(struct coord *c, uint64_t now, struct fl_agent *a)
+{
+    dw_msg m;
+
+    memset(&m, 0, sizeof(m));
+    m.type = DW_ORDERS;
+    m.dw_msg_u.orders.address.dw_bytes_val = c->address;
+    m.dw_msg_u.orders.address.dw_bytes_len = (u_int)strlen(c->address);
+    m.dw_msg_u.orders.port = c->port;
+    sess_stamp(&a->sess, now, &m);
+    c->ops->send(c->ctx, a->id, &m);
+}
+
+static void
+send_batch(struct coord *c, uint64_t now, struct fl_agent *a)
+{
+    dw_msg *m = a->batch;
+
+    a->batch = NULL;
+    sess_keep(&a->sess, now, m);
+    c->ops->send(c->ctx, a->id, m);
+    fl_sent(a, a->sess.out_seq);
+}
+
+/* --- the end of a job --- */
+
+static void
+stop_runs(struct coord *c, const struct co_job *j)
+{
+    for (uint32_t i = 0; i < j->count; i++) {
+        const struct co_task *t = &j->tasks[i];
+        struct fl_agent *a = fl_find(&c->fleet, t->agent);
+
+        if (t->state == CO_OUT && a != NULL && a->live &&
+            a->sess.number == t->session) {
+            add_stop(c, a, j->id, i, t->run);
+        }
+    }
+}
+
+static void
+remember(struct coord *c, uint64_t now, uint64_t id, enum co_outcome how)
+{
+    struct co_ended *e = NULL;
+
+    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
+    if (e == NULL) {
+        e = dw_zero(1, sizeof(*e));
+        e->id = id;
+        HASH_ADD(hh, c->ended, id, sizeof(e->id), e);
+    }
+    e->at_ms = now;
+    e->how = how;
+}
+
+static void
+free_job(struct coord *c, struct co_job *j)
+{
+    for (uint32_t i = 0; i < j->count; i++) {
+        set_state(c, j, &j->tasks[i], CO_DONE);
+    }
+    dequeue(c, j);
+    HASH_DEL(c->jobs, j);
+    free(j->tasks);
+    free(j->spec);
+    free(j->service);
+    free(j);
+}
+
+static void
+end_job(struct coord *c, uint64_t now, struct co_job *j, enum co_outcome how,
+    const char *reason)
+{
+    uint64_t *counts[] = {
+        [CO_COMPLETED] = &c->stats.completed,
+        [CO_FAILED] = &c->stats.failed,
+        [CO_NOT_RUN] = &c->stats.not_run,
+    };
+
+    ++*counts[how];
+    stop_runs(c, j);
+    c->ops->note(c->ctx, j, reason);
+    while (j->waiters != NULL) {
+        struct co_waiter *w = j->waiters;
+
+        j->waiters = w->next;
+        c->ops->answer(c->ctx, w->handle, how, reason, RETRY_MS);
+        free(w);
+    }
+    if (how == CO_COMPLETED) {
+        remember(c, now, j->id, how);
+    }
+    free_job(c, j);
+}
+
+/* Time is up: what never ran may come back, the rest has failed. */
+static void
+give_up(struct coord *c, uint64_t now, struct co_job *j, const char *reason)
+{
+    end_job(c, now, j, j->begun ? CO_FAILED : CO_NOT_RUN, reason);
+}
+
+/* --- callers --- */
+
+static struct co_job *
+find_job(const struct coord *c, uint64_t id)
+{
+    struct co_job *j;
+
+    HASH_FIND(hh, c->jobs, &id, sizeof(id), j);
+    return j;
+}
+
+static void
+attach(struct co_job *j, void *handle)
+{
+    struct co_waiter *w = dw_zero(1, sizeof(*w));
+
+    w->handle = handle;
+    w->next = j->waiters;
+    j->waiters = w;
+}
+
+static uint32_t
+longest(const struct co_submit *s)
+{
+    uint32_t ms = 0;
+
+    for (size_t i = 0; i < s->count; i++) {
+        ms = (uint32_t)num_max(ms, s->tasks[i].est_ms);
+    }
+    return ms;
+}
+
+/* Why a job is turned away on arrival; NULL if it is taken. */
+static const char *
+refusal(const struct coord *c, uint64_t now, const struct co_submit *s)
+{
+    int64_t capacity = fl_capacity(&c->fleet, now);
+
+    if (longest(s) * EST_LEAST_PERCENT / 100 >= s->left_ms) {
+        return "too_late";
+    }
+    if (capacity <= 0) {
+        return "no_workers";
+    }
+    if (c->waiting_work > (uint64_t)capacity * BACKLOG_MS) {
+        return "overload";
+    }
+    for (size_t i = 0; i < s->count; i++) {
+        struct fl_need need = {s->service, s->tasks[i].millicores,
+            s->tasks[i].memory_mb, s->tasks[i].gpus, s->tasks[i].est_ms, 0};
+
+        if (fl_never_fits(&c->fleet, now, &need)) {
+            return "never_fits";
+        }
+    }
+    return NULL;
+}
+
+static void
+admit(struct coord *c, uint64_t now, const struct co_submit *s, void *handle)
+{
+    struct co_job *j = dw_zero(1, sizeof(*j));
+
+    j->id = s->id;
+    j->spec = str_dup(s->spec);
+    j->spec_n = s->spec.n;
+    j->service = str_dup(str_of(s->service));
+    j->priority = s->priority;
+    j->attempts = (uint32_t)num_max(s->attempts, 1);
+    j->come_ms = now;
+    j->objective_ms = now + s->objective_ms;
+    j->deadline_ms = now + s->left_ms;
+    j->longest_ms = longest(s);
+    j->count = (uint32_t)s->count;
+    j->tasks = dw_zero(s->count, sizeof(*j->tasks));
+    attach(j, handle);
+    HASH_ADD(hh, c->jobs, id, sizeof(j->id), j);
+    for (uint32_t i = 0; i < j->count; i++) {
+        j->tasks[i].spec = s->tasks[i];
+        j->tasks[i].run = s->wall_ms;
+        j->tasks[i].state = CO_DONE;
+        set_state(c, j, &j->tasks[i], CO_WAITING);
+    }
+}
+
+void
+co_submit(
+    struct coord *c, uint64_t now, const struct co_submit *s, void *handle)
+{
+    struct co_job *j = find_job(c, s->id);
+    struct co_ended *e = NULL;
+    const char *why;
+
+    c->stats.submitted++;
+    if (j != NULL) {
+        c->stats.attached++;
+        attach(j, handle);
+        return;
+    }
+    HASH_FIND(hh, c->ended, &s->id, sizeof(s->id), e);
+    if (e != NULL) {
+        c->stats.attached++;
+        c->ops->answer(c->ctx, handle, e->how, "ended", 0);
+        return;
+    }
+    why = refusal(c, now, s);
+    if (why != NULL) {
+        c->stats.not_run++;
+        c->ops->answer(c->ctx, handle, CO_NOT_RUN, why, RETRY_MS);
+        return;
+    }
+    admit(c, now, s, handle);
+}
+
+static bool
+detach(struct co_job *j, const void *handle)
+{
+    struct co_waiter **at;
+
+    for (at = &j->waiters; *at != NULL; at = &(*at)->next) {
+        if ((*at)->handle == handle) {
+            struct co_waiter *w = *at;
+
+            *at = w->next;
+            free(w);
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+co_leave(struct coord *c, uint64_t now, const void *handle)
+{
+    struct co_job *j;
+
+    for (j = c->jobs; j != NULL; j = j->hh.next) {
+        if (detach(j, handle)) {
+            break;
+        }
+    }
+    if (j != NULL && j->waiters == NULL) {
+        c->stats.gone++;
+        give_up(c, now, j, "caller_gone");
+    }
+}
+
+bool
+co_cancel(struct coord *c, uint64_t now, uint64_t id)
+{
+    struct co_job *j = find_job(c, id);
+
+    if (j == NULL) {
+        return false;
+    }
+    end_job(c, now, j, CO_FAILED, "cancelled");
+    return true;
+}
+
+/* --- what agents say --- */
+
+static void
+run_failed(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    t->failed++;
+    if (t->failed >= j->attempts) {
+        end_job(c, now, j, CO_FAILED, "task_failed");
+        return;
+    }
+    c->stats.retried++;
+    set_state(c, j, t, CO_WAITING);
+}
+
+static void
+run_done(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    set_state(c, j, t, CO_DONE);
+    j->done++;
+    if (j->done == j->count) {
+        end_job(c, now, j, CO_COMPLETED, "done");
+    }
+}
+
+/* The run has ended without an outcome, and certainly so. */
+static void
+run_lost(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    (void)now;
+    c->stats.lost++;
+    set_state(c, j, t, CO_WAITING);
+}
+
+static void
+run_not_started(
+    struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    t->run += RUN_LEAP;
+    run_lost(c, now, j, t);
+}
+
+static void
+run_bounced(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    (void)now;
+    c->stats.bounced++;
+    set_state(c, j, t, CO_WAITING);
+}
+
+typedef void (*end_fn)(
+    struct coord *c, uint64_t now, struct co_job *j, struct co_task *t);
+
+static const end_fn end_fns[] = {
+    [DW_END_DONE] = run_done,
+    [DW_END_FAILED] = run_failed,
+    [DW_END_STOPPED] = run_lost,
+    [DW_END_LOST] = run_lost,
+    [DW_END_NOT_RUN] = run_not_started,
+    [DW_END_FULL] = run_bounced,
+};
+
+static void
+take_end(
+    struct coord *c, uint64_t now, struct fl_agent *a, const dw_run_end *end)
+{
+    struct co_job *j = find_job(c, end->ref.job);
+    struct co_task *t;
+
+    fl_note_end(a, now, end->how);
+    if (j == NULL || end->ref.index >= j->count) {
+        return;
+    }
+    t = &j->tasks[end->ref.index];
+    if (t->state == CO_OUT && t->run == end->ref.run && t->agent == a->id) {
+        end_fns[end->how](c, now, j, t);
+    }
+}
+
+/* --- lost sessions --- */
+
+/* Runs of a session that is over may start again from again_ms on. */
+static void
+lose_runs(struct coord *c, const struct fl_agent *a, uint64_t again_ms)
+{
+    struct co_job *j;
+
+    for (j = c->jobs; j != NULL; j = j->hh.next) {
+        for (uint32_t i = 0; i < j->count; i++) {
+            struct co_task *t = &j->tasks[i];
+
+            if (t->state == CO_OUT && t->agent == a->id) {
+                set_state(c, j, t, CO_LOST);
+                t->again_ms = again_ms;
+            }
+        }
+    }
+}
+
+/* An agent, or its successor on the same worker, has nothing of ours left. */
+static void
+runs_are_over(struct coord *c, uint64_t now, const struct fl_agent *a)
+{
+    struct co_job *j;
+
+    for (j = c->jobs; j != NULL; j = j->hh.next) {
+        for (uint32_t i = 0; i < j->count; i++) {
+            struct co_task *t = &j->tasks[i];
+
+            if (t->state == CO_LOST && t->agent == a->id &&
+                t->again_ms > now) {
+                t->again_ms = now;
+            }
+        }
+    }
+}
+
+/* The session fell silent: its agent goes on for a lease at most, then the
+ * worker's own lease runs out. */
+static void
+session_over(struct coord *c, uint64_t now, struct fl_agent *a)
+{
+    uint64_t over = sess_over_at(&a->sess) + RN_STOP_MS + RN_LAPSE_MS;
+
+    lose_runs(c, a, num_max(over, now));
+    fl_close(a);
+}
+
+void
+co_refused(struct coord *c, uint64_t now, uint64_t id)
+{
+    struct fl_agent *a = fl_find(&c->fleet, id);
+
+    if (a == NULL || !a->live) {
+        return;
+    }
+    lose_runs(c, a, now + RN_LAPSE_MS);
+    fl_close(a);
+}
+
+void
+co_report(struct coord *c, uint64_t now, uint64_t from, const dw_report *r)
+{
+    struct fl_agent *a = fl_find(&c->fleet, from);
+    enum sess_verdict v;
+
+    if (a == NULL) {
+        return;
+    }
+    v = sess_take(&a->sess, now, &r->head);
+    if (v == SESS_DROP) {
+        return;
+    }
+    a->live = true;
+    fl_room(a, r->head.ack, &r->room);
+    if (r->clean) {
+        runs_are_over(c, now, a);
+    }
+    for (u_int i = 0; v == SESS_TAKE && i < r->ends.ends_len; i++) {
+        take_end(c, now, a, &r->ends.ends_val[i]);
+    }
+}
+
+/* --- placing --- */
+
+/* Send one task out; false if no worker has room for it. */
+static bool
+place_task(struct coord *c, uint64_t now, struct co_job *j, uint32_t index)
+{
+    struct co_task *t = &j->tasks[index];
+    struct fl_need need = {j->service, t->spec.millicores, t->spec.memory_mb,
+        t->spec.gpus, t->spec.est_ms, t->failed > 0 ? t->agent : 0};
+    struct fl_agent *a = fl_pick(&c->fleet, now, &need);
+
+    if (a == NULL) {
+        return false;
+    }
+    t->run++;
+    t->agent = a->id;
+    t->session = a->sess.number;
+    t->sent_ms = now;
+    j->begun = true;
+    c->stats.runs++;
+    add_run(c, a, j, index);
+    fl_reserve(a, &need);
+    set_state(c, j, t, CO_OUT);
+    return true;
+}
+
+static bool
+place_job(struct coord *c, uint64_t now, struct co_job *j)
+{
+    for (uint32_t i = 0; i < j->count; i++) {
+        if (j->tasks[i].state == CO_WAITING && !place_task(c, now, j, i)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void
+place_all(struct coord *c, uint64_t now)
+{
+    struct co_job *j;
+    struct co_job *tmp;
+    uint32_t misses = 0;
+
+    DL_FOREACH_SAFE (c->queue, j, tmp) {
+        if (!place_job(c, now, j) && ++misses >= MISSES_MAX) {
+            break;
+        }
+    }
+}
+
+void
+co_flush(struct coord *c, uint64_t now)
+{
+    struct fl_agent *a;
+
+    if (c->queue != NULL) {
+        place_all(c, now);
+    }
+    for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
+        if (a->batch != NULL) {
+            send_batch(c, now, a);
+        }
+    }
+}
+
+/* --- time --- */
+
+static void
+tend_session(struct coord *c, uint64_t now, struct fl_agent *a)
+{
+    if (a->live && !sess_live(&a->sess, now)) {
+        session_over(c, now, a);
+    }
+    if (!a->live &&
+        (a->sess.number == 0 || now - a->opened_ms > FL_STALE_MS)) {
+        fl_open(&c->fleet, now, a);
+        a->tried_ms = 0;
+    }
+    if (!a->live && now - a->tried_ms >= FL_OPEN_MS) {
+        a->tried_ms = now;
+        send_beat(c, now, a);
+    }
+    else if (a->live && sess_beat_due(&a->sess, now)) {
+        send_beat(c, now, a);
+    }
+}
+
+static void
+resend(struct coord *c, uint64_t now, struct fl_agent *a)
+{
+    dw_msg *m;
+
+    for (m = sess_again(&a->sess, now, NULL); m != NULL;
+         m = sess_again(&a->sess, now, m)) {
+        c->ops->send(c->ctx, a->id, m);
+    }
+}
+
+static void
+tend_job(struct coord *c, uint64_t now, struct co_job *j)
+{
+    uint64_t least = j->longest_ms * EST_LEAST_PERCENT / 100;
+
+    if (now >= j->deadline_ms) {
+        give_up(c, now, j, "deadline");
+        return;
+    }
+    if (!j->begun && now + least >= j->deadline_ms) {
+        give_up(c, now, j, "too_late");
+        return;
+    }
+    for (uint32_t i = 0; i < j->count; i++) {
+        struct co_task *t = &j->tasks[i];
+
+        if (t->state == CO_LOST && now >= t->again_ms) {
+            run_lost(c, now, j, t);
+        }
+    }
+}
+
+static void
+forget_ended(struct coord *c, uint64_t now)
+{
+    struct co_ended *e;
+    struct co_ended *tmp;
+
+    HASH_ITER (hh, c->ended, e, tmp) {
+        if (now - e->at_ms < ENDED_MS) {
+            break; /* in the order of their ends */
+        }
+        HASH_DEL(c->ended, e);
+        free(e);
+    }
+}
+
+void
+co_tick(struct coord *c, uint64_t now)
+{
+    /*
+     * After a freeze the callers have sent their jobs elsewhere, where they
+     * run by now.  Starting lost runs again would make two at a time.
+     */
+    bool paused = c->ticked_ms != 0 && now - c->ticked_ms > PAUSE_MS;
+    struct fl_agent *a;
+    struct fl_agent *a_tmp;
+    struct co_job *j;
+    struct co_job *j_tmp;
+
+    c->ticked_ms = now;
+    HASH_ITER (hh, c->fleet.agents, a, a_tmp) {
+        tend_session(c, now, a);
+        resend(c, now, a);
+        if (!a->member && !a->live) {
+            fl_remove(&c->fleet, a);
+        }
+    }
+    HASH_ITER (hh, c->jobs, j, j_tmp) {
+        if (paused) {
+            give_up(c, now, j, "paused");
+        }
+        else {
+            tend_job(c, now, j);
+        }
+    }
+    forget_ended(c, now);
+}
+
+/* --- the rest --- */
+
+void
+co_free(struct coord *c)
+{
+    struct co_job *j;
+    struct co_job *j_tmp;
+    struct co_ended *e;
+    struct co_ended *e_tmp;
+
+    HASH_ITER (hh, c->jobs, j, j_tmp) {
+        while (j->waiters != NULL) {
+            struct co_waiter *w = j->waiters;
+
+            j->waiters = w->next;
+            free(w);
+        }
+        free_job(c, j);
+    }
+    HASH_ITER (hh, c->ended, e, e_tmp) {
+        HASH_DEL(c->ended, e);
+        free(e);
+    }
+    fl_free(&c->fleet);
+}
+
+bool
+co_known(const struct coord *c, uint64_t id)
+{
+    return find_job(c, id) != NULL;
+}
+
+size_t
+co_running(const struct coord *c)
+{
+    return HASH_COUNT(c->jobs);
+}
+
+size_t
+co_pending(const struct coord *c)
+{
+    const struct co_job *j;
+    size_t n = 0;
+
+    for (j = c->queue; j != NULL; j = j->next) {
+        n += !j->begun;
+    }
+    return n;
+}
--- /dev/null
+++ b/coord.h
@@ -0,0 +1,166 @@
+/*
+ * coord - an entry's best-effort jobs, from the caller's request to its answer
+ *
+ * The entry that took a best-effort job coordinates it: such a job needs no
+ * memory beyond its caller's connection.  It sends each task to an agent with
+ * room, and again elsewhere when a run was lost, but never before the earlier
+ * run is certainly over.
+ */
+#ifndef COORD_H
+#define COORD_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "fleet.h"
+#include "proto.h"
+#include "str.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define CO_TASKS_MAX 1024U
+
+enum co_outcome {
+    CO_COMPLETED, /* every task ended done */
+    CO_FAILED,    /* a task failed as often as it may, or time ran out */
+    CO_NOT_RUN    /* nothing of it has run or will */
+};
+
+struct co_task_spec {
+    uint32_t millicores;
+    uint32_t memory_mb;
+    uint32_t gpus;
+    uint32_t est_ms;
+};
+
+struct co_submit {
+    uint64_t id;
+    uint64_t wall_ms; /* makes run numbers rise over all entries */
+    struct str spec;
+    const char *service; /* whose workers may run it */
+    uint32_t priority;
+    uint32_t attempts;     /* runs of a task that may fail */
+    uint32_t objective_ms; /* from now; later it is worth less */
+    uint32_t left_ms;      /* until the caller leaves */
+    const struct co_task_spec *tasks;
+    size_t count;
+};
+
+enum co_task_state { CO_WAITING, CO_OUT, CO_LOST, CO_DONE };
+
+struct co_task {
+    struct co_task_spec spec;
+    enum co_task_state state;
+    uint64_t run;
+    uint64_t agent; /* of the last run */
+    uint64_t session;
+    uint64_t again_ms; /* CO_LOST: when the last run is certainly over */
+    uint64_t sent_ms;
+    uint32_t failed;
+};
+
+struct co_waiter {
+    struct co_waiter *next;
+    void *handle;
+};
+
+struct co_job {
+    uint64_t id;
+    struct co_waiter *waiters;
+    char *spec;
+    size_t spec_n;
+    char *service;
+    uint32_t priority;
+    uint32_t attempts;
+    uint64_t come_ms;
+    uint64_t objective_ms;
+    uint64_t deadline_ms;
+    uint64_t longest_ms; /* estimate of its longest task */
+    bool begun;          /* an order of it went out */
+    bool queued;
+    struct co_task *tasks;
+    uint32_t count;
+    uint32_t done;
+    uint32_t waiting;
+    struct co_job *prev; /* jobs with waiting tasks, most urgent first */
+    struct co_job *next;
+    UT_hash_handle hh;
+};
+
+/* A job that ended, for a late copy of its request. */
+struct co_ended {
+    uint64_t id;
+    uint64_t at_ms;
+    enum co_outcome how;
+    UT_hash_handle hh;
+};
+
+struct co_ops {
+    void (*send)(void *ctx, uint64_t to, const dw_msg *msg);
+    /* The handle must not be used after.  reason is one word. */
+    void (*answer)(void *ctx, void *handle, enum co_outcome how,
+        const char *reason, uint32_t retry_ms);
+    /* A line for whoever asks later what became of the job. */
+    void (*note)(void *ctx, const struct co_job *job, const char *text);
+};
+
+struct co_stats {
+    uint64_t submitted;
+    uint64_t attached;
+    uint64_t completed;
+    uint64_t failed;
+    uint64_t not_run;
+    uint64_t gone;
+    uint64_t runs;
+    uint64_t lost;
+    uint64_t bounced; /* sent to an agent that had no room after all */
+    uint64_t retried; /* after a failure */
+};
+
+struct coord {
+    const struct co_ops *ops;
+    void *ctx;
+    struct fleet fleet;
+    struct co_job *jobs;
+    struct co_job *queue;
+    struct co_ended *ended;
+    uint64_t waiting_work; /* estimated millicores x ms of waiting tasks */
+    uint64_t ticked_ms;
+    char address[64]; /* where agents reach this entry */
+    uint16_t port;
+    struct co_stats stats;
+};
+
+void co_init(struct coord *c, const struct co_ops *ops, void *ctx,
+    uint64_t seed, const char *address, uint16_t port);
+void co_free(struct coord *c);
+
+/* A caller's request.  The answer comes by ops->answer, perhaps at once. */
+void co_submit(
+    struct coord *c, uint64_t now, const struct co_submit *s, void *handle);
+/* A caller has left; a job that nobody waits for ends at once. */
+void co_leave(struct coord *c, uint64_t now, const void *handle);
+/* False if no such job is under way here. */
+bool co_cancel(struct coord *c, uint64_t now, uint64_t id);
+void co_report(
+    struct coord *c, uint64_t now, uint64_t from, const dw_report *r);
+/* The process is dead, as its port refuses. */
+void co_refused(struct coord *c, uint64_t now, uint64_t id);
+void co_tick(struct coord *c, uint64_t now);
+/* Place what waits and send what was collected. */
+void co_flush(struct coord *c, uint64_t now);
+
+/* Queries. */
+bool co_known(const struct coord *c, uint64_t id);
+size_t co_running(const struct coord *c);
+/* Jobs of which nothing has been sent to a worker. */
+size_t co_pending(const struct coord *c);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/dunlinweird.c
+++ b/dunlinweird.c
@@ -13,12 +13,16 @@
 
 #include "daemon.h"
 #include "log.h"
+#include "serve.h"
 
 #define TICK_S 0.01
 /* A loop that stood still for longer is worth a line in the log. */
 #define PAUSE_MS 500
 #define STORE_CONNECTIONS 8
 
+/* Where the platform says the settings are; -f goes first. */
+#define BOOT_VARIABLE "DUNLINWEIR_BOOT"
+
 enum exit_code { EXIT_OK = 0, EXIT_BAD_START = 1, EXIT_BAD_USAGE = 2 };
 
 static uint64_t
@@ -515,6 +519,18 @@
     return code;
 }
 
+/* On the users' platform. */
+static int
+run_served(struct daemon *d)
+{
+    static const struct sv_role *const roles[] = {
+        [VIEW_ENTRY] = &sv_entry,
+        [VIEW_AGENT] = &sv_agent,
+    };
+
+    return sv_run(&d->conf, d->conf_path, roles[d->conf.node.me.role]);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -531,6 +547,11 @@
     struct err e = {""};
     int opt = poptGetNextOpt(ctx);
     int code = EXIT_BAD_USAGE;
+    const char *where = getenv(BOOT_VARIABLE);
+
+    if (path == NULL && where != NULL) {
+        path = str_dup(str_of(where));
+    }
 
     if (opt < -1) {
         fprintf(stderr, "dunlinweird: %s: %s\n",
@@ -555,7 +576,7 @@
         raise_limits();
         curl_global_init(CURL_GLOBAL_DEFAULT);
         d->conf_path = path;
-        code = run(d);
+        code = d->conf.platform.store[0] == '\0' ? run(d) : run_served(d);
         curl_global_cleanup();
         log_close();
     }
--- /dev/null
+++ b/entryd.c
@@ -0,0 +1,655 @@
+/*
+ * entryd - the entry on the users' platform: carries out what coord decides
+ */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "coord.h"
+#include "log.h"
+#include "num.h"
+#include "platform/follow.h"
+#include "platform/wire.h"
+#include "route.h"
+#include "serve.h"
+
+/* ms a watch of the operators' part waits: a connection may fall silent for
+ * good, and changes must be in force within two seconds. */
+#define WATCH_OPERATORS_MS 800U
+/* ms a watch of the members waits; sessions show who lives, so this only
+ * delays newcomers. */
+#define WATCH_MEMBERS_MS 2000U
+/* ms after SIGTERM in which new connections may still be sent here, as the
+ * balancer needs two missed looks of a second each. */
+#define ACCEPT_MS 2600U
+/* ms a request may have waited unread while the machine stood still, after
+ * which its caller has tried elsewhere. */
+#define STALE_MS 900U
+#define STALE_WINDOW_MS 40U
+#define CALLERS_MAX 3000U
+#define BODY_MAX (1U << 20)
+#define IDLE_S 30U
+/* Callers that say no deadline. */
+#define LEFT_MS 10000U
+#define DOMAINS_MAX 64
+
+struct answer {
+    struct answer *next;
+    struct web_req *req;
+    enum co_outcome how;
+    const char *reason;
+    uint32_t retry_ms;
+};
+
+struct entry {
+    struct serve *s;
+    struct coord coord;
+    struct rt_table routes;
+    struct web *callers;
+    struct web *ready;
+    struct follow *operators;
+    struct follow *members;
+    struct answer *answers; /* to be given when the decisions are over */
+    struct answer **answers_tail;
+    char *withdrawn[DOMAINS_MAX];
+    size_t withdrawn_count;
+    bool accepting;
+    uint64_t stale_ms; /* requests read before this time waited too long */
+};
+
+/* --- carrying out --- */
+
+static void
+send_message(void *ctx, uint64_t to, const dw_msg *m)
+{
+    struct entry *e = ctx;
+
+    link_send(e->s->link, to, m);
+}
+
+/* Answers wait until the coordinator is done, as the library may hand over
+ * the next request, or a caller's leaving, from inside the call. */
+static void
+keep_answer(void *ctx, void *handle, enum co_outcome how, const char *reason,
+    uint32_t retry_ms)
+{
+    struct entry *e = ctx;
+    struct answer *a = dw_zero(1, sizeof(*a));
+
+    a->req = handle;
+    a->how = how;
+    a->reason = reason;
+    a->retry_ms = retry_ms;
+    web_set_ctx(a->req, NULL);
+    *e->answers_tail = a;
+    e->answers_tail = &a->next;
+}
+
+static void
+note_job(void *ctx, const struct co_job *j, const char *text)
+{
+    (void)ctx;
+    log_event(LOG_LEVEL_DEBUG, "job_ended",
+        "job=%016" PRIx64 " why=%s tasks=%u done=%u begun=%d ms=%" PRIu64,
+        j->id, text, j->count, j->done, j->begun, sv_now() - j->come_ms);
+}
+
+static const struct co_ops co_ops = {send_message, keep_answer, note_job};
+
+static void
+reply_text(struct web_req *r, unsigned status, const char *text)
+{
+    web_reply(r, status, "application/json", str_of(text), 0);
+}
+
+static void
+reply_not_run(struct web_req *r, const char *reason, uint32_t retry_ms)
+{
+    struct buf b = {0};
+
+    buf_addf(&b, "{\"error\":\"%s\"}", reason);
+    web_reply(r, 503, "application/json", buf_str(&b),
+        (uint32_t)num_max(1, (retry_ms + 999) / 1000));
+    buf_free(&b);
+}
+
+static void
+give_answer(const struct answer *a)
+{
+    static const char *const states[] = {
+        [CO_COMPLETED] = "{\"state\":\"completed\"}",
+        [CO_FAILED] = "{\"state\":\"failed\"}",
+    };
+
+    if (a->how == CO_NOT_RUN) {
+        reply_not_run(a->req, a->reason, a->retry_ms);
+        return;
+    }
+    reply_text(a->req, 200, states[a->how]);
+}
+
+static void
+give_answers(struct entry *e)
+{
+    while (e->answers != NULL) {
+        struct answer *a = e->answers;
+
+        e->answers = a->next;
+        if (e->answers == NULL) {
+            e->answers_tail = &e->answers;
+        }
+        if (a->req != NULL) {
+            give_answer(a);
+        }
+        free(a);
+    }
+}
+
+/* --- callers --- */
+
+static uint32_t
+left_ms(const struct web_req *r)
+{
+    const char *z = web_header(r, "Deadline-Remaining");
+    char *end;
+    double ms;
+
+    if (z == NULL) {
+        return LEFT_MS;
+    }
+    ms = strtod(z, &end);
+    return end == z || ms < 0 || ms > 86400000.0 ? LEFT_MS : (uint32_t)ms;
+}
+
+/* The caller's connection stands for the job. */
+static void
+submit(struct entry *e, uint64_t now, struct web_req *r,
+    const struct rt_route *route, uint64_t id)
+{
+    struct wire_job job;
+    struct err why = {""};
+    struct co_submit s = {0};
+    enum wire_status st = wire_job(&job, web_body(r), &why);
+
+    if (st != WIRE_OK) {
+        log_event(LOG_LEVEL_WARN, "job_refused",
+            "job=%016" PRIx64 " route=%s why=\"%s\"", id, route->name,
+            why.msg);
+        if (st == WIRE_UNSUPPORTED) {
+            reply_not_run(r, "not_served", 5000);
+        }
+        else {
+            web_problem(r, 400, "bad_job", why.msg, 0);
+        }
+        return;
+    }
+    s.id = id;
+    s.wall_ms = sv_wall();
+    s.spec = job.spec;
+    s.service = route->service;
+    s.priority = route->priority;
+    s.attempts = route->attempts;
+    s.objective_ms =
+        (uint32_t)((uint64_t)job.longest_ms * route->stretch_milli / 1000) +
+        route->slo_ms;
+    s.left_ms = left_ms(r);
+    s.tasks = job.tasks;
+    s.count = job.count;
+    web_set_ctx(r, (void *)(uintptr_t)1);
+    co_submit(&e->coord, now, &s, r);
+    wire_job_free(&job);
+}
+
+static void
+reply_pending(struct entry *e, struct web_req *r)
+{
+    struct buf b = {0};
+
+    buf_addf(&b, "{\"pending\":%zu}", co_pending(&e->coord));
+    web_reply(r, 200, "application/json", buf_str(&b), 0);
+    buf_free(&b);
+}
+
+static void
+handle_job(struct entry *e, uint64_t now, struct web_req *r,
+    const struct rt_route *route, uint64_t id)
+{
+    const char *method = web_method(r);
+
+    if (strcmp(method, "POST") == 0) {
+        if (now < e->stale_ms) {
+            log_event(LOG_LEVEL_WARN, "job_refused",
+                "job=%016" PRIx64 " why=waited_through_pause", id);
+            reply_not_run(r, "paused", 1000);
+            return;
+        }
+        submit(e, now, r, route, id);
+    }
+    else if (strcmp(method, "GET") == 0) {
+        if (co_known(&e->coord, id)) {
+            reply_text(r, 200, "{\"state\":\"running\"}");
+        }
+        else {
+            reply_text(r, 410, "{}");
+        }
+    }
+    else if (strcmp(method, "DELETE") == 0) {
+        reply_text(r, co_cancel(&e->coord, now, id) ? 200 : 410, "{}");
+    }
+    else {
+        web_problem(r, 405, "bad_method", "want POST, GET or DELETE", 0);
+    }
+}
+
+static void
+on_caller(void *ctx, struct web_req *r)
+{
+    struct entry *e = ctx;
+    uint64_t now = sv_now();
+    const char *host = web_header(r, "Host");
+    struct str path = str_of(web_path(r));
+    const struct rt_route *route;
+    uint64_t id;
+
+    if (e->routes.version == 0) {
+        reply_not_run(r, "no_configuration", 1000);
+        return;
+    }
+    route = rt_match(&e->routes, str_of(host), path);
+    if (route == NULL) {
+        reply_text(r, 404, "{\"error\":\"no_route\"}");
+        return;
+    }
+    path = str_make(path.p + route->prefix_n, path.n - route->prefix_n);
+    if (path.n == 0) {
+        reply_pending(e, r);
+    }
+    else if (wire_job_id(path, &id)) {
+        handle_job(e, now, r, route, id);
+    }
+    else {
+        reply_text(r, 404, "{\"error\":\"no_job_id\"}");
+    }
+}
+
+static void
+on_caller_gone(void *ctx, struct web_req *r)
+{
+    struct entry *e = ctx;
+    struct answer *a;
+
+    for (a = e->answers; a != NULL; a = a->next) {
+        if (a->req == r) {
+            a->req = NULL;
+            return;
+        }
+    }
+    co_leave(&e->coord, sv_now(), r);
+}
+
+static bool
+is_ready(const struct entry *e)
+{
+    return !e->s->leaving && e->routes.version != 0 &&
+           fl_capacity(&e->coord.fleet, sv_now()) > 0;
+}
+
+static void
+on_ready(void *ctx, struct web_req *r)
+{
+    reply_text(r, is_ready(ctx) ? 200 : 503, "{}");
+}
+
+static void
+on_ready_gone(void *ctx, struct web_req *r)
+{
+    (void)ctx;
+    (void)r;
+}
+
+/* --- what operators want --- */
+
+#define CONFIG_KEY "op/config"
+#define EVACUATE_PREFIX "op/evacuate/"
+
+static void
+take_config(struct entry *e, struct str text)
+{
+    struct rt_table fresh;
+    struct err why = {""};
+    size_t left_out;
+    uint64_t version;
+
+    if (wire_config(&fresh, text, &left_out, &why) != WIRE_OK) {
+        log_event(LOG_LEVEL_ERROR, "config_refused", "error=\"%s\"", why.msg);
+        return;
+    }
+    if (left_out > 0) {
+        log_event(LOG_LEVEL_WARN, "config_routes_left_out",
+            "count=%zu last=\"%s\"", left_out, why.msg);
+    }
+    version = fresh.version;
+    if (rt_adopt(&e->routes, &fresh)) {
+        log_event(LOG_LEVEL_INFO, "config_in_force",
+            "version=%" PRIu64 " routes=%zu", version, e->routes.count);
+    }
+}
+
+static void
+tell_withdrawn(struct entry *e)
+{
+    fl_withdraw(&e->coord.fleet, (const char *const *)e->withdrawn,
+        e->withdrawn_count);
+}
+
+static void
+drop_withdrawn(struct entry *e)
+{
+    while (e->withdrawn_count > 0) {
+        free(e->withdrawn[--e->withdrawn_count]);
+    }
+}
+
+static void
+set_withdrawn(struct entry *e, const char *domain, bool out)
+{
+    for (size_t i = 0; i < e->withdrawn_count; i++) {
+        if (strcmp(e->withdrawn[i], domain) == 0) {
+            free(e->withdrawn[i]);
+            e->withdrawn[i] = e->withdrawn[--e->withdrawn_count];
+            break;
+        }
+    }
+    if (out && e->withdrawn_count < DOMAINS_MAX) {
+        e->withdrawn[e->withdrawn_count++] = str_dup(str_of(domain));
+    }
+    log_event(LOG_LEVEL_INFO, out ? "domain_out" : "domain_back", "domain=%s",
+        domain);
+}
+
+static void
+operators_item(struct entry *e, const struct kv_item *it)
+{
+    if (strcmp(it->key, CONFIG_KEY) == 0 && !it->deleted) {
+        take_config(e, it->value);
+    }
+    else if (strncmp(it->key, EVACUATE_PREFIX, sizeof(EVACUATE_PREFIX) - 1) ==
+             0) {
+        set_withdrawn(e, it->key + sizeof(EVACUATE_PREFIX) - 1, !it->deleted);
+    }
+}
+
+static void
+operators_whole(void *ctx, const struct kv_item *items, size_t n, uint64_t rev)
+{
+    struct entry *e = ctx;
+
+    (void)rev;
+    drop_withdrawn(e);
+    for (size_t i = 0; i < n; i++) {
+        operators_item(e, &items[i]);
+    }
+    tell_withdrawn(e);
+}
+
+static void
+operators_change(void *ctx, const struct kv_item *it)
+{
+    operators_item(ctx, it);
+    tell_withdrawn(ctx);
+}
+
+static void
+store_state(void *ctx, bool answers, const char *message)
+{
+    (void)ctx;
+    log_event(answers ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
+        answers ? "store_regained" : "store_lost", "message=\"%s\"", message);
+}
+
+static const struct follow_events operators_events = {
+    operators_whole, operators_change, store_state};
+
+/* --- members --- */
+
+static void
+member_in(struct entry *e, const struct sv_peer *told)
+{
+    struct sv_peer *p = sv_peer(e->s, told->id, true);
+    UT_hash_handle hh = p->hh;
+    struct fl_agent *a;
+
+    *p = *told;
+    p->hh = hh;
+    if (!p->is_agent) {
+        return;
+    }
+    a = fl_add(&e->coord.fleet, p->id, p->name, p->domain, p->service);
+    a->member = true;
+}
+
+/* A key that vanished says little: a session shows better who lives. */
+static void
+member_out(struct entry *e, const char *key)
+{
+    const char *name = key + sizeof(SV_PREFIX) - 1;
+    struct sv_peer *p;
+    struct sv_peer *tmp;
+
+    HASH_ITER (hh, e->s->peers, p, tmp) {
+        struct fl_agent *a = fl_find(&e->coord.fleet, p->id);
+
+        if (strcmp(p->name, name) != 0) {
+            continue;
+        }
+        p->entered = false;
+        if (a != NULL) {
+            a->member = false;
+        }
+    }
+}
+
+static void
+members_change(void *ctx, const struct kv_item *it)
+{
+    struct entry *e = ctx;
+    struct sv_peer told;
+
+    if (strncmp(it->key, SV_PREFIX, sizeof(SV_PREFIX) - 1) != 0) {
+        return;
+    }
+    member_out(e, it->key);
+    if (it->deleted) {
+        return;
+    }
+    if (!sv_read_peer(&told, it->key, it->value)) {
+        log_event(LOG_LEVEL_WARN, "member_unreadable", "key=%s", it->key);
+        return;
+    }
+    member_in(e, &told);
+    tell_withdrawn(e);
+}
+
+static void
+members_whole(void *ctx, const struct kv_item *items, size_t n, uint64_t rev)
+{
+    struct entry *e = ctx;
+    struct fl_agent *a;
+
+    (void)rev;
+    for (a = e->coord.fleet.agents; a != NULL; a = a->hh.next) {
+        a->member = false;
+    }
+    for (size_t i = 0; i < n; i++) {
+        members_change(e, &items[i]);
+    }
+}
+
+static const struct follow_events members_events = {
+    members_whole, members_change, store_state};
+
+/* --- the role --- */
+
+static int
+open_web(struct entry *e, struct web **out, const char *endpoint,
+    web_handle_fn handle, web_gone_fn gone, struct err *err)
+{
+    struct conf_endpoint at;
+    struct web_cfg cfg = {at.addr, 0, CALLERS_MAX, BODY_MAX, IDLE_S};
+
+    conf_endpoint(&at, endpoint);
+    cfg.port = at.port;
+    return web_open(out, e->s->loop, &cfg, handle, gone, e, err) == WEB_OK
+               ? 0
+               : -1;
+}
+
+static int
+entry_open(struct serve *s, struct err *err)
+{
+    struct entry *e = dw_zero(1, sizeof(*e));
+    const struct conf_platform *p = &s->conf->platform;
+
+    s->state = e;
+    e->s = s;
+    e->accepting = true;
+    e->answers_tail = &e->answers;
+    co_init(&e->coord, &co_ops, e, s->seed, s->conf->node.me.addr,
+        s->conf->node.me.port);
+    if (open_web(e, &e->callers, p->callers, on_caller, on_caller_gone, err) !=
+            0 ||
+        open_web(e, &e->ready, p->readiness, on_ready, on_ready_gone, err) !=
+            0) {
+        return -1;
+    }
+    e->operators = follow_new(
+        s->loop, s->kv, "op/", WATCH_OPERATORS_MS, &operators_events, e);
+    e->members = follow_new(
+        s->loop, s->kv, SV_PREFIX, WATCH_MEMBERS_MS, &members_events, e);
+    return 0;
+}
+
+static void
+entry_close(struct serve *s)
+{
+    struct entry *e = s->state;
+
+    if (e == NULL) {
+        return;
+    }
+    if (e->operators != NULL) {
+        follow_free(e->operators);
+        follow_free(e->members);
+    }
+    give_answers(e);
+    co_free(&e->coord);
+    if (e->callers != NULL) {
+        web_close(e->callers);
+    }
+    if (e->ready != NULL) {
+        web_close(e->ready);
+    }
+    rt_free(&e->routes);
+    drop_withdrawn(e);
+    free(e);
+}
+
+static void
+entry_tick(struct serve *s, uint64_t now)
+{
+    struct entry *e = s->state;
+
+    co_tick(&e->coord, now);
+    if (s->leaving && e->accepting && now - s->leave_ms > ACCEPT_MS) {
+        e->accepting = false;
+        web_stop_accepting(e->callers);
+    }
+}
+
+static void
+entry_flush(struct serve *s, uint64_t now)
+{
+    struct entry *e = s->state;
+
+    co_flush(&e->coord, now);
+    give_answers(e);
+}
+
+static void
+entry_message(struct serve *s, uint64_t now, uint64_t from, const dw_msg *m)
+{
+    struct entry *e = s->state;
+
+    if (m->type == DW_REPORT) {
+        co_report(&e->coord, now, from, &m->dw_msg_u.report);
+    }
+}
+
+static void
+entry_refused(struct serve *s, uint64_t now, uint64_t id)
+{
+    struct entry *e = s->state;
+
+    co_refused(&e->coord, now, id);
+}
+
+static void
+entry_leave(struct serve *s, uint64_t now)
+{
+    struct entry *e = s->state;
+
+    (void)now;
+    web_drain(e->callers);
+}
+
+static bool
+entry_done(struct serve *s, uint64_t now)
+{
+    struct entry *e = s->state;
+
+    (void)now;
+    return !e->accepting && co_running(&e->coord) == 0 &&
+           web_open_requests(e->callers) == 0;
+}
+
+static void
+entry_woke(struct serve *s, uint64_t now, uint64_t slept_ms)
+{
+    struct entry *e = s->state;
+
+    if (slept_ms >= STALE_MS) {
+        e->stale_ms = now + STALE_WINDOW_MS;
+    }
+}
+
+static void
+entry_metrics(struct serve *s, struct buf *b)
+{
+    const struct entry *e = s->state;
+    const struct co_stats *st = &e->coord.stats;
+    const struct {
+        const char *name;
+        uint64_t value;
+    } rows[] = {
+        {"dw_jobs_submitted", st->submitted},
+        {"dw_jobs_attached", st->attached},
+        {"dw_jobs_completed", st->completed},
+        {"dw_jobs_failed", st->failed},
+        {"dw_jobs_not_run", st->not_run},
+        {"dw_jobs_caller_gone", st->gone},
+        {"dw_jobs_running", co_running(&e->coord)},
+        {"dw_runs_sent", st->runs},
+        {"dw_runs_lost", st->lost},
+        {"dw_runs_bounced", st->bounced},
+        {"dw_runs_retried", st->retried},
+        {"dw_config_version", e->routes.version},
+    };
+
+    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+        buf_addf(b, "%s %" PRIu64 "\n", rows[i].name, rows[i].value);
+    }
+}
+
+const struct sv_role sv_entry = {"entry", entry_open, entry_close, entry_tick,
+    entry_flush, entry_message, entry_refused, entry_leave, entry_done,
+    entry_woke, entry_metrics};
--- /dev/null
+++ b/fleet.c
@@ -0,0 +1,299 @@
+#include "fleet.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "num.h"
+#include "str.h"
+
+/* Failures come from bad tasks too (some per thousand); a worker that fails
+ * this share of its runs is the cause itself. */
+#define SICK_PERMILLE 400U
+#define FAIL_WEIGHT 8U
+/* ms of the first probation; it doubles up to the longest. */
+#define SICK_MIN_MS 500U
+#define SICK_MAX_MS 4000U
+
+void
+fl_init(struct fleet *f, uint64_t seed)
+{
+    f->agents = NULL;
+    f->seed = seed;
+}
+
+struct fl_agent *
+fl_find(struct fleet *f, uint64_t id)
+{
+    struct fl_agent *a;
+
+    HASH_FIND(hh, f->agents, &id, sizeof(id), a);
+    return a;
+}
+
+struct fl_agent *
+fl_add(struct fleet *f, uint64_t id, const char *name, const char *domain,
+    const char *service)
+{
+    struct fl_agent *a = fl_find(f, id);
+
+    if (a == NULL) {
+        a = dw_zero(1, sizeof(*a));
+        a->id = id;
+        sess_init(&a->sess);
+        HASH_ADD(hh, f->agents, id, sizeof(a->id), a);
+    }
+    str_copy(a->name, sizeof(a->name), str_of(name));
+    str_copy(a->domain, sizeof(a->domain), str_of(domain));
+    str_copy(a->service, sizeof(a->service), str_of(service));
+    return a;
+}
+
+static void
+drop_pending(struct fl_agent *a, uint64_t upto)
+{
+    while (a->pending != NULL && a->pending->seq <= upto) {
+        struct fl_pending *p = a->pending;
+
+        a->pending = p->next;
+        free(p);
+    }
+}
+
+void
+fl_close(struct fl_agent *a)
+{
+    drop_pending(a, UINT64_MAX);
+    msg_free(a->batch);
+    a->batch = NULL;
+    a->batch_millicores = a->batch_memory_mb = a->batch_gpus = 0;
+    a->live = false;
+    a->out = 0;
+    memset(&a->room, 0, sizeof(a->room));
+    sess_end(&a->sess);
+}
+
+void
+fl_remove(struct fleet *f, struct fl_agent *a)
+{
+    fl_close(a);
+    HASH_DEL(f->agents, a);
+    free(a);
+}
+
+void
+fl_free(struct fleet *f)
+{
+    struct fl_agent *a;
+    struct fl_agent *tmp;
+
+    HASH_ITER (hh, f->agents, a, tmp) {
+        fl_remove(f, a);
+    }
+}
+
+void
+fl_withdraw(struct fleet *f, const char *const *domains, size_t n)
+{
+    struct fl_agent *a;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        a->withdrawn = false;
+        for (size_t i = 0; i < n; i++) {
+            a->withdrawn |= strcmp(a->domain, domains[i]) == 0;
+        }
+    }
+}
+
+void
+fl_open(struct fleet *f, uint64_t now, struct fl_agent *a)
+{
+    /* Rising, so that an agent knows a session's successor from a message
+     * of an earlier one; the chance tells entries apart. */
+    f->seed = mix64(f->seed, now);
+    sess_begin(&a->sess, (now << 16) | (f->seed & 0xffff));
+    a->opened_ms = now;
+}
+
+/* What is free, less all orders that the room does not cover. */
+static void
+count_free(struct fl_agent *a)
+{
+    const struct fl_pending *p;
+
+    a->free_millicores =
+        a->room.free_millicores - (int64_t)a->batch_millicores;
+    a->free_memory_mb = a->room.free_memory_mb - (int64_t)a->batch_memory_mb;
+    a->free_gpus = a->room.free_gpus - (int64_t)a->batch_gpus;
+    for (p = a->pending; p != NULL; p = p->next) {
+        a->free_millicores -= p->millicores;
+        a->free_memory_mb -= p->memory_mb;
+        a->free_gpus -= p->gpus;
+    }
+}
+
+void
+fl_room(struct fl_agent *a, uint64_t ack, const dw_room *room)
+{
+    a->room = *room;
+    drop_pending(a, ack);
+    count_free(a);
+}
+
+void
+fl_reserve(struct fl_agent *a, const struct fl_need *need)
+{
+    a->batch_millicores += need->millicores;
+    a->batch_memory_mb += need->memory_mb;
+    a->batch_gpus += need->gpus;
+    a->out++;
+    count_free(a);
+}
+
+void
+fl_sent(struct fl_agent *a, uint64_t seq)
+{
+    struct fl_pending *p = dw_zero(1, sizeof(*p));
+    struct fl_pending **at = &a->pending;
+
+    p->seq = seq;
+    p->millicores = (int64_t)a->batch_millicores;
+    p->memory_mb = (int64_t)a->batch_memory_mb;
+    p->gpus = (int64_t)a->batch_gpus;
+    a->batch_millicores = a->batch_memory_mb = a->batch_gpus = 0;
+    while (*at != NULL) {
+        at = &(*at)->next;
+    }
+    *at = p;
+}
+
+void
+fl_note_end(struct fl_agent *a, uint64_t now, dw_end how)
+{
+    uint32_t failed = how == DW_END_FAILED ? 1000 : 0;
+
+    if (a->out > 0) {
+        a->out--;
+    }
+    if (how != DW_END_DONE && how != DW_END_FAILED) {
+        return;
+    }
+    a->fail_permille =
+        (a->fail_permille * (FAIL_WEIGHT - 1) + failed) / FAIL_WEIGHT;
+    if (how == DW_END_DONE) {
+        a->sick_ms = 0;
+        a->sick_until_ms = 0;
+    }
+    else if (a->fail_permille >= SICK_PERMILLE && a->sick_until_ms <= now) {
+        a->sick_ms = (uint32_t)num_min(
+            a->sick_ms == 0 ? SICK_MIN_MS : 2 * a->sick_ms, SICK_MAX_MS);
+        a->sick_until_ms = now + a->sick_ms;
+    }
+}
+
+bool
+fl_usable(const struct fl_agent *a, uint64_t now)
+{
+    return a->live && sess_live(&a->sess, now) && a->room.serving &&
+           !a->room.draining && !a->withdrawn;
+}
+
+static bool
+has_room(const struct fl_agent *a, const struct fl_need *need)
+{
+    return a->free_millicores >= (int64_t)need->millicores &&
+           a->free_memory_mb >= (int64_t)need->memory_mb &&
+           a->free_gpus >= (int64_t)need->gpus;
+}
+
+/* A worker on probation gets one run at a time. */
+static bool
+on_probation(const struct fl_agent *a, uint64_t now)
+{
+    return a->sick_until_ms > now || (a->sick_ms > 0 && a->out > 0);
+}
+
+/* Speed first, then the freer; a little chance keeps entries from choosing
+ * the same worker in the same moment. */
+static double
+score(struct fleet *f, const struct fl_agent *a)
+{
+    double free_part =
+        (double)a->free_millicores / (double)num_max(a->room.millicores, 1);
+    double chance;
+
+    f->seed = mix64(f->seed, a->id);
+    chance = (double)(f->seed & 0xff) / 256.0;
+    return (double)a->room.speed_permille / 1000.0 + 0.5 * free_part +
+           0.1 * chance;
+}
+
+struct fl_agent *
+fl_pick(struct fleet *f, uint64_t now, const struct fl_need *need)
+{
+    struct fl_agent *best = NULL;
+    struct fl_agent *a;
+    double best_score = 0;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        double s;
+
+        if (!fl_usable(a, now) || strcmp(a->service, need->service) != 0 ||
+            !has_room(a, need) || on_probation(a, now) ||
+            (a->room.left_ms != UINT32_MAX &&
+                need->est_ms > a->room.left_ms)) {
+            continue;
+        }
+        s = score(f, a) - (a->id == need->avoid ? 10.0 : 0.0);
+        if (best == NULL || s > best_score) {
+            best = a;
+            best_score = s;
+        }
+    }
+    return best;
+}
+
+int64_t
+fl_capacity(const struct fleet *f, uint64_t now)
+{
+    const struct fl_agent *a;
+    int64_t sum = 0;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        sum += fl_usable(a, now) ? a->room.millicores : 0;
+    }
+    return sum;
+}
+
+int64_t
+fl_free_room(const struct fleet *f, uint64_t now)
+{
+    const struct fl_agent *a;
+    int64_t sum = 0;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        if (fl_usable(a, now) && a->free_millicores > 0) {
+            sum += a->free_millicores;
+        }
+    }
+    return sum;
+}
+
+bool
+fl_never_fits(const struct fleet *f, uint64_t now, const struct fl_need *need)
+{
+    const struct fl_agent *a;
+    bool any = false;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        if (!fl_usable(a, now) || strcmp(a->service, need->service) != 0) {
+            continue;
+        }
+        any = true;
+        if (a->room.millicores >= need->millicores &&
+            a->room.memory_mb >= need->memory_mb &&
+            a->room.gpus >= need->gpus) {
+            return false;
+        }
+    }
+    return any;
+}
--- /dev/null
+++ b/fleet.h
@@ -0,0 +1,113 @@
+/*
+ * fleet - the agents as an entry sees them: sessions, room, choice
+ *
+ * An entry keeps a session with every agent.  Each report tells the room on
+ * the agent's worker as of the last order that the agent had taken, so what
+ * is under way is known exactly; what other entries sent meanwhile is not.
+ */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "proto.h"
+#include "sess.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define FL_NAME_MAX 64
+/* ms between attempts to open a session; a round trip takes 2 to 6. */
+#define FL_OPEN_MS 150U
+/* ms that an opening session is waited for before it gets a new number. */
+#define FL_STALE_MS 1000U
+
+/* Orders sent that the agent's last report did not cover. */
+struct fl_pending {
+    struct fl_pending *next;
+    uint64_t seq;
+    int64_t millicores;
+    int64_t memory_mb;
+    int64_t gpus;
+};
+
+struct fl_agent {
+    uint64_t id;
+    char name[FL_NAME_MAX];
+    char domain[FL_NAME_MAX];
+    char service[FL_NAME_MAX]; /* what its worker runs */
+    bool member;               /* entered in the platform's store */
+    bool live;                 /* the session is open */
+    bool withdrawn;
+    struct sess sess;
+    uint64_t opened_ms; /* when the session's number was given */
+    uint64_t tried_ms;
+    dw_room room;
+    struct fl_pending *pending;
+    int64_t free_millicores; /* room less what is under way */
+    int64_t free_memory_mb;
+    int64_t free_gpus;
+    uint32_t out;           /* runs there, as this entry knows */
+    uint32_t fail_permille; /* of runs that ended there lately */
+    uint64_t sick_until_ms;
+    uint32_t sick_ms;
+    dw_msg *batch; /* orders collected since the last flush */
+    uint64_t batch_millicores;
+    uint64_t batch_memory_mb;
+    uint64_t batch_gpus;
+    UT_hash_handle hh;
+};
+
+struct fleet {
+    struct fl_agent *agents;
+    uint64_t seed;
+};
+
+struct fl_need {
+    const char *service;
+    uint32_t millicores;
+    uint32_t memory_mb;
+    uint32_t gpus;
+    uint32_t est_ms;
+    uint64_t avoid; /* an agent where it failed before; 0: none */
+};
+
+void fl_init(struct fleet *f, uint64_t seed);
+void fl_free(struct fleet *f);
+struct fl_agent *fl_find(struct fleet *f, uint64_t id);
+struct fl_agent *fl_add(struct fleet *f, uint64_t id, const char *name,
+    const char *domain, const char *service);
+void fl_remove(struct fleet *f, struct fl_agent *a);
+void fl_withdraw(struct fleet *f, const char *const *domains, size_t n);
+/* Begin a session; beats go out until it is answered. */
+void fl_open(struct fleet *f, uint64_t now, struct fl_agent *a);
+void fl_close(struct fl_agent *a);
+/* Note the room that came with acknowledgement ack. */
+void fl_room(struct fl_agent *a, uint64_t ack, const dw_room *room);
+/* A run has been put into the agent's next message. */
+void fl_reserve(struct fl_agent *a, const struct fl_need *need);
+/* The collected orders went out as message seq. */
+void fl_sent(struct fl_agent *a, uint64_t seq);
+/* How a run ended there; sick workers get probes only. */
+void fl_note_end(struct fl_agent *a, uint64_t now, dw_end how);
+/* The best agent with room, NULL if there is none. */
+struct fl_agent *fl_pick(
+    struct fleet *f, uint64_t now, const struct fl_need *need);
+
+/* Queries. */
+bool fl_usable(const struct fl_agent *a, uint64_t now);
+/* Cores of all usable workers, and those free. */
+int64_t fl_capacity(const struct fleet *f, uint64_t now);
+int64_t fl_free_room(const struct fleet *f, uint64_t now);
+/* No usable worker could hold it, were it empty; false if none is known. */
+bool fl_never_fits(
+    const struct fleet *f, uint64_t now, const struct fl_need *need);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/link.c
+++ b/link.c
@@ -905,6 +905,16 @@
     send_stream(l, to, now, f);
 }
 
+void
+link_drop(struct link *l, uint64_t to)
+{
+    struct peer *p = find_peer(l, to, false);
+
+    if (p != NULL) {
+        close_conn(p);
+    }
+}
+
 /* --- time --- */
 
 static void
--- a/link.h
+++ b/link.h
@@ -69,6 +69,8 @@
 void link_close(struct link *l);
 /* Queue a message.  It is lost if the peer cannot be reached. */
 void link_send(struct link *l, uint64_t to, const dw_msg *msg);
+/* Close the connection to a peer: the next message opens a new one. */
+void link_drop(struct link *l, uint64_t to);
 const struct link_stats *link_stats(const struct link *l);
 /* Bytes queued for all peers. */
 size_t link_backlog(const struct link *l);
--- a/proto.h
+++ b/proto.h
@@ -51,6 +51,9 @@
 	DW_CANCEL = 21,
 	DW_LEDGER_ASK = 22,
 	DW_LEDGER = 23,
+	DW_ORDERS = 24,
+	DW_REPORT = 25,
+	DW_NEWS = 26,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -442,6 +445,114 @@
 };
 typedef struct dw_ledger dw_ledger;
 
+struct dw_head {
+	u_quad_t session;
+	u_quad_t clock_ms;
+	u_quad_t echo_ms;
+	u_quad_t seq;
+	u_quad_t ack;
+};
+typedef struct dw_head dw_head;
+
+struct dw_run {
+	u_int index;
+	u_quad_t run;
+	u_int millicores;
+	u_int memory_mb;
+	u_int gpus;
+	u_int est_ms;
+	u_int wait_ms;
+};
+typedef struct dw_run dw_run;
+
+struct dw_run_group {
+	u_quad_t job;
+	u_int priority;
+	dw_bytes spec;
+	struct {
+		u_int runs_len;
+		dw_run *runs_val;
+	} runs;
+};
+typedef struct dw_run_group dw_run_group;
+
+struct dw_run_ref {
+	u_quad_t job;
+	u_int index;
+	u_quad_t run;
+};
+typedef struct dw_run_ref dw_run_ref;
+
+struct dw_orders {
+	dw_head head;
+	dw_bytes address;
+	u_int port;
+	struct {
+		u_int groups_len;
+		dw_run_group *groups_val;
+	} groups;
+	struct {
+		u_int stops_len;
+		dw_run_ref *stops_val;
+	} stops;
+};
+typedef struct dw_orders dw_orders;
+
+enum dw_end {
+	DW_END_DONE = 0,
+	DW_END_FAILED = 1,
+	DW_END_STOPPED = 2,
+	DW_END_LOST = 3,
+	DW_END_NOT_RUN = 4,
+	DW_END_FULL = 5,
+};
+typedef enum dw_end dw_end;
+
+struct dw_run_end {
+	dw_run_ref ref;
+	dw_end how;
+	u_int ran_ms;
+};
+typedef struct dw_run_end dw_run_end;
+
+struct dw_room {
+	bool_t serving;
+	bool_t draining;
+	u_int left_ms;
+	u_int millicores;
+	u_int memory_mb;
+	u_int gpus;
+	int free_millicores;
+	int free_memory_mb;
+	int free_gpus;
+	u_int waiting;
+	u_int speed_permille;
+	u_int stuck;
+};
+typedef struct dw_room dw_room;
+
+struct dw_report {
+	dw_head head;
+	bool_t clean;
+	dw_room room;
+	struct {
+		u_int ends_len;
+		dw_run_end *ends_val;
+	} ends;
+};
+typedef struct dw_report dw_report;
+
+struct dw_news {
+	u_quad_t rev;
+	u_quad_t newest;
+	dw_value config;
+	struct {
+		u_int withdrawn_len;
+		dw_bytes *withdrawn_val;
+	} withdrawn;
+};
+typedef struct dw_news dw_news;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -467,6 +578,9 @@
 		dw_cancel cancel;
 		dw_ledger_ask ledger_ask;
 		dw_ledger ledger;
+		dw_orders orders;
+		dw_report report;
+		dw_news news;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -528,6 +642,16 @@
 extern  bool_t xdr_dw_ledger_ask (XDR *, dw_ledger_ask*);
 extern  bool_t xdr_dw_loan (XDR *, dw_loan*);
 extern  bool_t xdr_dw_ledger (XDR *, dw_ledger*);
+extern  bool_t xdr_dw_head (XDR *, dw_head*);
+extern  bool_t xdr_dw_run (XDR *, dw_run*);
+extern  bool_t xdr_dw_run_group (XDR *, dw_run_group*);
+extern  bool_t xdr_dw_run_ref (XDR *, dw_run_ref*);
+extern  bool_t xdr_dw_orders (XDR *, dw_orders*);
+extern  bool_t xdr_dw_end (XDR *, dw_end*);
+extern  bool_t xdr_dw_run_end (XDR *, dw_run_end*);
+extern  bool_t xdr_dw_room (XDR *, dw_room*);
+extern  bool_t xdr_dw_report (XDR *, dw_report*);
+extern  bool_t xdr_dw_news (XDR *, dw_news*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -572,6 +696,16 @@
 extern bool_t xdr_dw_ledger_ask ();
 extern bool_t xdr_dw_loan ();
 extern bool_t xdr_dw_ledger ();
+extern bool_t xdr_dw_head ();
+extern bool_t xdr_dw_run ();
+extern bool_t xdr_dw_run_group ();
+extern bool_t xdr_dw_run_ref ();
+extern bool_t xdr_dw_orders ();
+extern bool_t xdr_dw_end ();
+extern bool_t xdr_dw_run_end ();
+extern bool_t xdr_dw_room ();
+extern bool_t xdr_dw_report ();
+extern bool_t xdr_dw_news ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -34,7 +34,10 @@
     DW_LENT = 20,
     DW_CANCEL = 21,
     DW_LEDGER_ASK = 22,
-    DW_LEDGER = 23
+    DW_LEDGER = 23,
+    DW_ORDERS = 24,
+    DW_REPORT = 25,
+    DW_NEWS = 26
 };
 
 /* What a submission's answer says. */
@@ -344,6 +347,101 @@
     dw_loan loans<DW_MAX_ITEMS>;
 };
 
+/*
+ * What every message of a session begins with.  clock_ms is the sender's
+ * clock and echo_ms the receiver's as the sender last heard it; seq numbers
+ * the messages that must arrive, 0 is a heartbeat; ack is the last one taken.
+ */
+struct dw_head {
+    unsigned hyper session;
+    unsigned hyper clock_ms;
+    unsigned hyper echo_ms;
+    unsigned hyper seq;
+    unsigned hyper ack;
+};
+
+/* One run of a task of a best-effort job. */
+struct dw_run {
+    unsigned int index;
+    unsigned hyper run;
+    unsigned int millicores;
+    unsigned int memory_mb;
+    unsigned int gpus;
+    unsigned int est_ms;
+    unsigned int wait_ms;
+};
+
+/* Runs of one job; the specification is the same for all its tasks. */
+struct dw_run_group {
+    unsigned hyper job;
+    unsigned int priority;
+    dw_bytes spec;
+    dw_run runs<DW_MAX_ITEMS>;
+};
+
+struct dw_run_ref {
+    unsigned hyper job;
+    unsigned int index;
+    unsigned hyper run;
+};
+
+/* Entry to agent: runs to start and runs to stop. */
+struct dw_orders {
+    dw_head head;
+    dw_bytes address;
+    unsigned int port;
+    dw_run_group groups<DW_MAX_ITEMS>;
+    dw_run_ref stops<DW_MAX_ITEMS>;
+};
+
+enum dw_end {
+    DW_END_DONE = 0,
+    DW_END_FAILED = 1,
+    DW_END_STOPPED = 2,
+    DW_END_LOST = 3,
+    DW_END_NOT_RUN = 4,
+    DW_END_FULL = 5
+};
+
+struct dw_run_end {
+    dw_run_ref ref;
+    dw_end how;
+    unsigned int ran_ms;
+};
+
+/* What a worker has to give, as of the message's ack. */
+struct dw_room {
+    bool serving;
+    bool draining;
+    unsigned int left_ms;
+    unsigned int millicores;
+    unsigned int memory_mb;
+    unsigned int gpus;
+    int free_millicores;
+    int free_memory_mb;
+    int free_gpus;
+    unsigned int waiting;
+    unsigned int speed_permille;
+    unsigned int stuck;
+};
+
+/* Agent to entry: its room, and runs that ended. */
+struct dw_report {
+    dw_head head;
+    bool clean;
+    dw_room room;
+    dw_run_end ends<DW_MAX_ITEMS>;
+};
+
+/* Operators' state as of a revision of the platform's store; without a text
+ * the message only tells the revision known. */
+struct dw_news {
+    unsigned hyper rev;
+    unsigned hyper newest;
+    dw_value config;
+    dw_bytes withdrawn<64>;
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -367,6 +465,9 @@
 case DW_CANCEL: dw_cancel cancel;
 case DW_LEDGER_ASK: dw_ledger_ask ledger_ask;
 case DW_LEDGER: dw_ledger ledger;
+case DW_ORDERS: dw_orders orders;
+case DW_REPORT: dw_report report;
+case DW_NEWS: dw_news news;
 default: void;
 };
 
--- /dev/null
+++ b/serve.c
@@ -0,0 +1,519 @@
+#include "serve.h"
+
+#include <inttypes.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <time.h>
+
+#include "log.h"
+#include "num.h"
+
+#define TICK_S 0.02
+/* A pass of the loop that took longer is a pause of the machine's. */
+#define PAUSE_MS 300U
+#define STORE_CONNECTIONS 6
+/* ms until a call to the store counts as unanswered; slow answers were seen
+ * to take a third of a second. */
+#define STORE_TIMEOUT_MS 1000U
+/* ms an entry in the store outlives its last renewal. */
+#define ENTRY_TTL_MS 6000U
+#define ENTRY_KEEP_MS 2000U
+/* ms between looks at our own entry, which may vanish without a word. */
+#define ENTRY_CHECK_MS 3000U
+/* ms before the platform's own kill at which a stop ends at the latest. */
+#define LEAVE_MARGIN_MS 600U
+
+static uint64_t
+clock_in_ms(clockid_t id)
+{
+    struct timespec ts;
+
+    clock_gettime(id, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+/* Counts the time that a suspended machine slept, as leases elsewhere run on
+ * meanwhile. */
+uint64_t
+sv_now(void)
+{
+    return clock_in_ms(CLOCK_BOOTTIME);
+}
+
+uint64_t
+sv_wall(void)
+{
+    return clock_in_ms(CLOCK_REALTIME);
+}
+
+/* --- peers --- */
+
+struct sv_peer *
+sv_peer(struct serve *s, uint64_t id, bool add)
+{
+    struct sv_peer *p;
+
+    HASH_FIND(hh, s->peers, &id, sizeof(id), p);
+    if (p == NULL && add) {
+        p = dw_zero(1, sizeof(*p));
+        p->id = id;
+        HASH_ADD(hh, s->peers, id, sizeof(p->id), p);
+    }
+    return p;
+}
+
+static void
+drop_peers(struct serve *s)
+{
+    struct sv_peer *p;
+    struct sv_peer *tmp;
+
+    HASH_ITER (hh, s->peers, p, tmp) {
+        HASH_DEL(s->peers, p);
+        free(p);
+    }
+}
+
+/* --- our entry in the store --- */
+
+#define ENTRY_FORMAT "1 %016" PRIx64 " %s %u %s %s %s"
+
+static void
+own_key(const struct serve *s, char *out, size_t cap)
+{
+    snprintf(out, cap, SV_PREFIX "%s", s->conf->node.me.name);
+}
+
+static void
+own_value(const struct serve *s, char *out, size_t cap)
+{
+    const struct view_member *me = &s->conf->node.me;
+    const char *service = s->conf->platform.service;
+
+    snprintf(out, cap, ENTRY_FORMAT, s->id, me->addr, me->port, me->domain,
+        s->role->name, service[0] != '\0' ? service : "-");
+}
+
+bool
+sv_read_peer(struct sv_peer *out, const char *key, struct str value)
+{
+    char text[512];
+    char role[16];
+    unsigned port;
+
+    memset(out, 0, sizeof(*out));
+    str_copy(text, sizeof(text), value);
+    if (strncmp(key, SV_PREFIX, sizeof(SV_PREFIX) - 1) != 0 ||
+        sscanf(text, "1 %" SCNx64 " %63s %u %63s %15s %63s", &out->id,
+            out->addr, &port, out->domain, role, out->service) != 6 ||
+        port == 0 || port > 65535 || out->id == 0) {
+        return false;
+    }
+    str_copy(
+        out->name, sizeof(out->name), str_of(key + sizeof(SV_PREFIX) - 1));
+    out->port = (uint16_t)port;
+    out->is_agent = strcmp(role, sv_agent.name) == 0;
+    out->entered = true;
+    return true;
+}
+
+static void
+entry_failed(struct serve *s, const char *what, const struct kv_answer *a)
+{
+    s->entering = false;
+    log_event(LOG_LEVEL_WARN, "own_entry_failed", "call=%s error=\"%s\"", what,
+        a->message);
+}
+
+static void
+on_put(void *ctx, const struct kv_answer *a)
+{
+    struct serve *s = ctx;
+
+    if (a->status == KV_NOT_FOUND) {
+        s->lease = 0;
+    }
+    if (a->status != KV_OK) {
+        /* Carried out or not, the same write again does no harm. */
+        entry_failed(s, "put", a);
+        return;
+    }
+    s->entering = false;
+    s->entered = true;
+    s->check_ms = sv_now();
+    log_event(LOG_LEVEL_INFO, "entered", "lease=%" PRIu64, s->lease);
+}
+
+static void
+put_entry(struct serve *s)
+{
+    char key[128];
+    char value[512];
+
+    own_key(s, key, sizeof(key));
+    own_value(s, value, sizeof(value));
+    s->entering = true;
+    kv_put(s->kv, key, str_of(value), s->lease, on_put, s);
+}
+
+static void
+on_lease(void *ctx, const struct kv_answer *a)
+{
+    struct serve *s = ctx;
+
+    if (a->status != KV_OK || a->lease == 0) {
+        entry_failed(s, "lease", a);
+        return;
+    }
+    s->lease = a->lease;
+    s->keep_ms = sv_now();
+    put_entry(s);
+}
+
+static void
+on_kept(void *ctx, const struct kv_answer *a)
+{
+    struct serve *s = ctx;
+
+    if (a->status == KV_NOT_FOUND) {
+        log_event(
+            LOG_LEVEL_WARN, "own_entry_lapsed", "lease=%" PRIu64, s->lease);
+        s->lease = 0;
+        s->entered = false;
+        s->keep_ms = 0;
+    }
+}
+
+static void
+on_checked(void *ctx, const struct kv_answer *a)
+{
+    struct serve *s = ctx;
+    char value[512];
+
+    own_value(s, value, sizeof(value));
+    if (a->status == KV_NOT_FOUND || (a->status == KV_OK && a->count == 1 &&
+                                         !str_is(a->items[0].value, value))) {
+        log_event(
+            LOG_LEVEL_WARN, "own_entry_gone", "lease=%" PRIu64, s->lease);
+        s->entered = false;
+        s->keep_ms = 0;
+    }
+}
+
+/* ms between attempts to enter while the store fails. */
+#define ENTER_RETRY_MS 300U
+
+static void
+tend_entry(struct serve *s, uint64_t now)
+{
+    char key[128];
+
+    if (s->entering || s->leaving) {
+        return;
+    }
+    if (!s->entered && now - s->keep_ms >= ENTER_RETRY_MS) {
+        s->keep_ms = now;
+        s->entering = true;
+        if (s->lease == 0) {
+            kv_lease(s->kv, ENTRY_TTL_MS, on_lease, s);
+        }
+        else {
+            put_entry(s);
+        }
+        return;
+    }
+    if (s->entered && now - s->keep_ms >= ENTRY_KEEP_MS) {
+        s->keep_ms = now;
+        kv_keep(s->kv, s->lease, on_kept, s);
+    }
+    if (s->entered && now - s->check_ms >= ENTRY_CHECK_MS) {
+        s->check_ms = now;
+        own_key(s, key, sizeof(key));
+        kv_get(s->kv, key, true, on_checked, s);
+    }
+}
+
+/* --- link --- */
+
+static void
+on_message(void *ctx, uint64_t from, dw_msg *m)
+{
+    struct serve *s = ctx;
+
+    s->role->message(s, sv_now(), from, m);
+}
+
+static void
+on_refused(void *ctx, uint64_t id)
+{
+    struct serve *s = ctx;
+
+    s->role->refused(s, sv_now(), id);
+}
+
+static bool
+resolve(void *ctx, uint64_t id, struct link_addr *out)
+{
+    struct serve *s = ctx;
+    const struct sv_peer *p = sv_peer(s, id, false);
+
+    if (p == NULL || p->port == 0) {
+        return false;
+    }
+    out->addr = p->addr;
+    out->port = p->port;
+    return true;
+}
+
+static const struct link_events link_events = {
+    on_message, on_refused, resolve};
+
+/* --- the loop --- */
+
+static void
+check_leaving(struct serve *s, uint64_t now)
+{
+    uint64_t longest = num_minus(s->conf->platform.grace_ms, LEAVE_MARGIN_MS);
+    bool late = now - s->leave_ms >= longest;
+
+    if (s->leaving && (late || s->role->done(s, now))) {
+        log_event(late ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "left",
+            "ms=%" PRIu64 " complete=%d", now - s->leave_ms, !late);
+        ev_break(s->loop, EVBREAK_ALL);
+    }
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct serve *s = w->data;
+    uint64_t now = sv_now();
+
+    (void)loop;
+    (void)revents;
+    s->role->tick(s, now);
+    tend_entry(s, now);
+    check_leaving(s, now);
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
+{
+    struct serve *s = w->data;
+
+    (void)loop;
+    (void)revents;
+    s->role->flush(s, sv_now());
+}
+
+/* Comes before everything else that a pass of the loop does. */
+static void
+on_check(struct ev_loop *loop, ev_check *w, int revents)
+{
+    struct serve *s = w->data;
+    uint64_t now = sv_now();
+
+    (void)loop;
+    (void)revents;
+    if (s->woke_ms != 0 && now - s->woke_ms > PAUSE_MS) {
+        s->pauses++;
+        log_event(LOG_LEVEL_WARN, "paused", "ms=%" PRIu64, now - s->woke_ms);
+        s->role->woke(s, now, now - s->woke_ms);
+    }
+    s->woke_ms = now;
+}
+
+static void
+on_term(struct ev_loop *loop, ev_signal *w, int revents)
+{
+    struct serve *s = w->data;
+
+    (void)loop;
+    (void)revents;
+    if (s->leaving) {
+        return;
+    }
+    s->leaving = true;
+    s->leave_ms = sv_now();
+    log_event(
+        LOG_LEVEL_INFO, "leaving", "grace_ms=%u", s->conf->platform.grace_ms);
+    s->role->leave(s, s->leave_ms);
+}
+
+/* Settings that may change while the process runs: the log's level. */
+static void
+on_hup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+    struct serve *s = w->data;
+    struct conf *fresh = dw_zero(1, sizeof(*fresh));
+    struct err e = {""};
+
+    (void)loop;
+    (void)revents;
+    if (conf_read(fresh, s->conf_path, &e) != CONF_OK) {
+        log_event(LOG_LEVEL_ERROR, "settings_refused", "error=\"%s\"", e.msg);
+    }
+    else {
+        s->conf->log_level = fresh->log_level;
+        log_reopen((enum log_level)s->conf->log_level, &e);
+        log_event(
+            LOG_LEVEL_INFO, "reloaded", "log_level=%u", s->conf->log_level);
+    }
+    free(fresh);
+}
+
+static void
+watch_signal(struct serve *s, ev_signal *w, int signum,
+    void (*fn)(struct ev_loop *, ev_signal *, int))
+{
+    ev_signal_init(w, fn, signum);
+    w->data = s;
+    ev_signal_start(s->loop, w);
+}
+
+static void
+start_loop(struct serve *s)
+{
+    watch_signal(s, &s->term, SIGTERM, on_term);
+    watch_signal(s, &s->intr, SIGINT, on_term);
+    watch_signal(s, &s->hup, SIGHUP, on_hup);
+    ev_timer_init(&s->tick, on_tick, 0.0, TICK_S);
+    s->tick.data = s;
+    ev_timer_start(s->loop, &s->tick);
+    ev_prepare_init(&s->prepare, on_prepare);
+    s->prepare.data = s;
+    ev_prepare_start(s->loop, &s->prepare);
+    ev_check_init(&s->check, on_check);
+    ev_set_priority(&s->check, EV_MAXPRI);
+    s->check.data = s;
+    ev_check_start(s->loop, &s->check);
+}
+
+/* --- metrics --- */
+
+static void
+on_metrics(void *ctx, struct web_req *r)
+{
+    struct serve *s = ctx;
+    const struct kv_stats *kv = kv_stats(s->kv);
+    struct buf b = {0};
+
+    buf_addf(&b, "dw_uptime_ms %" PRIu64 "\ndw_pauses %" PRIu64 "\n",
+        sv_now() - s->started_ms, s->pauses);
+    buf_addf(&b,
+        "dw_store_reads %" PRIu64 "\ndw_store_cheap_reads %" PRIu64
+        "\ndw_store_writes %" PRIu64 "\ndw_store_failures %" PRIu64 "\n",
+        kv->reads, kv->cheap, kv->writes, kv->failures);
+    s->role->metrics(s, &b);
+    web_reply(r, 200, "text/plain", buf_str(&b), 0);
+    buf_free(&b);
+}
+
+static void
+metrics_gone(void *ctx, struct web_req *r)
+{
+    (void)ctx;
+    (void)r;
+}
+
+static int
+open_metrics(struct serve *s, struct err *e)
+{
+    struct conf_endpoint at;
+    struct web_cfg cfg = {at.addr, 0, 16, 4096, 10};
+
+    if (s->conf->platform.metrics[0] == '\0') {
+        return 0;
+    }
+    conf_endpoint(&at, s->conf->platform.metrics);
+    cfg.port = at.port;
+    return web_open(&s->metrics_web, s->loop, &cfg, on_metrics, metrics_gone,
+               s, e) == WEB_OK
+               ? 0
+               : -1;
+}
+
+/* --- start and end --- */
+
+static uint64_t
+random_id(void)
+{
+    uint64_t id = 0;
+
+    while (id == 0) {
+        if (getrandom(&id, sizeof(id), 0) != (ssize_t)sizeof(id)) {
+            id = 0;
+        }
+    }
+    return id;
+}
+
+static int
+open_all(struct serve *s, struct err *e)
+{
+    const struct view_member *me = &s->conf->node.me;
+
+    if (link_open(&s->link, s->loop, s->id, me->addr, me->port, &link_events,
+            s, e) != LINK_OK) {
+        return -1;
+    }
+    s->http = httpc_new(s->loop, STORE_CONNECTIONS);
+    s->kv =
+        kv_new(s->loop, s->http, s->conf->platform.store, STORE_TIMEOUT_MS);
+    if (open_metrics(s, e) != 0) {
+        return -1;
+    }
+    return s->role->open(s, e);
+}
+
+static void
+close_all(struct serve *s)
+{
+    s->role->close(s);
+    if (s->metrics_web != NULL) {
+        web_close(s->metrics_web);
+    }
+    if (s->kv != NULL) {
+        kv_free(s->kv);
+    }
+    if (s->http != NULL) {
+        httpc_free(s->http);
+    }
+    if (s->link != NULL) {
+        link_close(s->link);
+    }
+    drop_peers(s);
+}
+
+int
+sv_run(struct conf *c, const char *path, const struct sv_role *role)
+{
+    struct serve *s = dw_zero(1, sizeof(*s));
+    struct err e = {""};
+    int code = EXIT_SUCCESS;
+
+    s->conf = c;
+    s->conf_path = path;
+    s->role = role;
+    s->id = random_id();
+    s->seed = random_id();
+    s->loop = ev_default_loop(0);
+    s->started_ms = sv_now();
+    if (open_all(s, &e) == 0) {
+        log_event(LOG_LEVEL_INFO, "started",
+            "role=%s name=%s id=%016" PRIx64 " domain=%s port=%u", role->name,
+            c->node.me.name, s->id, c->node.me.domain, c->node.me.port);
+        start_loop(s);
+        ev_run(s->loop, 0);
+    }
+    else {
+        fprintf(stderr, "dunlinweird: %s\n", e.msg);
+        code = EXIT_FAILURE;
+    }
+    close_all(s);
+    free(s);
+    return code;
+}
--- a/toml.cc
+++ b/toml.cc
@@ -34,6 +34,10 @@
             v.kind = TOML_NUMBER;
             v.number = *n;
         }
+        else if (auto d = node.value_exact<double>()) {
+            v.kind = TOML_REAL;
+            v.real = *d;
+        }
         else if (auto b = node.value_exact<bool>()) {
             v.kind = TOML_BOOL;
             v.number = *b ? 1 : 0;
--- a/web.c
+++ b/web.c
@@ -21,6 +21,7 @@
     bool handled;
     bool replied;
     bool suspended;
+    ev_io gone_io; /* while suspended */
     struct MHD_Response *response;
     unsigned status;
     void *ctx;
@@ -36,6 +37,7 @@
     web_gone_fn gone;
     void *ctx;
     size_t open;
+    bool draining;
     bool in_run;
     bool run_again;
 };
@@ -112,6 +114,9 @@
     if (r == NULL) {
         return;
     }
+    if (r->suspended) {
+        ev_io_stop(w->loop, &r->gone_io);
+    }
     if (r->handled && !r->replied) {
         w->gone(w->ctx, r);
     }
@@ -135,6 +140,44 @@
     return res;
 }
 
+/* The library does not look at a suspended connection, so a caller that left
+ * would go unnoticed and its work go on for nobody. */
+static void
+on_gone(struct ev_loop *loop, ev_io *io, int revents)
+{
+    struct web_req *r = io->data;
+    char byte;
+    ssize_t n = recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+    (void)revents;
+    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    ev_io_stop(loop, io);
+    if (n > 0) {
+        return; /* its next request, early */
+    }
+    r->w->gone(r->w->ctx, r);
+    r->replied = true;
+    r->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    r->response =
+        MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+    r->suspended = false;
+    MHD_resume_connection(r->conn);
+    run(r->w);
+}
+
+static void
+watch_gone(struct web_req *r)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+    ev_io_init(&r->gone_io, on_gone, info->connect_fd, EV_READ);
+    r->gone_io.data = r;
+    ev_io_start(r->w->loop, &r->gone_io);
+}
+
 static enum MHD_Result
 handle_whole(struct web_req *r)
 {
@@ -157,6 +200,7 @@
     }
     r->suspended = true;
     MHD_suspend_connection(r->conn);
+    watch_gone(r);
     return MHD_YES;
 }
 
@@ -238,6 +282,12 @@
     }
 }
 
+void
+web_drain(struct web *w)
+{
+    w->draining = true;
+}
+
 size_t
 web_open_requests(const struct web *w)
 {
@@ -321,9 +371,14 @@
         MHD_add_response_header(
             r->response, MHD_HTTP_HEADER_RETRY_AFTER, number);
     }
+    if (r->w->draining) {
+        MHD_add_response_header(
+            r->response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
     r->status = status;
     r->replied = true;
     if (r->suspended) {
+        ev_io_stop(r->w->loop, &r->gone_io);
         r->suspended = false;
         MHD_resume_connection(r->conn);
         run(r->w);
