--- a/agentd.c
+++ b/agentd.c
@@ -17,7 +17,9 @@
 #define ROOM_MS_PER_ENTRY 5U
 /* ms beyond a look's own wait until it counts as unanswered. */
 #define LOOK_MARGIN_MS 100U
-#define WORKER_CONNECTIONS 60U
+/* To the worker for starts and stops; more wait their turn, a start takes
+ * some 2 ms.  Each new connection costs. */
+#define WORKER_CONNECTIONS 6U
 #define IDLE_S 30U
 #define BEAT_BODY_MAX 65536U
 
@@ -36,6 +38,7 @@
     struct serve *s;
     struct runner runner;
     struct httpc *http;
+    struct httpc *look_http;
     struct web *announce;
     char url[300];
     struct customer *customers;
@@ -53,7 +56,7 @@
 };
 
 static void
-post(struct agent *a, const char *path, struct str body, uint32_t timeout_ms,
+post(struct agent *a, struct httpc *http, const char *path, struct str body, uint32_t timeout_ms,
     httpc_done_fn done, const struct rn_key *key)
 {
     static const char *const headers[] = {
@@ -76,14 +79,14 @@
     h.connect_timeout_ms = timeout_ms;
     h.done = done;
     h.ctx = c;
-    httpc_start(a->http, &h);
+    httpc_start(http, &h);
 }
 
 static enum rn_start_result
 start_result(const struct httpc_done *d)
 {
     if (d->status == HTTPC_NOT_SENT) {
-        return RN_START_REFUSED;
+        return RN_START_UNREACHED;
     }
     if (d->status != HTTPC_OK) {
         return RN_START_LOST;
@@ -124,10 +127,11 @@
 static void
 do_start(void *ctx, const struct rn_run *run, uint64_t until_ms)
 {
+    struct agent *a = ctx;
     struct buf b = {0};
 
     wire_put_start(&b, run, until_ms);
-    post(ctx, "run-start", buf_str(&b), RN_ANSWER_MS, on_started, &run->key);
+    post(a, a->http, "run-start", buf_str(&b), RN_ANSWER_MS, on_started, &run->key);
     buf_free(&b);
 }
 
@@ -144,10 +148,11 @@
 static void
 do_stop(void *ctx, const struct rn_key *key)
 {
+    struct agent *a = ctx;
     struct buf b = {0};
 
     wire_put_stop(&b, key);
-    post(ctx, "run-stop", buf_str(&b), RN_ANSWER_MS, on_stopped, key);
+    post(a, a->http, "run-stop", buf_str(&b), RN_ANSWER_MS, on_stopped, key);
     buf_free(&b);
 }
 
@@ -171,10 +176,11 @@
 static void
 do_look(void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms)
 {
+    struct agent *a = ctx;
     struct buf b = {0};
 
     wire_put_look(&b, until_ms, ack, wait_ms);
-    post(ctx, "hold", buf_str(&b), wait_ms + LOOK_MARGIN_MS, on_looked, NULL);
+    post(a, a->look_http, "hold", buf_str(&b), wait_ms + LOOK_MARGIN_MS, on_looked, NULL);
     buf_free(&b);
 }
 
@@ -387,11 +393,9 @@
 static void
 take_beat(struct agent *a, uint64_t now, const struct wire_beat *b)
 {
-    if (b->born_ms == a->beat_born_ms && b->seq <= a->beat_seq) {
-        return; /* a late one */
-    }
-    if (b->born_ms < a->beat_born_ms) {
-        return; /* of a life before */
+    if (b->born_ms < a->runner.born_ms ||
+        (b->born_ms == a->beat_born_ms && b->seq <= a->beat_seq)) {
+        return; /* held up on its way, perhaps of a life before */
     }
     a->beat_born_ms = b->born_ms;
     a->beat_seq = b->seq;
@@ -460,6 +464,7 @@
     a->s = s;
     snprintf(a->url, sizeof(a->url), "http://%s", s->conf->platform.worker);
     a->http = httpc_new(s->loop, WORKER_CONNECTIONS);
+    a->look_http = httpc_new(s->loop, 1);
     rn_init(&a->runner, sv_now(), &rn_ops, a);
     conf_endpoint(&at, s->conf->platform.announce);
     cfg.port = at.port;
@@ -489,6 +494,7 @@
         web_close(a->announce);
     }
     httpc_free(a->http);
+    httpc_free(a->look_http);
     rn_free(&a->runner);
     free(a);
 }
--- a/httpc.c
+++ b/httpc.c
@@ -195,6 +195,9 @@
     curl_multi_setopt(h->multi, CURLMOPT_TIMERDATA, h);
     curl_multi_setopt(
         h->multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)host_connections);
+    /* Else the library closes idle ones beyond four times the calls under
+     * way, and opens them again in the next burst. */
+    curl_multi_setopt(h->multi, CURLMOPT_MAXCONNECTS, (long)host_connections);
     return h;
 }
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -6,1658 +6,1613 @@
 #include "proto.h"
 
 bool_t
-xdr_dw_bytes(XDR *xdrs, dw_bytes *objp)
+xdr_dw_bytes (XDR *xdrs, dw_bytes *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_bytes(xdrs, (char **)&objp->dw_bytes_val,
-            (u_int *)&objp->dw_bytes_len, DW_MAX_BYTES))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->dw_bytes_val, (u_int *) &objp->dw_bytes_len, DW_MAX_BYTES))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_value(XDR *xdrs, dw_value *objp)
+xdr_dw_value (XDR *xdrs, dw_value *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_bytes(xdrs, (char **)&objp->dw_value_val,
-            (u_int *)&objp->dw_value_len, 4194304))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->dw_value_val, (u_int *) &objp->dw_value_len, 4194304))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_mtype(XDR *xdrs, dw_mtype *objp)
+xdr_dw_mtype (XDR *xdrs, dw_mtype *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_enum(xdrs, (enum_t *)objp))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_astate(XDR *xdrs, dw_astate *objp)
+xdr_dw_astate (XDR *xdrs, dw_astate *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_enum(xdrs, (enum_t *)objp))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_tstate(XDR *xdrs, dw_tstate *objp)
+xdr_dw_tstate (XDR *xdrs, dw_tstate *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_enum(xdrs, (enum_t *)objp))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_task(XDR *xdrs, dw_task *objp)
+xdr_dw_task (XDR *xdrs, dw_task *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->index))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->kind))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->payload))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->millicores))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->memory_mb))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->run_ms))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->payload))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->run_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_outcome(XDR *xdrs, dw_outcome *objp)
+xdr_dw_outcome (XDR *xdrs, dw_outcome *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->index))
-        return FALSE;
-    if (!xdr_dw_tstate(xdrs, &objp->state))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->code))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->ran_ms))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->body))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_dw_tstate (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->code))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->body))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_submit(XDR *xdrs, dw_submit *objp)
+xdr_dw_submit (XDR *xdrs, dw_submit *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_u_quad_t(xdrs, &objp->request))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->partition))
-            return FALSE;
-        if (!xdr_dw_bytes(xdrs, &objp->customer))
-            return FALSE;
-        if (!xdr_dw_bytes(xdrs, &objp->key))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 6 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->age_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->deadline_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->width))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->refuse_ms))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->lookup))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->poll))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->age_ms);
-            IXDR_PUT_U_LONG(buf, objp->deadline_ms);
-            IXDR_PUT_U_LONG(buf, objp->width);
-            IXDR_PUT_U_LONG(buf, objp->refuse_ms);
-            IXDR_PUT_BOOL(buf, objp->lookup);
-            IXDR_PUT_BOOL(buf, objp->poll);
-        }
-        if (!xdr_dw_bytes(xdrs, &objp->reason))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-                (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS, sizeof(dw_task),
-                (xdrproc_t)xdr_dw_task))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_u_quad_t(xdrs, &objp->request))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->partition))
-            return FALSE;
-        if (!xdr_dw_bytes(xdrs, &objp->customer))
-            return FALSE;
-        if (!xdr_dw_bytes(xdrs, &objp->key))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 6 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->age_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->deadline_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->width))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->refuse_ms))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->lookup))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->poll))
-                return FALSE;
-        }
-        else {
-            objp->age_ms = IXDR_GET_U_LONG(buf);
-            objp->deadline_ms = IXDR_GET_U_LONG(buf);
-            objp->width = IXDR_GET_U_LONG(buf);
-            objp->refuse_ms = IXDR_GET_U_LONG(buf);
-            objp->lookup = IXDR_GET_BOOL(buf);
-            objp->poll = IXDR_GET_BOOL(buf);
-        }
-        if (!xdr_dw_bytes(xdrs, &objp->reason))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-                (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS, sizeof(dw_task),
-                (xdrproc_t)xdr_dw_task))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_quad_t(xdrs, &objp->request))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->age_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->deadline_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->width))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->refuse_ms))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->lookup))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->poll))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->reason))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-            (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS, sizeof(dw_task),
-            (xdrproc_t)xdr_dw_task))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->partition))
+			 return FALSE;
+		 if (!xdr_dw_bytes (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_dw_bytes (xdrs, &objp->key))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->width))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->refuse_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->lookup))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->poll))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_U_LONG(buf, objp->deadline_ms);
+		IXDR_PUT_U_LONG(buf, objp->width);
+		IXDR_PUT_U_LONG(buf, objp->refuse_ms);
+		IXDR_PUT_BOOL(buf, objp->lookup);
+		IXDR_PUT_BOOL(buf, objp->poll);
+		}
+		 if (!xdr_dw_bytes (xdrs, &objp->reason))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+			sizeof (dw_task), (xdrproc_t) xdr_dw_task))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->request))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->partition))
+			 return FALSE;
+		 if (!xdr_dw_bytes (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_dw_bytes (xdrs, &objp->key))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->width))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->refuse_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->lookup))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->poll))
+				 return FALSE;
+
+		} else {
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->deadline_ms = IXDR_GET_U_LONG(buf);
+		objp->width = IXDR_GET_U_LONG(buf);
+		objp->refuse_ms = IXDR_GET_U_LONG(buf);
+		objp->lookup = IXDR_GET_BOOL(buf);
+		objp->poll = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_dw_bytes (xdrs, &objp->reason))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+			sizeof (dw_task), (xdrproc_t) xdr_dw_task))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->width))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->refuse_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->lookup))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->poll))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+		sizeof (dw_task), (xdrproc_t) xdr_dw_task))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_answer(XDR *xdrs, dw_answer *objp)
+xdr_dw_answer (XDR *xdrs, dw_answer *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->request))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_dw_astate(xdrs, &objp->state))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->retry_ms))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->refund))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->reason))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-            (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS, sizeof(dw_outcome),
-            (xdrproc_t)xdr_dw_outcome))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_dw_astate (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refund))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+		sizeof (dw_outcome), (xdrproc_t) xdr_dw_outcome))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_load(XDR *xdrs, dw_load *objp)
+xdr_dw_load (XDR *xdrs, dw_load *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 9 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->slots))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->busy))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->queued))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->free_millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->free_memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->error_permille))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->serving))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->slots);
-            IXDR_PUT_U_LONG(buf, objp->busy);
-            IXDR_PUT_U_LONG(buf, objp->queued);
-            IXDR_PUT_U_LONG(buf, objp->millicores);
-            IXDR_PUT_U_LONG(buf, objp->memory_mb);
-            IXDR_PUT_U_LONG(buf, objp->free_millicores);
-            IXDR_PUT_U_LONG(buf, objp->free_memory_mb);
-            IXDR_PUT_U_LONG(buf, objp->error_permille);
-            IXDR_PUT_BOOL(buf, objp->serving);
-        }
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 9 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->slots))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->busy))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->queued))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->free_millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->free_memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->error_permille))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->serving))
-                return FALSE;
-        }
-        else {
-            objp->slots = IXDR_GET_U_LONG(buf);
-            objp->busy = IXDR_GET_U_LONG(buf);
-            objp->queued = IXDR_GET_U_LONG(buf);
-            objp->millicores = IXDR_GET_U_LONG(buf);
-            objp->memory_mb = IXDR_GET_U_LONG(buf);
-            objp->free_millicores = IXDR_GET_U_LONG(buf);
-            objp->free_memory_mb = IXDR_GET_U_LONG(buf);
-            objp->error_permille = IXDR_GET_U_LONG(buf);
-            objp->serving = IXDR_GET_BOOL(buf);
-        }
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->slots))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->busy))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->queued))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->millicores))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->memory_mb))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->free_millicores))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->free_memory_mb))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->error_permille))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->serving))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->busy))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->error_permille))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->serving))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->slots);
+			IXDR_PUT_U_LONG(buf, objp->busy);
+			IXDR_PUT_U_LONG(buf, objp->queued);
+			IXDR_PUT_U_LONG(buf, objp->millicores);
+			IXDR_PUT_U_LONG(buf, objp->memory_mb);
+			IXDR_PUT_U_LONG(buf, objp->free_millicores);
+			IXDR_PUT_U_LONG(buf, objp->free_memory_mb);
+			IXDR_PUT_U_LONG(buf, objp->error_permille);
+			IXDR_PUT_BOOL(buf, objp->serving);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 9 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->slots))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->busy))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->queued))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->error_permille))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->serving))
+				 return FALSE;
+		} else {
+			objp->slots = IXDR_GET_U_LONG(buf);
+			objp->busy = IXDR_GET_U_LONG(buf);
+			objp->queued = IXDR_GET_U_LONG(buf);
+			objp->millicores = IXDR_GET_U_LONG(buf);
+			objp->memory_mb = IXDR_GET_U_LONG(buf);
+			objp->free_millicores = IXDR_GET_U_LONG(buf);
+			objp->free_memory_mb = IXDR_GET_U_LONG(buf);
+			objp->error_permille = IXDR_GET_U_LONG(buf);
+			objp->serving = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->slots))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->busy))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->queued))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->error_permille))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->serving))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_hint(XDR *xdrs, dw_hint *objp)
+xdr_dw_hint (XDR *xdrs, dw_hint *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->id))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->used))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->age_ms))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->used))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_hints(XDR *xdrs, dw_hints *objp)
+xdr_dw_hints (XDR *xdrs, dw_hints *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_array(xdrs, (char **)&objp->dw_hints_val,
-            (u_int *)&objp->dw_hints_len, 8, sizeof(dw_hint),
-            (xdrproc_t)xdr_dw_hint))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_array (xdrs, (char **)&objp->dw_hints_val, (u_int *) &objp->dw_hints_len, 8,
+		sizeof (dw_hint), (xdrproc_t) xdr_dw_hint))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_offer_item(XDR *xdrs, dw_offer_item *objp)
+xdr_dw_offer_item (XDR *xdrs, dw_offer_item *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_u_int(xdrs, &objp->attempt))
-        return FALSE;
-    if (!xdr_dw_task(xdrs, &objp->task))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_dw_task (xdrs, &objp->task))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_offer(XDR *xdrs, dw_offer *objp)
+xdr_dw_offer (XDR *xdrs, dw_offer *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->count))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->deadline_ms))
-        return FALSE;
-    if (!xdr_dw_hints(xdrs, &objp->hints))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->items.items_val,
-            (u_int *)&objp->items.items_len, DW_MAX_TASKS,
-            sizeof(dw_offer_item), (xdrproc_t)xdr_dw_offer_item))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_dw_hints (xdrs, &objp->hints))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->items.items_val, (u_int *) &objp->items.items_len, DW_MAX_TASKS,
+		sizeof (dw_offer_item), (xdrproc_t) xdr_dw_offer_item))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_mark(XDR *xdrs, dw_mark *objp)
+xdr_dw_mark (XDR *xdrs, dw_mark *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->index))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->attempt))
-        return FALSE;
-    if (!xdr_dw_tstate(xdrs, &objp->state))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_dw_tstate (xdrs, &objp->state))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_offered(XDR *xdrs, dw_offered *objp)
+xdr_dw_offered (XDR *xdrs, dw_offered *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_dw_load(xdrs, &objp->load))
-        return FALSE;
-    if (!xdr_dw_hints(xdrs, &objp->hints))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->marks.marks_val,
-            (u_int *)&objp->marks.marks_len, DW_MAX_TASKS, sizeof(dw_mark),
-            (xdrproc_t)xdr_dw_mark))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_dw_load (xdrs, &objp->load))
+		 return FALSE;
+	 if (!xdr_dw_hints (xdrs, &objp->hints))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, DW_MAX_TASKS,
+		sizeof (dw_mark), (xdrproc_t) xdr_dw_mark))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_result(XDR *xdrs, dw_result *objp)
+xdr_dw_result (XDR *xdrs, dw_result *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_dw_load(xdrs, &objp->load))
-        return FALSE;
-    if (!xdr_dw_hints(xdrs, &objp->hints))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->refs.refs_val,
-            (u_int *)&objp->refs.refs_len, DW_MAX_TASKS, sizeof(u_quad_t),
-            (xdrproc_t)xdr_u_quad_t))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-            (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS, sizeof(dw_outcome),
-            (xdrproc_t)xdr_dw_outcome))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_dw_load (xdrs, &objp->load))
+		 return FALSE;
+	 if (!xdr_dw_hints (xdrs, &objp->hints))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->refs.refs_val, (u_int *) &objp->refs.refs_len, DW_MAX_TASKS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+		sizeof (dw_outcome), (xdrproc_t) xdr_dw_outcome))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_result_ack(XDR *xdrs, dw_result_ack *objp)
+xdr_dw_result_ack (XDR *xdrs, dw_result_ack *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_array(xdrs, (char **)&objp->refs.refs_val,
-            (u_int *)&objp->refs.refs_len, DW_MAX_ITEMS, sizeof(u_quad_t),
-            (xdrproc_t)xdr_u_quad_t))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_array (xdrs, (char **)&objp->refs.refs_val, (u_int *) &objp->refs.refs_len, DW_MAX_ITEMS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_revoke(XDR *xdrs, dw_revoke *objp)
+xdr_dw_revoke (XDR *xdrs, dw_revoke *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->stop))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->marks.marks_val,
-            (u_int *)&objp->marks.marks_len, DW_MAX_TASKS, sizeof(dw_mark),
-            (xdrproc_t)xdr_dw_mark))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stop))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, DW_MAX_TASKS,
+		sizeof (dw_mark), (xdrproc_t) xdr_dw_mark))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_fence(XDR *xdrs, dw_fence *objp)
+xdr_dw_fence (XDR *xdrs, dw_fence *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->nonce))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->partitions.partitions_val,
-            (u_int *)&objp->partitions.partitions_len, DW_MAX_ITEMS,
-            sizeof(u_int), (xdrproc_t)xdr_u_int))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->nonce))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->partitions.partitions_val, (u_int *) &objp->partitions.partitions_len, DW_MAX_ITEMS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_record(XDR *xdrs, dw_record *objp)
+xdr_dw_record (XDR *xdrs, dw_record *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->count))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->age_ms))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->marks.marks_val,
-            (u_int *)&objp->marks.marks_len, DW_MAX_TASKS, sizeof(dw_mark),
-            (xdrproc_t)xdr_dw_mark))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, DW_MAX_TASKS,
+		sizeof (dw_mark), (xdrproc_t) xdr_dw_mark))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_records(XDR *xdrs, dw_records *objp)
+xdr_dw_records (XDR *xdrs, dw_records *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->nonce))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->last))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->chunk))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->nonce);
-            IXDR_PUT_BOOL(buf, objp->last);
-            IXDR_PUT_U_LONG(buf, objp->chunk);
-        }
-        if (!xdr_array(xdrs, (char **)&objp->records.records_val,
-                (u_int *)&objp->records.records_len, DW_MAX_ITEMS,
-                sizeof(dw_record), (xdrproc_t)xdr_dw_record))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->nonce))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->last))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->chunk))
-                return FALSE;
-        }
-        else {
-            objp->nonce = IXDR_GET_U_LONG(buf);
-            objp->last = IXDR_GET_BOOL(buf);
-            objp->chunk = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_array(xdrs, (char **)&objp->records.records_val,
-                (u_int *)&objp->records.records_len, DW_MAX_ITEMS,
-                sizeof(dw_record), (xdrproc_t)xdr_dw_record))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->nonce))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->last))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->chunk))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->records.records_val,
-            (u_int *)&objp->records.records_len, DW_MAX_ITEMS,
-            sizeof(dw_record), (xdrproc_t)xdr_dw_record))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->nonce))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->last))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->chunk))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->nonce);
+		IXDR_PUT_BOOL(buf, objp->last);
+		IXDR_PUT_U_LONG(buf, objp->chunk);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, DW_MAX_ITEMS,
+			sizeof (dw_record), (xdrproc_t) xdr_dw_record))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->nonce))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->last))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->chunk))
+				 return FALSE;
+
+		} else {
+		objp->nonce = IXDR_GET_U_LONG(buf);
+		objp->last = IXDR_GET_BOOL(buf);
+		objp->chunk = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, DW_MAX_ITEMS,
+			sizeof (dw_record), (xdrproc_t) xdr_dw_record))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->nonce))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->chunk))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->records.records_val, (u_int *) &objp->records.records_len, DW_MAX_ITEMS,
+		sizeof (dw_record), (xdrproc_t) xdr_dw_record))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_job_task(XDR *xdrs, dw_job_task *objp)
+xdr_dw_job_task (XDR *xdrs, dw_job_task *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_task(xdrs, &objp->task))
-        return FALSE;
-    if (!xdr_dw_outcome(xdrs, &objp->outcome))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->attempt))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->host))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_task (xdrs, &objp->task))
+		 return FALSE;
+	 if (!xdr_dw_outcome (xdrs, &objp->outcome))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->host))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_job(XDR *xdrs, dw_job *objp)
+xdr_dw_job (XDR *xdrs, dw_job *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_dw_bytes(xdrs, &objp->customer))
-            return FALSE;
-        if (!xdr_dw_bytes(xdrs, &objp->key))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->admit_request))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->age_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->deadline_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->width))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->age_ms);
-            IXDR_PUT_U_LONG(buf, objp->deadline_ms);
-            IXDR_PUT_U_LONG(buf, objp->width);
-        }
-        if (!xdr_dw_astate(xdrs, &objp->state))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_bool(xdrs, &objp->refused))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->kept))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->cancelled))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_BOOL(buf, objp->refused);
-            IXDR_PUT_BOOL(buf, objp->kept);
-            IXDR_PUT_BOOL(buf, objp->cancelled);
-        }
-        if (!xdr_dw_bytes(xdrs, &objp->reason))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-                (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS,
-                sizeof(dw_job_task), (xdrproc_t)xdr_dw_job_task))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->answer.answer_val,
-                (u_int *)&objp->answer.answer_len, DW_MAX_TASKS,
-                sizeof(dw_outcome), (xdrproc_t)xdr_dw_outcome))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_dw_bytes(xdrs, &objp->customer))
-            return FALSE;
-        if (!xdr_dw_bytes(xdrs, &objp->key))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->admit_request))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->age_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->deadline_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->width))
-                return FALSE;
-        }
-        else {
-            objp->age_ms = IXDR_GET_U_LONG(buf);
-            objp->deadline_ms = IXDR_GET_U_LONG(buf);
-            objp->width = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_dw_astate(xdrs, &objp->state))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_bool(xdrs, &objp->refused))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->kept))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->cancelled))
-                return FALSE;
-        }
-        else {
-            objp->refused = IXDR_GET_BOOL(buf);
-            objp->kept = IXDR_GET_BOOL(buf);
-            objp->cancelled = IXDR_GET_BOOL(buf);
-        }
-        if (!xdr_dw_bytes(xdrs, &objp->reason))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-                (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS,
-                sizeof(dw_job_task), (xdrproc_t)xdr_dw_job_task))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->answer.answer_val,
-                (u_int *)&objp->answer.answer_len, DW_MAX_TASKS,
-                sizeof(dw_outcome), (xdrproc_t)xdr_dw_outcome))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->body_hash))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->admit_request))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->age_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->deadline_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->width))
-        return FALSE;
-    if (!xdr_dw_astate(xdrs, &objp->state))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->refused))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->kept))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->cancelled))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->reason))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->tasks.tasks_val,
-            (u_int *)&objp->tasks.tasks_len, DW_MAX_TASKS, sizeof(dw_job_task),
-            (xdrproc_t)xdr_dw_job_task))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->answer.answer_val,
-            (u_int *)&objp->answer.answer_len, DW_MAX_TASKS,
-            sizeof(dw_outcome), (xdrproc_t)xdr_dw_outcome))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_dw_bytes (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_dw_bytes (xdrs, &objp->key))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->admit_request))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->width))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_U_LONG(buf, objp->deadline_ms);
+		IXDR_PUT_U_LONG(buf, objp->width);
+		}
+		 if (!xdr_dw_astate (xdrs, &objp->state))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->refused))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->kept))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->cancelled))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_BOOL(buf, objp->refused);
+		IXDR_PUT_BOOL(buf, objp->kept);
+		IXDR_PUT_BOOL(buf, objp->cancelled);
+		}
+		 if (!xdr_dw_bytes (xdrs, &objp->reason))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+			sizeof (dw_job_task), (xdrproc_t) xdr_dw_job_task))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, DW_MAX_TASKS,
+			sizeof (dw_outcome), (xdrproc_t) xdr_dw_outcome))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_dw_bytes (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_dw_bytes (xdrs, &objp->key))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->admit_request))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->width))
+				 return FALSE;
+
+		} else {
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->deadline_ms = IXDR_GET_U_LONG(buf);
+		objp->width = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_dw_astate (xdrs, &objp->state))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->refused))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->kept))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->cancelled))
+				 return FALSE;
+
+		} else {
+		objp->refused = IXDR_GET_BOOL(buf);
+		objp->kept = IXDR_GET_BOOL(buf);
+		objp->cancelled = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_dw_bytes (xdrs, &objp->reason))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+			sizeof (dw_job_task), (xdrproc_t) xdr_dw_job_task))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, DW_MAX_TASKS,
+			sizeof (dw_outcome), (xdrproc_t) xdr_dw_outcome))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->body_hash))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->admit_request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->deadline_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->width))
+		 return FALSE;
+	 if (!xdr_dw_astate (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->refused))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->kept))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->cancelled))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->reason))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tasks.tasks_val, (u_int *) &objp->tasks.tasks_len, DW_MAX_TASKS,
+		sizeof (dw_job_task), (xdrproc_t) xdr_dw_job_task))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->answer.answer_val, (u_int *) &objp->answer.answer_len, DW_MAX_TASKS,
+		sizeof (dw_outcome), (xdrproc_t) xdr_dw_outcome))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_handover(XDR *xdrs, dw_handover *objp)
+xdr_dw_handover (XDR *xdrs, dw_handover *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_u_int(xdrs, &objp->partition))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->epoch))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->chunk))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->last))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->unsure_ms))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->chunk);
-            IXDR_PUT_BOOL(buf, objp->last);
-            IXDR_PUT_U_LONG(buf, objp->unsure_ms);
-        }
-        if (!xdr_array(xdrs, (char **)&objp->jobs.jobs_val,
-                (u_int *)&objp->jobs.jobs_len, DW_MAX_ITEMS, sizeof(dw_job),
-                (xdrproc_t)xdr_dw_job))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_u_int(xdrs, &objp->partition))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->epoch))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 3 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->chunk))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->last))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->unsure_ms))
-                return FALSE;
-        }
-        else {
-            objp->chunk = IXDR_GET_U_LONG(buf);
-            objp->last = IXDR_GET_BOOL(buf);
-            objp->unsure_ms = IXDR_GET_U_LONG(buf);
-        }
-        if (!xdr_array(xdrs, (char **)&objp->jobs.jobs_val,
-                (u_int *)&objp->jobs.jobs_len, DW_MAX_ITEMS, sizeof(dw_job),
-                (xdrproc_t)xdr_dw_job))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->chunk))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->last))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->unsure_ms))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->jobs.jobs_val,
-            (u_int *)&objp->jobs.jobs_len, DW_MAX_ITEMS, sizeof(dw_job),
-            (xdrproc_t)xdr_dw_job))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->partition))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->chunk))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->last))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unsure_ms))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->chunk);
+		IXDR_PUT_BOOL(buf, objp->last);
+		IXDR_PUT_U_LONG(buf, objp->unsure_ms);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, DW_MAX_ITEMS,
+			sizeof (dw_job), (xdrproc_t) xdr_dw_job))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->partition))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->chunk))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->last))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->unsure_ms))
+				 return FALSE;
+
+		} else {
+		objp->chunk = IXDR_GET_U_LONG(buf);
+		objp->last = IXDR_GET_BOOL(buf);
+		objp->unsure_ms = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, DW_MAX_ITEMS,
+			sizeof (dw_job), (xdrproc_t) xdr_dw_job))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->chunk))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->unsure_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->jobs.jobs_val, (u_int *) &objp->jobs.jobs_len, DW_MAX_ITEMS,
+		sizeof (dw_job), (xdrproc_t) xdr_dw_job))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_handed(XDR *xdrs, dw_handed *objp)
+xdr_dw_handed (XDR *xdrs, dw_handed *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->epoch))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->chunk))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->last))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->chunk))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->last))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_kv(XDR *xdrs, dw_kv *objp)
+xdr_dw_kv (XDR *xdrs, dw_kv *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    if (!xdr_dw_value(xdrs, &objp->value))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->mod))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->deleted))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_dw_value (xdrs, &objp->value))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->mod))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->deleted))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_pull(XDR *xdrs, dw_pull *objp)
+xdr_dw_pull (XDR *xdrs, dw_pull *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->asked_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->rev))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->mesh))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->asked_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->mesh))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_state(XDR *xdrs, dw_state *objp)
+xdr_dw_state (XDR *xdrs, dw_state *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_u_quad_t(xdrs, &objp->asked_ms))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->rev))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->age_ms))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->confirmed))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->reader))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->store_down))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->whole))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->age_ms);
-            IXDR_PUT_BOOL(buf, objp->confirmed);
-            IXDR_PUT_BOOL(buf, objp->reader);
-            IXDR_PUT_BOOL(buf, objp->store_down);
-            IXDR_PUT_BOOL(buf, objp->whole);
-        }
-        if (!xdr_u_quad_t(xdrs, &objp->majority_rev))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->kvs.kvs_val,
-                (u_int *)&objp->kvs.kvs_len, DW_MAX_ITEMS, sizeof(dw_kv),
-                (xdrproc_t)xdr_dw_kv))
-            return FALSE;
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_u_quad_t(xdrs, &objp->asked_ms))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->rev))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->age_ms))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->confirmed))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->reader))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->store_down))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->whole))
-                return FALSE;
-        }
-        else {
-            objp->age_ms = IXDR_GET_U_LONG(buf);
-            objp->confirmed = IXDR_GET_BOOL(buf);
-            objp->reader = IXDR_GET_BOOL(buf);
-            objp->store_down = IXDR_GET_BOOL(buf);
-            objp->whole = IXDR_GET_BOOL(buf);
-        }
-        if (!xdr_u_quad_t(xdrs, &objp->majority_rev))
-            return FALSE;
-        if (!xdr_array(xdrs, (char **)&objp->kvs.kvs_val,
-                (u_int *)&objp->kvs.kvs_len, DW_MAX_ITEMS, sizeof(dw_kv),
-                (xdrproc_t)xdr_dw_kv))
-            return FALSE;
-        return TRUE;
-    }
-
-    if (!xdr_u_quad_t(xdrs, &objp->asked_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->rev))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->age_ms))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->confirmed))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->reader))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->store_down))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->whole))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->majority_rev))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->kvs.kvs_val,
-            (u_int *)&objp->kvs.kvs_len, DW_MAX_ITEMS, sizeof(dw_kv),
-            (xdrproc_t)xdr_dw_kv))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->asked_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->rev))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->confirmed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reader))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->store_down))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_BOOL(buf, objp->confirmed);
+		IXDR_PUT_BOOL(buf, objp->reader);
+		IXDR_PUT_BOOL(buf, objp->store_down);
+		IXDR_PUT_BOOL(buf, objp->whole);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->majority_rev))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->kvs.kvs_val, (u_int *) &objp->kvs.kvs_len, DW_MAX_ITEMS,
+			sizeof (dw_kv), (xdrproc_t) xdr_dw_kv))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->asked_ms))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->rev))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->confirmed))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->reader))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->store_down))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->whole))
+				 return FALSE;
+
+		} else {
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->confirmed = IXDR_GET_BOOL(buf);
+		objp->reader = IXDR_GET_BOOL(buf);
+		objp->store_down = IXDR_GET_BOOL(buf);
+		objp->whole = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_u_quad_t (xdrs, &objp->majority_rev))
+			 return FALSE;
+		 if (!xdr_array (xdrs, (char **)&objp->kvs.kvs_val, (u_int *) &objp->kvs.kvs_len, DW_MAX_ITEMS,
+			sizeof (dw_kv), (xdrproc_t) xdr_dw_kv))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->asked_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->confirmed))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->reader))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->store_down))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->whole))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->majority_rev))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->kvs.kvs_val, (u_int *) &objp->kvs.kvs_len, DW_MAX_ITEMS,
+		sizeof (dw_kv), (xdrproc_t) xdr_dw_kv))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_alive(XDR *xdrs, dw_alive *objp)
+xdr_dw_alive (XDR *xdrs, dw_alive *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_enum(xdrs, (enum_t *)objp))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_update(XDR *xdrs, dw_update *objp)
+xdr_dw_update (XDR *xdrs, dw_update *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->id))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->round))
-        return FALSE;
-    if (!xdr_dw_alive(xdrs, &objp->state))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->rev))
-        return FALSE;
-    if (!xdr_dw_load(xdrs, &objp->load))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->round))
+		 return FALSE;
+	 if (!xdr_dw_alive (xdrs, &objp->state))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_dw_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_ping(XDR *xdrs, dw_ping *objp)
+xdr_dw_ping (XDR *xdrs, dw_ping *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_int(xdrs, &objp->seq))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->target))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->origin))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->updates.updates_val,
-            (u_int *)&objp->updates.updates_len, 32, sizeof(dw_update),
-            (xdrproc_t)xdr_dw_update))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->target))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->origin))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->updates.updates_val, (u_int *) &objp->updates.updates_len, 32,
+		sizeof (dw_update), (xdrproc_t) xdr_dw_update))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_share(XDR *xdrs, dw_share *objp)
+xdr_dw_share (XDR *xdrs, dw_share *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->rate))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->burst))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->level))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->running))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->pending))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->rate))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->burst))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->level))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->running))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->pending))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_borrow(XDR *xdrs, dw_borrow *objp)
+xdr_dw_borrow (XDR *xdrs, dw_borrow *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->seq))
-        return FALSE;
-    if (!xdr_dw_share(xdrs, &objp->held))
-        return FALSE;
-    if (!xdr_dw_share(xdrs, &objp->want))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->given_level))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_dw_share (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_dw_share (xdrs, &objp->want))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->given_level))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_lent(XDR *xdrs, dw_lent *objp)
+xdr_dw_lent (XDR *xdrs, dw_lent *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_dw_bytes(xdrs, &objp->customer))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->seq))
-            return FALSE;
-        if (!xdr_dw_share(xdrs, &objp->grant))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->valid_ms))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->rebuilding))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->exhausted))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->scarce))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->valid_ms);
-            IXDR_PUT_BOOL(buf, objp->rebuilding);
-            IXDR_PUT_BOOL(buf, objp->exhausted);
-            IXDR_PUT_BOOL(buf, objp->scarce);
-        }
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_dw_bytes(xdrs, &objp->customer))
-            return FALSE;
-        if (!xdr_u_int(xdrs, &objp->seq))
-            return FALSE;
-        if (!xdr_dw_share(xdrs, &objp->grant))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 4 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->valid_ms))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->rebuilding))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->exhausted))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->scarce))
-                return FALSE;
-        }
-        else {
-            objp->valid_ms = IXDR_GET_U_LONG(buf);
-            objp->rebuilding = IXDR_GET_BOOL(buf);
-            objp->exhausted = IXDR_GET_BOOL(buf);
-            objp->scarce = IXDR_GET_BOOL(buf);
-        }
-        return TRUE;
-    }
-
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->seq))
-        return FALSE;
-    if (!xdr_dw_share(xdrs, &objp->grant))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->valid_ms))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->rebuilding))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->exhausted))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->scarce))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_dw_bytes (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_dw_share (xdrs, &objp->grant))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->rebuilding))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->exhausted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->scarce))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->valid_ms);
+			IXDR_PUT_BOOL(buf, objp->rebuilding);
+			IXDR_PUT_BOOL(buf, objp->exhausted);
+			IXDR_PUT_BOOL(buf, objp->scarce);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_dw_bytes (xdrs, &objp->customer))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->seq))
+			 return FALSE;
+		 if (!xdr_dw_share (xdrs, &objp->grant))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->valid_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->rebuilding))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->exhausted))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->scarce))
+				 return FALSE;
+		} else {
+			objp->valid_ms = IXDR_GET_U_LONG(buf);
+			objp->rebuilding = IXDR_GET_BOOL(buf);
+			objp->exhausted = IXDR_GET_BOOL(buf);
+			objp->scarce = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_dw_share (xdrs, &objp->grant))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->rebuilding))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->exhausted))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->scarce))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_cancel(XDR *xdrs, dw_cancel *objp)
+xdr_dw_cancel (XDR *xdrs, dw_cancel *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->request))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->partition))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->key))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->partition))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->key))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_ledger_ask(XDR *xdrs, dw_ledger_ask *objp)
+xdr_dw_ledger_ask (XDR *xdrs, dw_ledger_ask *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_loan(XDR *xdrs, dw_loan *objp)
+xdr_dw_loan (XDR *xdrs, dw_loan *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->borrower))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->seq))
-        return FALSE;
-    if (!xdr_dw_share(xdrs, &objp->share))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->left_ms))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->expired))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->borrower))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_dw_share (xdrs, &objp->share))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->expired))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_ledger(XDR *xdrs, dw_ledger *objp)
+xdr_dw_ledger (XDR *xdrs, dw_ledger *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_bytes(xdrs, &objp->customer))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->level))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->loans.loans_val,
-            (u_int *)&objp->loans.loans_len, DW_MAX_ITEMS, sizeof(dw_loan),
-            (xdrproc_t)xdr_dw_loan))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_bytes (xdrs, &objp->customer))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->level))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->loans.loans_val, (u_int *) &objp->loans.loans_len, DW_MAX_ITEMS,
+		sizeof (dw_loan), (xdrproc_t) xdr_dw_loan))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_head(XDR *xdrs, dw_head *objp)
+xdr_dw_head (XDR *xdrs, dw_head *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->session))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->clock_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->echo_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->seq))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->ack))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->ack))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_run(XDR *xdrs, dw_run *objp)
+xdr_dw_run (XDR *xdrs, dw_run *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        if (!xdr_u_int(xdrs, &objp->index))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->run))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->gpus))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->est_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->wait_ms))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_U_LONG(buf, objp->millicores);
-            IXDR_PUT_U_LONG(buf, objp->memory_mb);
-            IXDR_PUT_U_LONG(buf, objp->gpus);
-            IXDR_PUT_U_LONG(buf, objp->est_ms);
-            IXDR_PUT_U_LONG(buf, objp->wait_ms);
-        }
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        if (!xdr_u_int(xdrs, &objp->index))
-            return FALSE;
-        if (!xdr_u_quad_t(xdrs, &objp->run))
-            return FALSE;
-        buf = XDR_INLINE(xdrs, 5 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_u_int(xdrs, &objp->millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->gpus))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->est_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->wait_ms))
-                return FALSE;
-        }
-        else {
-            objp->millicores = IXDR_GET_U_LONG(buf);
-            objp->memory_mb = IXDR_GET_U_LONG(buf);
-            objp->gpus = IXDR_GET_U_LONG(buf);
-            objp->est_ms = IXDR_GET_U_LONG(buf);
-            objp->wait_ms = IXDR_GET_U_LONG(buf);
-        }
-        return TRUE;
-    }
-
-    if (!xdr_u_int(xdrs, &objp->index))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->run))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->millicores))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->memory_mb))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->gpus))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->est_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->wait_ms))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_int (xdrs, &objp->index))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->run))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpus))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->est_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->millicores);
+			IXDR_PUT_U_LONG(buf, objp->memory_mb);
+			IXDR_PUT_U_LONG(buf, objp->gpus);
+			IXDR_PUT_U_LONG(buf, objp->est_ms);
+			IXDR_PUT_U_LONG(buf, objp->wait_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_int (xdrs, &objp->index))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->run))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpus))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->est_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->wait_ms))
+				 return FALSE;
+		} else {
+			objp->millicores = IXDR_GET_U_LONG(buf);
+			objp->memory_mb = IXDR_GET_U_LONG(buf);
+			objp->gpus = IXDR_GET_U_LONG(buf);
+			objp->est_ms = IXDR_GET_U_LONG(buf);
+			objp->wait_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gpus))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->est_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_run_group(XDR *xdrs, dw_run_group *objp)
+xdr_dw_run_group (XDR *xdrs, dw_run_group *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->job))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->priority))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->spec))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->runs.runs_val,
-            (u_int *)&objp->runs.runs_len, DW_MAX_ITEMS, sizeof(dw_run),
-            (xdrproc_t)xdr_dw_run))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->spec))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, DW_MAX_ITEMS,
+		sizeof (dw_run), (xdrproc_t) xdr_dw_run))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_run_ref(XDR *xdrs, dw_run_ref *objp)
+xdr_dw_run_ref (XDR *xdrs, dw_run_ref *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->job))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->index))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->run))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->index))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->run))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_orders(XDR *xdrs, dw_orders *objp)
+xdr_dw_orders (XDR *xdrs, dw_orders *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_head(xdrs, &objp->head))
-        return FALSE;
-    if (!xdr_dw_bytes(xdrs, &objp->address))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->port))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->groups.groups_val,
-            (u_int *)&objp->groups.groups_len, DW_MAX_ITEMS,
-            sizeof(dw_run_group), (xdrproc_t)xdr_dw_run_group))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->stops.stops_val,
-            (u_int *)&objp->stops.stops_len, DW_MAX_ITEMS, sizeof(dw_run_ref),
-            (xdrproc_t)xdr_dw_run_ref))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_head (xdrs, &objp->head))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->groups.groups_val, (u_int *) &objp->groups.groups_len, DW_MAX_ITEMS,
+		sizeof (dw_run_group), (xdrproc_t) xdr_dw_run_group))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->stops.stops_val, (u_int *) &objp->stops.stops_len, DW_MAX_ITEMS,
+		sizeof (dw_run_ref), (xdrproc_t) xdr_dw_run_ref))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_end(XDR *xdrs, dw_end *objp)
+xdr_dw_end (XDR *xdrs, dw_end *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_enum(xdrs, (enum_t *)objp))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_run_end(XDR *xdrs, dw_run_end *objp)
+xdr_dw_run_end (XDR *xdrs, dw_run_end *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_run_ref(xdrs, &objp->ref))
-        return FALSE;
-    if (!xdr_dw_end(xdrs, &objp->how))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->ran_ms))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_run_ref (xdrs, &objp->ref))
+		 return FALSE;
+	 if (!xdr_dw_end (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_room(XDR *xdrs, dw_room *objp)
+xdr_dw_room (XDR *xdrs, dw_room *objp)
 {
-    register int32_t *buf;
-
-    if (xdrs->x_op == XDR_ENCODE) {
-        buf = XDR_INLINE(xdrs, 12 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_bool(xdrs, &objp->serving))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->draining))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->left_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->gpus))
-                return FALSE;
-            if (!xdr_int(xdrs, &objp->free_millicores))
-                return FALSE;
-            if (!xdr_int(xdrs, &objp->free_memory_mb))
-                return FALSE;
-            if (!xdr_int(xdrs, &objp->free_gpus))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->waiting))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->speed_permille))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->stuck))
-                return FALSE;
-        }
-        else {
-            IXDR_PUT_BOOL(buf, objp->serving);
-            IXDR_PUT_BOOL(buf, objp->draining);
-            IXDR_PUT_U_LONG(buf, objp->left_ms);
-            IXDR_PUT_U_LONG(buf, objp->millicores);
-            IXDR_PUT_U_LONG(buf, objp->memory_mb);
-            IXDR_PUT_U_LONG(buf, objp->gpus);
-            IXDR_PUT_LONG(buf, objp->free_millicores);
-            IXDR_PUT_LONG(buf, objp->free_memory_mb);
-            IXDR_PUT_LONG(buf, objp->free_gpus);
-            IXDR_PUT_U_LONG(buf, objp->waiting);
-            IXDR_PUT_U_LONG(buf, objp->speed_permille);
-            IXDR_PUT_U_LONG(buf, objp->stuck);
-        }
-        return TRUE;
-    }
-    else if (xdrs->x_op == XDR_DECODE) {
-        buf = XDR_INLINE(xdrs, 12 * BYTES_PER_XDR_UNIT);
-        if (buf == NULL) {
-            if (!xdr_bool(xdrs, &objp->serving))
-                return FALSE;
-            if (!xdr_bool(xdrs, &objp->draining))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->left_ms))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->millicores))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->memory_mb))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->gpus))
-                return FALSE;
-            if (!xdr_int(xdrs, &objp->free_millicores))
-                return FALSE;
-            if (!xdr_int(xdrs, &objp->free_memory_mb))
-                return FALSE;
-            if (!xdr_int(xdrs, &objp->free_gpus))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->waiting))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->speed_permille))
-                return FALSE;
-            if (!xdr_u_int(xdrs, &objp->stuck))
-                return FALSE;
-        }
-        else {
-            objp->serving = IXDR_GET_BOOL(buf);
-            objp->draining = IXDR_GET_BOOL(buf);
-            objp->left_ms = IXDR_GET_U_LONG(buf);
-            objp->millicores = IXDR_GET_U_LONG(buf);
-            objp->memory_mb = IXDR_GET_U_LONG(buf);
-            objp->gpus = IXDR_GET_U_LONG(buf);
-            objp->free_millicores = IXDR_GET_LONG(buf);
-            objp->free_memory_mb = IXDR_GET_LONG(buf);
-            objp->free_gpus = IXDR_GET_LONG(buf);
-            objp->waiting = IXDR_GET_U_LONG(buf);
-            objp->speed_permille = IXDR_GET_U_LONG(buf);
-            objp->stuck = IXDR_GET_U_LONG(buf);
-        }
-        return TRUE;
-    }
-
-    if (!xdr_bool(xdrs, &objp->serving))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->draining))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->left_ms))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->millicores))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->memory_mb))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->gpus))
-        return FALSE;
-    if (!xdr_int(xdrs, &objp->free_millicores))
-        return FALSE;
-    if (!xdr_int(xdrs, &objp->free_memory_mb))
-        return FALSE;
-    if (!xdr_int(xdrs, &objp->free_gpus))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->waiting))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->speed_permille))
-        return FALSE;
-    if (!xdr_u_int(xdrs, &objp->stuck))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->serving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpus))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->free_millicores))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->free_memory_mb))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->free_gpus))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->speed_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stuck))
+				 return FALSE;
+		} else {
+			IXDR_PUT_BOOL(buf, objp->serving);
+			IXDR_PUT_BOOL(buf, objp->draining);
+			IXDR_PUT_U_LONG(buf, objp->left_ms);
+			IXDR_PUT_U_LONG(buf, objp->millicores);
+			IXDR_PUT_U_LONG(buf, objp->memory_mb);
+			IXDR_PUT_U_LONG(buf, objp->gpus);
+			IXDR_PUT_LONG(buf, objp->free_millicores);
+			IXDR_PUT_LONG(buf, objp->free_memory_mb);
+			IXDR_PUT_LONG(buf, objp->free_gpus);
+			IXDR_PUT_U_LONG(buf, objp->waiting);
+			IXDR_PUT_U_LONG(buf, objp->speed_permille);
+			IXDR_PUT_U_LONG(buf, objp->stuck);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_bool (xdrs, &objp->serving))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->draining))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->left_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->memory_mb))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->gpus))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->free_millicores))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->free_memory_mb))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->free_gpus))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->speed_permille))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->stuck))
+				 return FALSE;
+		} else {
+			objp->serving = IXDR_GET_BOOL(buf);
+			objp->draining = IXDR_GET_BOOL(buf);
+			objp->left_ms = IXDR_GET_U_LONG(buf);
+			objp->millicores = IXDR_GET_U_LONG(buf);
+			objp->memory_mb = IXDR_GET_U_LONG(buf);
+			objp->gpus = IXDR_GET_U_LONG(buf);
+			objp->free_millicores = IXDR_GET_LONG(buf);
+			objp->free_memory_mb = IXDR_GET_LONG(buf);
+			objp->free_gpus = IXDR_GET_LONG(buf);
+			objp->waiting = IXDR_GET_U_LONG(buf);
+			objp->speed_permille = IXDR_GET_U_LONG(buf);
+			objp->stuck = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_bool (xdrs, &objp->serving))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->draining))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->memory_mb))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->gpus))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->free_millicores))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->free_memory_mb))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->free_gpus))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->speed_permille))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->stuck))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_report(XDR *xdrs, dw_report *objp)
+xdr_dw_report (XDR *xdrs, dw_report *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_head(xdrs, &objp->head))
-        return FALSE;
-    if (!xdr_bool(xdrs, &objp->clean))
-        return FALSE;
-    if (!xdr_dw_room(xdrs, &objp->room))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->ends.ends_val,
-            (u_int *)&objp->ends.ends_len, DW_MAX_ITEMS, sizeof(dw_run_end),
-            (xdrproc_t)xdr_dw_run_end))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_head (xdrs, &objp->head))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->clean))
+		 return FALSE;
+	 if (!xdr_dw_room (xdrs, &objp->room))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, DW_MAX_ITEMS,
+		sizeof (dw_run_end), (xdrproc_t) xdr_dw_run_end))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_news(XDR *xdrs, dw_news *objp)
+xdr_dw_news (XDR *xdrs, dw_news *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->rev))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->newest))
-        return FALSE;
-    if (!xdr_dw_value(xdrs, &objp->config))
-        return FALSE;
-    if (!xdr_array(xdrs, (char **)&objp->withdrawn.withdrawn_val,
-            (u_int *)&objp->withdrawn.withdrawn_len, 64, sizeof(dw_bytes),
-            (xdrproc_t)xdr_dw_bytes))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+		 return FALSE;
+	 if (!xdr_dw_value (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->withdrawn.withdrawn_val, (u_int *) &objp->withdrawn.withdrawn_len, 64,
+		sizeof (dw_bytes), (xdrproc_t) xdr_dw_bytes))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_msg(XDR *xdrs, dw_msg *objp)
+xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_dw_mtype(xdrs, &objp->type))
-        return FALSE;
-    switch (objp->type) {
-    case DW_SUBMIT:
-        if (!xdr_dw_submit(xdrs, &objp->dw_msg_u.submit))
-            return FALSE;
-        break;
-    case DW_ANSWER:
-        if (!xdr_dw_answer(xdrs, &objp->dw_msg_u.answer))
-            return FALSE;
-        break;
-    case DW_OFFER:
-        if (!xdr_dw_offer(xdrs, &objp->dw_msg_u.offer))
-            return FALSE;
-        break;
-    case DW_OFFERED:
-        if (!xdr_dw_offered(xdrs, &objp->dw_msg_u.offered))
-            return FALSE;
-        break;
-    case DW_RESULT:
-        if (!xdr_dw_result(xdrs, &objp->dw_msg_u.result))
-            return FALSE;
-        break;
-    case DW_RESULT_ACK:
-        if (!xdr_dw_result_ack(xdrs, &objp->dw_msg_u.result_ack))
-            return FALSE;
-        break;
-    case DW_REVOKE:
-        if (!xdr_dw_revoke(xdrs, &objp->dw_msg_u.revoke))
-            return FALSE;
-        break;
-    case DW_REVOKED:
-        if (!xdr_dw_offered(xdrs, &objp->dw_msg_u.revoked))
-            return FALSE;
-        break;
-    case DW_FENCE:
-        if (!xdr_dw_fence(xdrs, &objp->dw_msg_u.fence))
-            return FALSE;
-        break;
-    case DW_RECORDS:
-        if (!xdr_dw_records(xdrs, &objp->dw_msg_u.records))
-            return FALSE;
-        break;
-    case DW_HANDOVER:
-        if (!xdr_dw_handover(xdrs, &objp->dw_msg_u.handover))
-            return FALSE;
-        break;
-    case DW_HANDED:
-        if (!xdr_dw_handed(xdrs, &objp->dw_msg_u.handed))
-            return FALSE;
-        break;
-    case DW_PULL:
-        if (!xdr_dw_pull(xdrs, &objp->dw_msg_u.pull))
-            return FALSE;
-        break;
-    case DW_STATE:
-        if (!xdr_dw_state(xdrs, &objp->dw_msg_u.state))
-            return FALSE;
-        break;
-    case DW_PING:
-        if (!xdr_dw_ping(xdrs, &objp->dw_msg_u.ping))
-            return FALSE;
-        break;
-    case DW_PING_ACK:
-        if (!xdr_dw_ping(xdrs, &objp->dw_msg_u.ping_ack))
-            return FALSE;
-        break;
-    case DW_PING_REQ:
-        if (!xdr_dw_ping(xdrs, &objp->dw_msg_u.ping_req))
-            return FALSE;
-        break;
-    case DW_BORROW:
-        if (!xdr_dw_borrow(xdrs, &objp->dw_msg_u.borrow))
-            return FALSE;
-        break;
-    case DW_LENT:
-        if (!xdr_dw_lent(xdrs, &objp->dw_msg_u.lent))
-            return FALSE;
-        break;
-    case DW_CANCEL:
-        if (!xdr_dw_cancel(xdrs, &objp->dw_msg_u.cancel))
-            return FALSE;
-        break;
-    case DW_LEDGER_ASK:
-        if (!xdr_dw_ledger_ask(xdrs, &objp->dw_msg_u.ledger_ask))
-            return FALSE;
-        break;
-    case DW_LEDGER:
-        if (!xdr_dw_ledger(xdrs, &objp->dw_msg_u.ledger))
-            return FALSE;
-        break;
-    case DW_ORDERS:
-        if (!xdr_dw_orders(xdrs, &objp->dw_msg_u.orders))
-            return FALSE;
-        break;
-    case DW_REPORT:
-        if (!xdr_dw_report(xdrs, &objp->dw_msg_u.report))
-            return FALSE;
-        break;
-    case DW_NEWS:
-        if (!xdr_dw_news(xdrs, &objp->dw_msg_u.news))
-            return FALSE;
-        break;
-    default:
-        break;
-    }
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_dw_mtype (xdrs, &objp->type))
+		 return FALSE;
+	switch (objp->type) {
+	case DW_SUBMIT:
+		 if (!xdr_dw_submit (xdrs, &objp->dw_msg_u.submit))
+			 return FALSE;
+		break;
+	case DW_ANSWER:
+		 if (!xdr_dw_answer (xdrs, &objp->dw_msg_u.answer))
+			 return FALSE;
+		break;
+	case DW_OFFER:
+		 if (!xdr_dw_offer (xdrs, &objp->dw_msg_u.offer))
+			 return FALSE;
+		break;
+	case DW_OFFERED:
+		 if (!xdr_dw_offered (xdrs, &objp->dw_msg_u.offered))
+			 return FALSE;
+		break;
+	case DW_RESULT:
+		 if (!xdr_dw_result (xdrs, &objp->dw_msg_u.result))
+			 return FALSE;
+		break;
+	case DW_RESULT_ACK:
+		 if (!xdr_dw_result_ack (xdrs, &objp->dw_msg_u.result_ack))
+			 return FALSE;
+		break;
+	case DW_REVOKE:
+		 if (!xdr_dw_revoke (xdrs, &objp->dw_msg_u.revoke))
+			 return FALSE;
+		break;
+	case DW_REVOKED:
+		 if (!xdr_dw_offered (xdrs, &objp->dw_msg_u.revoked))
+			 return FALSE;
+		break;
+	case DW_FENCE:
+		 if (!xdr_dw_fence (xdrs, &objp->dw_msg_u.fence))
+			 return FALSE;
+		break;
+	case DW_RECORDS:
+		 if (!xdr_dw_records (xdrs, &objp->dw_msg_u.records))
+			 return FALSE;
+		break;
+	case DW_HANDOVER:
+		 if (!xdr_dw_handover (xdrs, &objp->dw_msg_u.handover))
+			 return FALSE;
+		break;
+	case DW_HANDED:
+		 if (!xdr_dw_handed (xdrs, &objp->dw_msg_u.handed))
+			 return FALSE;
+		break;
+	case DW_PULL:
+		 if (!xdr_dw_pull (xdrs, &objp->dw_msg_u.pull))
+			 return FALSE;
+		break;
+	case DW_STATE:
+		 if (!xdr_dw_state (xdrs, &objp->dw_msg_u.state))
+			 return FALSE;
+		break;
+	case DW_PING:
+		 if (!xdr_dw_ping (xdrs, &objp->dw_msg_u.ping))
+			 return FALSE;
+		break;
+	case DW_PING_ACK:
+		 if (!xdr_dw_ping (xdrs, &objp->dw_msg_u.ping_ack))
+			 return FALSE;
+		break;
+	case DW_PING_REQ:
+		 if (!xdr_dw_ping (xdrs, &objp->dw_msg_u.ping_req))
+			 return FALSE;
+		break;
+	case DW_BORROW:
+		 if (!xdr_dw_borrow (xdrs, &objp->dw_msg_u.borrow))
+			 return FALSE;
+		break;
+	case DW_LENT:
+		 if (!xdr_dw_lent (xdrs, &objp->dw_msg_u.lent))
+			 return FALSE;
+		break;
+	case DW_CANCEL:
+		 if (!xdr_dw_cancel (xdrs, &objp->dw_msg_u.cancel))
+			 return FALSE;
+		break;
+	case DW_LEDGER_ASK:
+		 if (!xdr_dw_ledger_ask (xdrs, &objp->dw_msg_u.ledger_ask))
+			 return FALSE;
+		break;
+	case DW_LEDGER:
+		 if (!xdr_dw_ledger (xdrs, &objp->dw_msg_u.ledger))
+			 return FALSE;
+		break;
+	case DW_ORDERS:
+		 if (!xdr_dw_orders (xdrs, &objp->dw_msg_u.orders))
+			 return FALSE;
+		break;
+	case DW_REPORT:
+		 if (!xdr_dw_report (xdrs, &objp->dw_msg_u.report))
+			 return FALSE;
+		break;
+	case DW_NEWS:
+		 if (!xdr_dw_news (xdrs, &objp->dw_msg_u.news))
+			 return FALSE;
+		break;
+	default:
+		break;
+	}
+	return TRUE;
 }
 
 bool_t
-xdr_dw_envelope(XDR *xdrs, dw_envelope *objp)
+xdr_dw_envelope (XDR *xdrs, dw_envelope *objp)
 {
-    register int32_t *buf;
-
-    if (!xdr_u_quad_t(xdrs, &objp->from))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->to))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->clock_ms))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->echo_ms))
-        return FALSE;
-    if (!xdr_dw_msg(xdrs, &objp->msg))
-        return FALSE;
-    return TRUE;
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->to))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->echo_ms))
+		 return FALSE;
+	 if (!xdr_dw_msg (xdrs, &objp->msg))
+		 return FALSE;
+	return TRUE;
 }
 
 bool_t
-xdr_dw_hello(XDR *xdrs, dw_hello *objp)
+xdr_dw_hello (XDR *xdrs, dw_hello *objp)
 {
-    register int32_t *buf;
+	register int32_t *buf;
 
-    if (!xdr_u_quad_t(xdrs, &objp->id))
-        return FALSE;
-    if (!xdr_u_quad_t(xdrs, &objp->clock_ms))
-        return FALSE;
-    return TRUE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	return TRUE;
 }
--- a/runner.c
+++ b/runner.c
@@ -143,6 +143,17 @@
     r->ops->look(r->ctx, until, r->ack, wait_ms);
 }
 
+/*
+ * A worker that cannot be reached refuses faster than any other works: taken
+ * for free, it would draw all tasks.  It gets none until a look succeeds.
+ */
+static void
+set_silent(struct runner *r, uint64_t now)
+{
+    r->silent = true;
+    r->room_changed_ms = now;
+}
+
 /* --- starting --- */
 
 static bool
@@ -217,7 +228,7 @@
 static uint32_t
 look_pause(const struct runner *r)
 {
-    return rn_active(r) > 0 || !r->clean || !rn_quiet(r) ? RN_RETRY_MS
+    return rn_active(r) > 0 || !r->clean || r->silent || !rn_quiet(r) ? RN_RETRY_MS
                                                          : RN_IDLE_MS;
 }
 
@@ -301,18 +312,41 @@
 
 /* --- what the worker said --- */
 
+/*
+ * The worker started anew.  Which runs were of the life before is not known:
+ * an order on its way may have reached the new one.  The look that showed it,
+ * or the next, tells for each whether it is there.
+ */
+static void
+reborn(struct runner *r, uint64_t now, uint64_t born_ms)
+{
+    r->stats.reborn++;
+    r->born_ms = born_ms;
+    r->born_at_ms = now;
+    r->have_room = false;
+    r->draining = false;
+    r->leaves_ms = 0;
+    r->ack = 0;
+    r->ack_told = 0;
+    r->ack_asked = 0;
+    r->room_changed_ms = now;
+}
+
 void
 rn_room(struct runner *r, uint64_t now, uint32_t millicores,
     uint32_t memory_mb, uint32_t gpus, uint64_t born_ms)
 {
-    if (born_ms != r->born_ms || !r->have_room) {
+    if (r->born_ms == 0) {
+        r->born_ms = born_ms;
+    }
+    if (born_ms > r->born_ms) {
+        reborn(r, now, born_ms);
+    }
+    if (!r->have_room) {
         r->millicores = 0;
         r->memory_mb = 0;
         r->gpus = 0;
     }
-    if (r->born_ms == 0) {
-        r->born_ms = born_ms;
-    }
     if (born_ms == r->born_ms) {
         /* What is free is never more than the whole. */
         r->millicores = (uint32_t)num_max(r->millicores, millicores);
@@ -364,7 +398,10 @@
         run->started_ms = run->sent_ms;
         run->settle_ms = now;
     }
-    else if (result == RN_START_REFUSED) {
+    else if (result == RN_START_REFUSED || result == RN_START_UNREACHED) {
+        if (result == RN_START_UNREACHED) {
+            set_silent(r, now);
+        }
         finish(r, now, run, DW_END_NOT_RUN);
         pump(r, now);
     }
@@ -389,27 +426,6 @@
     run->settle_ms = now;
 }
 
-/* The worker started anew and holds nothing of before. */
-static void
-reborn(struct runner *r, uint64_t now, uint64_t born_ms)
-{
-    struct rn_run *run;
-    struct rn_run *tmp;
-
-    r->stats.reborn++;
-    r->born_ms = born_ms;
-    r->have_room = false;
-    r->draining = false;
-    r->leaves_ms = 0;
-    r->ack = 0;
-    r->ack_told = 0;
-    HASH_ITER (hh, r->runs, run, tmp) {
-        if (run->state != RN_QUEUED) {
-            finish(r, now, run, DW_END_LOST);
-        }
-    }
-}
-
 static void
 take_ends(struct runner *r, uint64_t now, const struct rn_look *l)
 {
@@ -496,13 +512,18 @@
 {
     r->look_ms = 0;
     r->look_failed = !l->ok;
-    if (l->ok) {
+    if (!l->ok) {
+        set_silent(r, now);
+    }
+    else if (r->born_ms == 0 || l->born_ms == r->born_ms ||
+             l->asked_ms > r->born_at_ms) {
         note_clock(r, now, l->clock_ms);
         r->ack_told = r->ack_asked;
         if (r->born_ms != 0 && l->born_ms != r->born_ms) {
             reborn(r, now, l->born_ms);
         }
         r->born_ms = l->born_ms;
+        r->silent = false;
         take_ends(r, now, l);
         take_running(r, now, l);
         settle_absent(r, now, l);
@@ -555,7 +576,7 @@
 bool
 rn_serving(const struct runner *r)
 {
-    return r->have_room && r->clean && r->orphans == 0 && !r->draining &&
+    return r->have_room && r->clean && !r->silent && r->orphans == 0 && !r->draining &&
            !r->withdrawn && !r->leaving;
 }
 
--- a/runner.h
+++ b/runner.h
@@ -84,7 +84,8 @@
 
 enum rn_start_result {
     RN_START_OK,
-    RN_START_REFUSED, /* certainly not started */
+    RN_START_REFUSED,   /* certainly not started */
+    RN_START_UNREACHED, /* the same, as no connection came about */
     RN_START_LOST
 };
 
@@ -148,6 +149,7 @@
     int64_t used_memory_mb;
     int64_t used_gpus;
     uint64_t born_ms;
+    uint64_t born_at_ms;  /* when we learned it */
     uint64_t clock_ms;    /* the worker's */
     uint64_t clock_at_ms; /* ours, when it came */
     uint64_t lapse_ms;    /* the worker holds nothing of ours after it */
@@ -157,6 +159,7 @@
     uint64_t look_ms;  /* when the look under way was asked; 0: none */
     uint64_t asked_ms; /* when the last look was asked */
     bool look_failed;
+    bool silent; /* the worker did not answer lately */
     size_t orphans; /* runs of an earlier agent, as last shown */
     bool leaving;   /* this agent ends: start nothing more */
     uint64_t room_changed_ms;
--- a/web.c
+++ b/web.c
@@ -275,7 +275,11 @@
 void
 web_stop_accepting(struct web *w)
 {
-    MHD_socket fd = MHD_quiesce_daemon(w->mhd);
+    MHD_socket fd;
+
+    /* Whoever has connected already is served. */
+    run(w);
+    fd = MHD_quiesce_daemon(w->mhd);
 
     if (fd != MHD_INVALID_SOCKET) {
         close(fd);
