Coord: a job that ran out of time gave up, it has not failed

Ruled out: cut connections (the bodies were whole, signed by the entry). Change: outcome CO_GAVE_UP, status 504; failed only after `attempts` failures.

--- a/coord.c
+++ b/coord.c
@@ -236,6 +236,7 @@
     uint64_t *counts[] = {
         [CO_COMPLETED] = &c->stats.completed,
         [CO_FAILED] = &c->stats.failed,
+        [CO_GAVE_UP] = &c->stats.gave_up,
         [CO_NOT_RUN] = &c->stats.not_run,
     };
 
@@ -255,11 +256,11 @@
     free_job(c, j);
 }
 
-/* Time is up: what never ran may come back, the rest has failed. */
+/* Time is up.  It must not be called failed: no task of it has. */
 static void
 give_up(struct coord *c, uint64_t now, struct co_job *j, const char *reason)
 {
-    end_job(c, now, j, j->begun ? CO_FAILED : CO_NOT_RUN, reason);
+    end_job(c, now, j, j->begun ? CO_GAVE_UP : CO_NOT_RUN, reason);
 }
 
 /* --- callers --- */
--- a/coord.h
+++ b/coord.h
@@ -25,7 +25,8 @@
 
 enum co_outcome {
     CO_COMPLETED, /* every task ended done */
-    CO_FAILED,    /* a task failed as often as it may, or time ran out */
+    CO_FAILED,    /* a task failed as often as it may, or it was cancelled */
+    CO_GAVE_UP,   /* time ran out; parts of it may have run */
     CO_NOT_RUN    /* nothing of it has run or will */
 };
 
@@ -112,6 +113,7 @@
     uint64_t attached;
     uint64_t completed;
     uint64_t failed;
+    uint64_t gave_up;
     uint64_t not_run;
     uint64_t gone;
     uint64_t runs;
--- a/entryd.c
+++ b/entryd.c
@@ -116,16 +116,20 @@
 static void
 give_answer(const struct answer *a)
 {
-    static const char *const states[] = {
-        [CO_COMPLETED] = "{\"state\":\"completed\"}",
-        [CO_FAILED] = "{\"state\":\"failed\"}",
+    static const struct {
+        unsigned status;
+        const char *text;
+    } replies[] = {
+        [CO_COMPLETED] = {200, "{\"state\":\"completed\"}"},
+        [CO_FAILED] = {200, "{\"state\":\"failed\"}"},
+        [CO_GAVE_UP] = {504, "{\"error\":\"gave_up\"}"},
     };
 
     if (a->how == CO_NOT_RUN) {
         reply_not_run(a->req, a->reason, a->retry_ms);
         return;
     }
-    reply_text(a->req, 200, states[a->how]);
+    reply_text(a->req, replies[a->how].status, replies[a->how].text);
 }
 
 static void
@@ -635,6 +639,7 @@
         {"dw_jobs_attached", st->attached},
         {"dw_jobs_completed", st->completed},
         {"dw_jobs_failed", st->failed},
+        {"dw_jobs_gave_up", st->gave_up},
         {"dw_jobs_not_run", st->not_run},
         {"dw_jobs_caller_gone", st->gone},
         {"dw_jobs_running", co_running(&e->coord)},
