Lost orders: quick looks; the fleet's return is waited for

After a loss of power, requests were refused until the agents had waited out a lease. Change: starts and stops count as lost after 20 ms and are looked up at once beside the waiting look; looks wait 40 ms; three lost in a row, or a refused connection, make a worker silent. Serving begins with the first look; entries hold jobs 800 ms while there is no worker.

--- a/agentd.c
+++ b/agentd.c
@@ -15,8 +15,6 @@
 /* ms between reports to one entry that only tell a changed room, for each
  * entry there is: what all entries cost stays the same. */
 #define ROOM_MS_PER_ENTRY 5U
-/* ms beyond a look's own wait until it counts as unanswered. */
-#define LOOK_MARGIN_MS 100U
 /* To the worker for starts and stops; more wait their turn, a start takes
  * some 2 ms.  Each new connection costs. */
 #define WORKER_CONNECTIONS 6U
@@ -53,11 +51,12 @@
     struct agent *a;
     struct rn_key key;
     uint64_t asked_ms;
+    bool quick;
 };
 
-static void
-post(struct agent *a, struct httpc *http, const char *path, struct str body, uint32_t timeout_ms,
-    httpc_done_fn done, const struct rn_key *key)
+static struct run_call *
+post(struct agent *a, struct httpc *http, const char *path, struct str body,
+    uint32_t timeout_ms, httpc_done_fn done, const struct rn_key *key)
 {
     static const char *const headers[] = {
         "Content-Type: application/json", NULL};
@@ -80,6 +79,7 @@
     h.done = done;
     h.ctx = c;
     httpc_start(http, &h);
+    return c;
 }
 
 static enum rn_start_result
@@ -131,7 +131,8 @@
     struct buf b = {0};
 
     wire_put_start(&b, run, until_ms);
-    post(a, a->http, "run-start", buf_str(&b), RN_ANSWER_MS, on_started, &run->key);
+    post(a, a->http, "run-start", buf_str(&b), RN_ANSWER_MS, on_started,
+        &run->key);
     buf_free(&b);
 }
 
@@ -168,19 +169,25 @@
         log_event(LOG_LEVEL_WARN, "look_unreadable", "error=\"%s\"", e.msg);
     }
     l.look.asked_ms = c->asked_ms;
+    l.look.quick = c->quick;
+    l.look.unreached = d->status == HTTPC_NOT_SENT;
     rn_looked(&c->a->runner, sv_now(), &l.look);
     wire_look_free(&l);
     free(c);
 }
 
 static void
-do_look(void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms)
+do_look(
+    void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms, bool quick)
 {
     struct agent *a = ctx;
     struct buf b = {0};
+    struct run_call *c;
 
     wire_put_look(&b, until_ms, ack, wait_ms);
-    post(a, a->look_http, "hold", buf_str(&b), wait_ms + LOOK_MARGIN_MS, on_looked, NULL);
+    c = post(a, quick ? a->http : a->look_http, "hold", buf_str(&b),
+        quick ? RN_ANSWER_MS : wait_ms + RN_LOOK_MARGIN_MS, on_looked, NULL);
+    c->quick = quick;
     buf_free(&b);
 }
 
@@ -201,6 +208,23 @@
     return c;
 }
 
+static const char *const end_names[] = {
+    [DW_END_DONE] = "done",
+    [DW_END_FAILED] = "failed",
+    [DW_END_STOPPED] = "stopped",
+    [DW_END_LOST] = "lost",
+    [DW_END_NOT_RUN] = "not_run",
+    [DW_END_FULL] = "full",
+};
+
+static const char *const state_names[] = {
+    [RN_QUEUED] = "queued",
+    [RN_STARTING] = "starting",
+    [RN_UNSURE] = "unsure",
+    [RN_RUNNING] = "running",
+    [RN_STOPPING] = "stopping",
+};
+
 static void
 do_ended(void *ctx, const struct rn_run *run, dw_end how, uint32_t ran_ms)
 {
@@ -209,6 +233,13 @@
     dw_report *r;
     dw_run_end *end;
 
+    log_event(how == DW_END_DONE ? LOG_LEVEL_DEBUG : LOG_LEVEL_INFO,
+        "run_ended",
+        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
+        " how=%s state=%s waited_ms=%" PRIu64 " ran_ms=%u est_ms=%u",
+        run->key.job, run->key.index, run->key.run, end_names[how],
+        state_names[run->state], run->sent_ms - run->come_ms, ran_ms,
+        run->est_ms);
     if (c == NULL || !c->open || c->sess.number != run->session) {
         return;
     }
@@ -399,6 +430,11 @@
     }
     a->beat_born_ms = b->born_ms;
     a->beat_seq = b->seq;
+    if (!a->runner.have_room || b->born_ms != a->runner.born_ms) {
+        log_event(LOG_LEVEL_INFO, "worker_room",
+            "millicores=%u memory_mb=%u gpus=%u born=%" PRIu64, b->millicores,
+            b->memory_mb, b->gpus, b->born_ms);
+    }
     rn_room(&a->runner, now, b->millicores, b->memory_mb, b->gpus, b->born_ms);
     rn_draining(&a->runner, now, b->draining, b->leaves, b->left_ms);
     if (b->draining != a->draining_told) {
--- a/coord.c
+++ b/coord.c
@@ -20,6 +20,10 @@
 #define ENDED_MS 20000U
 /* ms a frozen entry's jobs are good for; callers have tried elsewhere. */
 #define PAUSE_MS 900U
+/* ms without any worker, after a start or a loss, in which jobs are held: a
+ * fleet that comes back from a loss of power is there within half a second,
+ * and a late answer is worth more than a refusal. */
+#define HOLD_MS 800U
 #define RETRY_MS 1000U
 /* Estimates are too high by up to this part; a job is hopeless only if even
  * so much less would be too late. */
@@ -304,10 +308,10 @@
     if (longest(s) * EST_LEAST_PERCENT / 100 >= s->left_ms) {
         return "too_late";
     }
-    if (capacity <= 0) {
+    if (capacity <= 0 && now - c->capable_ms > HOLD_MS) {
         return "no_workers";
     }
-    if (c->waiting_work > (uint64_t)capacity * BACKLOG_MS) {
+    if (capacity > 0 && c->waiting_work > (uint64_t)capacity * BACKLOG_MS) {
         return "overload";
     }
     for (size_t i = 0; i < s->count; i++) {
@@ -734,6 +738,9 @@
     struct co_job *j_tmp;
 
     c->ticked_ms = now;
+    if (c->capable_ms == 0 || fl_capacity(&c->fleet, now) > 0) {
+        c->capable_ms = now;
+    }
     HASH_ITER (hh, c->fleet.agents, a, a_tmp) {
         tend_session(c, now, a);
         resend(c, now, a);
--- a/coord.h
+++ b/coord.h
@@ -131,6 +131,8 @@
     struct co_ended *ended;
     uint64_t waiting_work; /* estimated millicores x ms of waiting tasks */
     uint64_t ticked_ms;
+    uint64_t
+        capable_ms;   /* when there last was a worker; at first, the start */
     char address[64]; /* where agents reach this entry */
     uint16_t port;
     struct co_stats stats;
--- a/entryd.c
+++ b/entryd.c
@@ -88,10 +88,15 @@
 static void
 note_job(void *ctx, const struct co_job *j, const char *text)
 {
+    uint64_t now = sv_now();
+    bool late = now > j->objective_ms;
+
     (void)ctx;
-    log_event(LOG_LEVEL_DEBUG, "job_ended",
-        "job=%016" PRIx64 " why=%s tasks=%u done=%u begun=%d ms=%" PRIu64,
-        j->id, text, j->count, j->done, j->begun, sv_now() - j->come_ms);
+    log_event(late ? LOG_LEVEL_INFO : LOG_LEVEL_DEBUG, "job_ended",
+        "job=%016" PRIx64 " why=%s tasks=%u done=%u begun=%d ms=%" PRIu64
+        " objective_ms=%" PRIu64 " left_ms=%" PRIu64,
+        j->id, text, j->count, j->done, j->begun, now - j->come_ms,
+        j->objective_ms - j->come_ms, num_minus(j->deadline_ms, now));
 }
 
 static const struct co_ops co_ops = {send_message, keep_answer, note_job};
--- a/runner.c
+++ b/runner.c
@@ -25,6 +25,7 @@
 drop(struct runner *r, uint64_t now, struct rn_run *run)
 {
     r->room_changed_ms = now;
+    r->recent[r->recent_at++ % RN_RECENT] = run->key;
     if (run->state != RN_QUEUED) {
         r->used_millicores -= run->millicores;
         r->used_memory_mb -= run->memory_mb;
@@ -140,7 +141,18 @@
     r->look_ms = now;
     r->asked_ms = now;
     r->ack_asked = r->ack;
-    r->ops->look(r->ctx, until, r->ack, wait_ms);
+    r->ops->look(r->ctx, until, r->ack, wait_ms, false);
+}
+
+/* What became of a start that was not answered is asked at once, beside the
+ * look that waits for an end. */
+static void
+look_quick(struct runner *r)
+{
+    if (!r->quick_out) {
+        r->quick_out = true;
+        r->ops->look(r->ctx, 0, r->ack, 0, true);
+    }
 }
 
 /*
@@ -219,7 +231,7 @@
         }
     }
     /* What was started is looked after at once, not when idle. */
-    if (r->look_ms == 0 && !r->look_failed && rn_active(r) > 0) {
+    if (r->look_ms == 0 && r->looks_failed == 0 && rn_active(r) > 0) {
         look(r, now, RN_LOOK_MS);
     }
 }
@@ -228,8 +240,9 @@
 static uint32_t
 look_pause(const struct runner *r)
 {
-    return rn_active(r) > 0 || !r->clean || r->silent || !rn_quiet(r) ? RN_RETRY_MS
-                                                         : RN_IDLE_MS;
+    return rn_active(r) > 0 || !r->clean || r->silent || !rn_quiet(r)
+               ? RN_RETRY_MS
+               : RN_IDLE_MS;
 }
 
 void
@@ -252,6 +265,8 @@
     run->est_ms = order->est_ms;
     run->priority = group->priority;
     run->spec = str_dup(str_bytes(&group->spec));
+    run->come_ms = now;
+    run->sent_ms = now;
     run->give_up_ms = now + order->wait_ms;
     HASH_ADD(hh, r->runs, key, sizeof(run->key), run);
     r->room_changed_ms = now;
@@ -409,6 +424,7 @@
         r->stats.lost_starts++;
         run->state = RN_UNSURE;
         run->settle_ms = now;
+        look_quick(r);
     }
 }
 
@@ -418,12 +434,18 @@
 {
     struct rn_run *run = find(r, key);
 
-    if (run == NULL || !answered || run->settle_ms != UINT64_MAX) {
+    if (run == NULL || run->settle_ms != UINT64_MAX) {
         return;
     }
+    if (!answered) {
+        return; /* rn_tick() asks again */
+    }
     /* Later arrivals of the start are refused from now on; whether it runs
      * or has ended, the next look tells. */
     run->settle_ms = now;
+    if (!run->seen) {
+        look_quick(r);
+    }
 }
 
 static void
@@ -443,6 +465,17 @@
     }
 }
 
+static bool
+ended_lately(const struct runner *r, const struct rn_key *key)
+{
+    for (size_t i = 0; i < RN_RECENT; i++) {
+        if (memcmp(&r->recent[i], key, sizeof(*key)) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 take_running(struct runner *r, uint64_t now, const struct rn_look *l)
 {
@@ -451,6 +484,9 @@
         const struct rn_shown *s = &l->running[i];
         struct rn_run *run = find(r, &s->key);
 
+        if (run == NULL && ended_lately(r, &s->key)) {
+            continue;
+        }
         if (run == NULL) {
             /* Of an agent that was here before, or carried out late: its
              * size is not known, so nothing starts beside it. */
@@ -507,29 +543,55 @@
     }
 }
 
+static void
+take_look(struct runner *r, uint64_t now, const struct rn_look *l)
+{
+    note_clock(r, now, l->clock_ms);
+    if (r->born_ms != 0 && l->born_ms != r->born_ms) {
+        reborn(r, now, l->born_ms);
+    }
+    r->born_ms = l->born_ms;
+    r->silent = false;
+    r->looked = true;
+    take_ends(r, now, l);
+    take_running(r, now, l);
+    settle_absent(r, now, l);
+    if (r->orphans == 0 && now - r->begun_ms > RN_LAPSE_MS) {
+        r->clean = true;
+    }
+}
+
+static void
+look_failed(struct runner *r, uint64_t now, const struct rn_look *l)
+{
+    if (l->unreached || r->looks_failed >= RN_SILENT_LOOKS) {
+        set_silent(r, now);
+    }
+    else {
+        look(r, now, 0);
+    }
+}
+
 void
 rn_looked(struct runner *r, uint64_t now, const struct rn_look *l)
 {
-    r->look_ms = 0;
-    r->look_failed = !l->ok;
-    if (!l->ok) {
-        set_silent(r, now);
+    /* Of a life before the one that is known since. */
+    bool old = r->born_ms != 0 && l->born_ms != r->born_ms &&
+               l->asked_ms <= r->born_at_ms;
+
+    if (l->quick) {
+        r->quick_out = false;
     }
-    else if (r->born_ms == 0 || l->born_ms == r->born_ms ||
-             l->asked_ms > r->born_at_ms) {
-        note_clock(r, now, l->clock_ms);
-        r->ack_told = r->ack_asked;
-        if (r->born_ms != 0 && l->born_ms != r->born_ms) {
-            reborn(r, now, l->born_ms);
-        }
-        r->born_ms = l->born_ms;
-        r->silent = false;
-        take_ends(r, now, l);
-        take_running(r, now, l);
-        settle_absent(r, now, l);
-        if (r->orphans == 0 && now - r->begun_ms > RN_LAPSE_MS) {
-            r->clean = true;
-        }
+    else {
+        r->look_ms = 0;
+        r->looks_failed = l->ok ? 0 : r->looks_failed + 1;
+        r->ack_told = l->ok && !old ? r->ack_asked : r->ack_told;
+    }
+    if (l->ok && !old) {
+        take_look(r, now, l);
+    }
+    else if (!l->ok && !l->quick) {
+        look_failed(r, now, l);
     }
     pump(r, now);
 }
@@ -561,9 +623,12 @@
     lapse(r, now);
     HASH_ITER (hh, r->runs, run, tmp) {
         if (run->state == RN_STOPPING && run->settle_ms == UINT64_MAX &&
-            now - run->sent_ms > RN_ANSWER_MS) {
+            now - run->sent_ms > RN_ANSWER_MS + 5) {
             stop_run(r, now, run);
         }
+        else if (run->state == RN_UNSURE) {
+            look_quick(r);
+        }
     }
     if (r->look_ms == 0 && now - r->asked_ms >= look_pause(r)) {
         look(r, now, rn_active(r) > 0 ? RN_LOOK_MS : 0);
@@ -576,8 +641,8 @@
 bool
 rn_serving(const struct runner *r)
 {
-    return r->have_room && r->clean && !r->silent && r->orphans == 0 && !r->draining &&
-           !r->withdrawn && !r->leaving;
+    return r->have_room && r->looked && !r->silent && r->orphans == 0 &&
+           !r->draining && !r->withdrawn && !r->leaving;
 }
 
 bool
--- a/runner.h
+++ b/runner.h
@@ -23,21 +23,31 @@
 extern "C" {
 #endif
 
-/* ms the worker's lease is renewed ahead; three times RN_LOOK_MS. */
+/* ms the worker's lease is renewed ahead; several times RN_LOOK_MS. */
 #define RN_LEASE_MS 300U
 /* ms that a look waits for an end, which is how often the lease is renewed
- * at least. */
-#define RN_LOOK_MS 80U
+ * at least.  Ends are learned by looks only: with one in twenty looks lost,
+ * longer ones held answers back by 180 ms. */
+#define RN_LOOK_MS 40U
+/* ms beyond that until a look counts as lost; answers take 1 to 5. */
+#define RN_LOOK_MARGIN_MS 15U
+/* Looks lost in a row after which the worker counts as silent. */
+#define RN_SILENT_LOOKS 3U
 /* ms between looks while nothing runs. */
 #define RN_IDLE_MS 500U
 /* ms between looks at a worker that did not answer the last, or whose earlier
  * runs are waited for. */
 #define RN_RETRY_MS 25U
-/* ms without an answer until a start counts as lost; answers take 1 to 5. */
-#define RN_ANSWER_MS 60U
+/* ms without an answer until a start or stop counts as lost; answers take 1
+ * to 5.  A lost start costs a task of 60 ms this, a look, a stop and a second
+ * start, and still meets an aim of 180 ms. */
+#define RN_ANSWER_MS 20U
 /* ms in which runs of an ended session must be gone; after that the lease is
  * not renewed, for anybody, until they are. */
 #define RN_STOP_MS 100U
+/* Ends remembered, so that a look that was overtaken by one of them does not
+ * show a run of nobody's. */
+#define RN_RECENT 64U
 /* The worker's clock may run slow by this part of a hundred. */
 #define RN_DRIFT_PERCENT 2U
 
@@ -70,8 +80,9 @@
     uint32_t priority;
     char *spec;
     enum rn_state state;
-    bool seen;           /* a look has shown it */
-    bool forced;         /* its session is over */
+    bool seen;   /* a look has shown it */
+    bool forced; /* its session is over */
+    uint64_t come_ms;
     uint64_t give_up_ms; /* of waiting here */
     uint64_t sent_ms;    /* its start, then its last stop */
     uint64_t settle_ms;  /* a look asked after this tells all about it */
@@ -103,7 +114,9 @@
 
 struct rn_look {
     uint64_t asked_ms;
+    bool quick; /* beside the one that waits */
     bool ok;
+    bool unreached; /* no connection came about */
     uint64_t clock_ms;
     uint64_t born_ms;
     const struct rn_shown *running;
@@ -116,8 +129,9 @@
 struct rn_ops {
     void (*start)(void *ctx, const struct rn_run *r, uint64_t until_ms);
     void (*stop)(void *ctx, const struct rn_key *key);
-    /* until_ms 0: do not renew. */
-    void (*look)(void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms);
+    /* until_ms 0: do not renew.  quick: beside the one that waits. */
+    void (*look)(void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms,
+        bool quick);
     void (*ended)(
         void *ctx, const struct rn_run *r, dw_end how, uint32_t ran_ms);
 };
@@ -156,14 +170,18 @@
     uint64_t ack;
     uint64_t ack_asked; /* in the look under way */
     uint64_t ack_told;
-    uint64_t look_ms;  /* when the look under way was asked; 0: none */
-    uint64_t asked_ms; /* when the last look was asked */
-    bool look_failed;
-    bool silent; /* the worker did not answer lately */
+    uint64_t look_ms;      /* when the look under way was asked; 0: none */
+    uint64_t asked_ms;     /* when the last look was asked */
+    uint32_t looks_failed; /* in a row */
+    bool silent;           /* the worker did not answer lately */
+    bool quick_out;
+    struct rn_key recent[RN_RECENT];
+    size_t recent_at;
     size_t orphans; /* runs of an earlier agent, as last shown */
     bool leaving;   /* this agent ends: start nothing more */
     uint64_t room_changed_ms;
-    bool clean; /* nothing of an earlier agent runs there */
+    bool looked; /* a look has succeeded */
+    bool clean;  /* nothing of an earlier agent runs there */
     uint32_t speed_permille;
     struct rn_stats stats;
 };
