Agent: entries' sessions apart from the calls that carry them out

Cause: the sessions stood beside sockets in agentd.c, out of the tests' reach. Change: agent.c decides, agentd.c carries out; an entry that never answers a beginning session is dropped after the lease.

--- /dev/null
+++ b/agent.c
@@ -0,0 +1,307 @@
+#include "agent.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "num.h"
+
+static struct ag_entry *
+find_entry(struct agent *a, uint64_t id, bool add)
+{
+    struct ag_entry *e;
+
+    HASH_FIND(hh, a->entries, &id, sizeof(id), e);
+    if (e == NULL && add) {
+        e = dw_zero(1, sizeof(*e));
+        e->id = id;
+        sess_init(&e->sess);
+        HASH_ADD(hh, a->entries, id, sizeof(e->id), e);
+    }
+    return e;
+}
+
+static void
+do_ended(void *ctx, const struct rn_run *run, dw_end how, uint32_t ran_ms)
+{
+    struct agent *a = ctx;
+    struct ag_entry *e = find_entry(a, run->entry, false);
+    dw_report *r;
+    dw_run_end *end;
+
+    a->ops->note_end(a->ctx, run, how, ran_ms);
+    if (e == NULL || !e->open || e->sess.number != run->session) {
+        return;
+    }
+    if (e->batch == NULL) {
+        e->batch = dw_zero(1, sizeof(*e->batch));
+        e->batch->type = DW_REPORT;
+    }
+    r = &e->batch->dw_msg_u.report;
+    r->ends.ends_val =
+        dw_grow(r->ends.ends_val, (r->ends.ends_len + 1) * sizeof(*end));
+    end = &r->ends.ends_val[r->ends.ends_len++];
+    end->ref.job = run->key.job;
+    end->ref.index = (u_int)run->key.index;
+    end->ref.run = run->key.run;
+    end->how = how;
+    end->ran_ms = ran_ms;
+}
+
+static void
+fill_report(struct agent *a, uint64_t now, struct ag_entry *e, dw_report *r)
+{
+    r->clean =
+        a->runner.clean && rn_leftover(&a->runner, e->id, e->sess.number) == 0;
+    rn_tell_room(&a->runner, now, &r->room);
+    if (a->leaving) {
+        r->room.serving = false;
+    }
+}
+
+static void
+send_beat(struct agent *a, uint64_t now, struct ag_entry *e)
+{
+    dw_msg m;
+
+    memset(&m, 0, sizeof(m));
+    m.type = DW_REPORT;
+    fill_report(a, now, e, &m.dw_msg_u.report);
+    sess_stamp(&e->sess, now, &m);
+    a->ops->send(a->ctx, e->id, &m);
+}
+
+static void
+send_batch(struct agent *a, uint64_t now, struct ag_entry *e)
+{
+    dw_msg *m = e->batch;
+
+    e->batch = NULL;
+    fill_report(a, now, e, &m->dw_msg_u.report);
+    sess_keep(&e->sess, now, m);
+    a->ops->send(a->ctx, e->id, m);
+}
+
+static void
+resend(struct agent *a, uint64_t now, struct ag_entry *e)
+{
+    dw_msg *m;
+
+    for (m = sess_again(&e->sess, now, NULL); m != NULL;
+         m = sess_again(&e->sess, now, m)) {
+        /* The room belongs to the acknowledgement that goes with it. */
+        fill_report(a, now, e, &m->dw_msg_u.report);
+        a->ops->send(a->ctx, e->id, m);
+    }
+}
+
+/* --- the worker's calls go on to whoever carries them out --- */
+
+static void
+do_start(void *ctx, const struct rn_run *run, uint64_t until_ms)
+{
+    struct agent *a = ctx;
+
+    a->ops->worker.start(a->ctx, run, until_ms);
+}
+
+static void
+do_stop(void *ctx, const struct rn_key *key)
+{
+    struct agent *a = ctx;
+
+    a->ops->worker.stop(a->ctx, key);
+}
+
+static void
+do_look(
+    void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms, bool quick)
+{
+    struct agent *a = ctx;
+
+    a->ops->worker.look(a->ctx, until_ms, ack, wait_ms, quick);
+}
+
+static const struct rn_ops worker_ops = {do_start, do_stop, do_look, do_ended};
+
+/* --- sessions --- */
+
+static void
+end_session(struct agent *a, uint64_t now, struct ag_entry *e)
+{
+    uint64_t number = e->sess.number;
+
+    e->open = false;
+    msg_free(e->batch);
+    e->batch = NULL;
+    sess_end(&e->sess);
+    rn_session_over(&a->runner, now, number);
+}
+
+static void
+begin_session(
+    struct agent *a, uint64_t now, struct ag_entry *e, const dw_head *head)
+{
+    if (e->sess.number != 0) {
+        end_session(a, now, e);
+    }
+    sess_begin(&e->sess, head->session);
+    e->newest = head->session;
+    e->begun_ms = now;
+    e->open = true;
+}
+
+static void
+take_orders(
+    struct agent *a, uint64_t now, struct ag_entry *e, const dw_orders *o)
+{
+    for (u_int i = 0; i < o->stops.stops_len; i++) {
+        rn_stop(&a->runner, now, &o->stops.stops_val[i]);
+    }
+    for (u_int i = 0; i < o->groups.groups_len; i++) {
+        const dw_run_group *g = &o->groups.groups_val[i];
+
+        for (u_int k = 0; k < g->runs.runs_len; k++) {
+            rn_order(&a->runner, now, e->id, e->sess.number, g,
+                &g->runs.runs_val[k]);
+        }
+    }
+}
+
+void
+ag_orders(struct agent *a, uint64_t now, uint64_t from, const dw_orders *o)
+{
+    struct ag_entry *e = find_entry(a, from, true);
+
+    if (o->head.session > e->newest) {
+        begin_session(a, now, e, &o->head);
+    }
+    if (sess_take(&e->sess, now, &o->head) == SESS_TAKE) {
+        take_orders(a, now, e, o);
+        a->runner.room_changed_ms = now;
+    }
+    else if (e->open && e->sess.fresh_ms == 0) {
+        send_beat(a, now, e); /* so that the other learns our clock */
+    }
+}
+
+void
+ag_refused(struct agent *a, uint64_t now, uint64_t id)
+{
+    struct ag_entry *e = find_entry(a, id, false);
+
+    if (e != NULL && e->open) {
+        a->ops->note_session(a->ctx, id, "entry_dead", 0);
+        end_session(a, now, e);
+    }
+}
+
+/* When the entry was certainly alive last. */
+static uint64_t
+heard(const struct ag_entry *e)
+{
+    return e->sess.fresh_ms != 0 ? e->sess.fresh_ms : e->begun_ms;
+}
+
+static void
+tend_entry(struct agent *a, uint64_t now, struct ag_entry *e)
+{
+    if (!e->open) {
+        return;
+    }
+    if (now - heard(e) >= SESS_LEASE_MS) {
+        a->ops->note_session(a->ctx, e->id, "session_over", now - heard(e));
+        end_session(a, now, e);
+        a->ops->reconnect(a->ctx, e->id);
+        return;
+    }
+    resend(a, now, e);
+    if (sess_beat_due(&e->sess, now)) {
+        send_beat(a, now, e);
+    }
+}
+
+void
+ag_tick(struct agent *a, uint64_t now)
+{
+    struct ag_entry *e;
+
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        tend_entry(a, now, e);
+    }
+    rn_tick(&a->runner, now);
+}
+
+void
+ag_flush(struct agent *a, uint64_t now)
+{
+    uint32_t pause = AG_ROOM_MS_PER_ENTRY * HASH_COUNT(a->entries);
+    struct ag_entry *e;
+
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        if (!e->open) {
+            continue;
+        }
+        if (e->batch != NULL) {
+            send_batch(a, now, e);
+        }
+        else if (a->runner.room_changed_ms >= e->sess.sent_ms &&
+                 now - e->sess.sent_ms >= pause) {
+            send_beat(a, now, e);
+        }
+    }
+}
+
+void
+ag_leave(struct agent *a, uint64_t now)
+{
+    struct ag_entry *e;
+
+    a->leaving = true;
+    rn_leave(&a->runner, now);
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        if (e->open) {
+            send_beat(a, now, e);
+        }
+    }
+}
+
+bool
+ag_done(const struct agent *a, uint64_t now)
+{
+    const struct ag_entry *e;
+
+    if (rn_active(&a->runner) > 0 || !rn_quiet(&a->runner)) {
+        return false;
+    }
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        if (e->open && sess_live(&e->sess, now) &&
+            (e->batch != NULL || e->sess.head != NULL)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void
+ag_init(struct agent *a, uint64_t now, const struct ag_ops *ops, void *ctx)
+{
+    *a = (struct agent){0};
+    a->ops = ops;
+    a->ctx = ctx;
+    rn_init(&a->runner, now, &worker_ops, a);
+}
+
+void
+ag_free(struct agent *a)
+{
+    struct ag_entry *e;
+    struct ag_entry *tmp;
+
+    HASH_ITER (hh, a->entries, e, tmp) {
+        msg_free(e->batch);
+        sess_end(&e->sess);
+        HASH_DEL(a->entries, e);
+        free(e);
+    }
+    rn_free(&a->runner);
+}
--- /dev/null
+++ b/agent.h
@@ -0,0 +1,77 @@
+/*
+ * agent - entries' sessions with the agent of one worker
+ *
+ * Each entry has one session here.  When it falls silent or its process is
+ * dead, its runs are stopped; ends go back by the session that ordered them.
+ * Every report tells the room on the worker.
+ */
+#ifndef AGENT_H
+#define AGENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <uthash.h>
+
+#include "proto.h"
+#include "runner.h"
+#include "sess.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* ms between reports to one entry that only tell a changed room, for each
+ * entry there is: what all entries cost stays the same. */
+#define AG_ROOM_MS_PER_ENTRY 5U
+
+/* One entry, as the agent sees it. */
+struct ag_entry {
+    uint64_t id;
+    struct sess sess;
+    uint64_t newest; /* session number; an ended one is not begun again */
+    bool open;
+    uint64_t begun_ms;
+    dw_msg *batch; /* ends collected since the last flush */
+    UT_hash_handle hh;
+};
+
+struct ag_ops {
+    struct rn_ops worker; /* ended is not called */
+    void (*send)(void *ctx, uint64_t to, const dw_msg *msg);
+    /* Nothing came from there for long: connect anew. */
+    void (*reconnect)(void *ctx, uint64_t to);
+    void (*note_end)(
+        void *ctx, const struct rn_run *run, dw_end how, uint32_t ran_ms);
+    void (*note_session)(
+        void *ctx, uint64_t entry, const char *what, uint64_t silent_ms);
+};
+
+struct agent {
+    const struct ag_ops *ops;
+    void *ctx;
+    struct runner runner;
+    struct ag_entry *entries;
+    bool leaving;
+};
+
+void ag_init(
+    struct agent *a, uint64_t now, const struct ag_ops *ops, void *ctx);
+void ag_free(struct agent *a);
+void ag_orders(
+    struct agent *a, uint64_t now, uint64_t from, const dw_orders *o);
+/* The entry's process is dead. */
+void ag_refused(struct agent *a, uint64_t now, uint64_t id);
+void ag_tick(struct agent *a, uint64_t now);
+/* Send what was collected. */
+void ag_flush(struct agent *a, uint64_t now);
+void ag_leave(struct agent *a, uint64_t now);
+
+/* Queries. */
+/* Nothing runs, and everybody was told of every end. */
+bool ag_done(const struct agent *a, uint64_t now);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
