World of the platform's path in one process; fences; a stop closes idle connections

A world of entries, agents and workers under overlapping faults (30 seeds of 20 s) found: tasks twice at a time and workers over capacity after a worker's rebirth (late orders and renewals of the life before, with times on the earlier clock, reach the new life and renew its lease up to the longest). Ruled out: lease arithmetic in one life (no seed broke it). Change: a fence that rises with each life of the worker goes with all orders; after a rebirth nothing starts until a look with the new fence showed all and the longest lease has run out; no renewal after a lost look; a new life's clock is unknown until it tells. A stopping entry shortens the idle time of its connections and takes no job that it could not finish.

--- a/Makefile
+++ b/Makefile
@@ -40,21 +40,22 @@
 $(B)/dwload: $(LOAD_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS)
 
-$(B)/fake-store: $(B)/fake-store.o $(B)/str.o
+$(B)/fake-store: $(B)/test/fake-store.o $(B)/str.o
 	$(CC) $(LDFLAGS) -o $@ $^ -lmicrohttpd -ljansson -lnettle -lxxhash \
 		-lpthread
 
-$(B)/fake-backend: $(B)/fake-backend.o $(B)/str.o $(B)/err.o $(B)/httpc.o \
+$(B)/fake-backend: $(B)/test/fake-backend.o $(B)/str.o $(B)/err.o $(B)/httpc.o \
 	$(B)/web.o
 	$(CC) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd -lcurl -ljansson -lxxhash
 
-TEST_O = $(B)/unit-test.o $(B)/work-test.o $(B)/link-test.o $(B)/lend-test.o $(B)/path-test.o $(B)/member-test.o $(B)/matrix-test.o $(B)/property-test.o \
-	$(B)/fleet.o
+TESTS = unit-test work-test link-test lend-test path-test member-test matrix-test \
+	property-test fleet world serve-test
+TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/link.o $(B)/log.o
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
 
-$(B)/capacity: $(B)/capacity.o $(B)/fleet.o $(COMMON_O)
+$(B)/capacity: $(B)/test/capacity.o $(B)/test/fleet.o $(COMMON_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS)
 
 capacity: $(B)/capacity
@@ -68,16 +69,8 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
 
-$(B)/%.o: test/%.c
-	@mkdir -p $(B)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
-
-$(B)/%.o: test/%.cc
-	@mkdir -p $(B)
-	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
-
 $(B)/%.o: %.cc
-	@mkdir -p $(B)
+	@mkdir -p $(dir $@)
 	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
 
 # Generated code is committed; this is for after a change of proto.x.
@@ -134,7 +127,7 @@
 clean:
 	rm -rf build build-asan out
 
--include $(wildcard $(B)/*.d $(B)/platform/*.d)
+-include $(wildcard $(B)/*.d $(B)/platform/*.d $(B)/test/*.d)
 
 .PHONY: all proto clean format format-check lint test test-unit test-path test-regress \
 	test-asan demo capacity
--- a/agent.c
+++ b/agent.c
@@ -97,28 +97,27 @@
 /* --- the worker's calls go on to whoever carries them out --- */
 
 static void
-do_start(void *ctx, const struct rn_run *run, uint64_t until_ms)
+do_start(void *ctx, const struct rn_run *run, const struct rn_terms *terms)
 {
     struct agent *a = ctx;
 
-    a->ops->worker.start(a->ctx, run, until_ms);
+    a->ops->worker.start(a->ctx, run, terms);
 }
 
 static void
-do_stop(void *ctx, const struct rn_key *key)
+do_stop(void *ctx, const struct rn_key *key, const struct rn_terms *terms)
 {
     struct agent *a = ctx;
 
-    a->ops->worker.stop(a->ctx, key);
+    a->ops->worker.stop(a->ctx, key, terms);
 }
 
 static void
-do_look(
-    void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms, bool quick)
+do_look(void *ctx, const struct rn_ask *ask, const struct rn_terms *terms)
 {
     struct agent *a = ctx;
 
-    a->ops->worker.look(a->ctx, until_ms, ack, wait_ms, quick);
+    a->ops->worker.look(a->ctx, ask, terms);
 }
 
 static const struct rn_ops worker_ops = {do_start, do_stop, do_look, do_ended};
--- a/agentd.c
+++ b/agentd.c
@@ -79,8 +79,9 @@
     switch (d->code) {
     case 200:
         return RN_START_OK;
-    case 400:
     case 409:
+        return wire_is_fenced(d->body) ? RN_START_FENCED : RN_START_REFUSED;
+    case 400:
     case 421:
     case 429:
     case 503:
@@ -110,12 +111,12 @@
 }
 
 static void
-do_start(void *ctx, const struct rn_run *run, uint64_t until_ms)
+do_start(void *ctx, const struct rn_run *run, const struct rn_terms *terms)
 {
     struct worker *w = ctx;
     struct buf b = {0};
 
-    wire_put_start(&b, run, until_ms);
+    wire_put_start(&b, run, terms);
     post(w, w->http, "run-start", buf_str(&b), RN_ANSWER_MS, on_started,
         &run->key);
     buf_free(&b);
@@ -132,12 +133,12 @@
 }
 
 static void
-do_stop(void *ctx, const struct rn_key *key)
+do_stop(void *ctx, const struct rn_key *key, const struct rn_terms *terms)
 {
     struct worker *w = ctx;
     struct buf b = {0};
 
-    wire_put_stop(&b, key);
+    wire_put_stop(&b, key, terms);
     post(w, w->http, "run-stop", buf_str(&b), RN_ANSWER_MS, on_stopped, key);
     buf_free(&b);
 }
@@ -162,17 +163,17 @@
 }
 
 static void
-do_look(
-    void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms, bool quick)
+do_look(void *ctx, const struct rn_ask *ask, const struct rn_terms *terms)
 {
     struct worker *w = ctx;
     struct buf b = {0};
     struct run_call *c;
 
-    wire_put_look(&b, until_ms, ack, wait_ms);
-    c = post(w, quick ? w->http : w->look_http, "hold", buf_str(&b),
-        quick ? RN_ANSWER_MS : wait_ms + RN_LOOK_MARGIN_MS, on_looked, NULL);
-    c->quick = quick;
+    wire_put_look(&b, ask, terms);
+    c = post(w, ask->quick ? w->http : w->look_http, "hold", buf_str(&b),
+        ask->quick ? RN_ANSWER_MS : ask->wait_ms + RN_LOOK_MARGIN_MS,
+        on_looked, NULL);
+    c->quick = ask->quick;
     buf_free(&b);
 }
 
--- a/entryd.c
+++ b/entryd.c
@@ -26,6 +26,9 @@
  * which its caller has tried elsewhere. */
 #define STALE_MS 900U
 #define STALE_WINDOW_MS 40U
+/* ms before the platform's kill from which on a job is no longer taken: the
+ * longest seen take two seconds. */
+#define TAKE_MS 2400U
 #define CALLERS_MAX 3000U
 #define BODY_MAX (1U << 20)
 #define IDLE_S 30U
@@ -226,6 +229,13 @@
     const char *method = web_method(r);
 
     if (strcmp(method, "POST") == 0) {
+        if (e->s->leaving &&
+            now + TAKE_MS > e->s->leave_ms + e->s->conf->platform.grace_ms) {
+            log_event(LOG_LEVEL_WARN, "job_refused",
+                "job=%016" PRIx64 " why=leaving", id);
+            reply_not_run(r, "leaving", 1000);
+            return;
+        }
         if (now < e->stale_ms) {
             log_event(LOG_LEVEL_WARN, "job_refused",
                 "job=%016" PRIx64 " why=waited_through_pause", id);
--- a/runner.c
+++ b/runner.c
@@ -8,6 +8,9 @@
 /* Weight of the newest run in the learned speed: a tenth follows a worker
  * that turns slow within some ten runs. */
 #define SPEED_WEIGHT 10U
+/* Added to the fence when the worker has seen a higher one, as after the
+ * time of day was set back: more than clocks are set back by, in ms. */
+#define FENCE_LEAP 86400000U
 #define SPEED_MIN 50U
 #define SPEED_MAX 4000U
 
@@ -118,6 +121,8 @@
  * The lease holds for all runs together.  An entry counts the runs of an
  * ended session as over after RN_STOP_MS and one lease; if a stop gets lost,
  * renewing for the others would keep such a run alive beside its successor.
+ * A worker that did not answer the last look may have started anew: a time
+ * on its earlier clock could lie far ahead on the new one.
  */
 static bool
 may_renew(const struct runner *r, uint64_t now)
@@ -129,7 +134,24 @@
             return false;
         }
     }
-    return r->clock_ms != 0;
+    return r->clock_ms != 0 && r->looks_failed == 0;
+}
+
+static void
+send_look(struct runner *r, uint64_t until_ms, uint32_t wait_ms, bool quick)
+{
+    struct rn_terms terms = {until_ms, r->fence};
+    struct rn_ask ask = {r->ack, wait_ms, quick};
+
+    r->ops->look(r->ctx, &ask, &terms);
+}
+
+static void
+send_stop(struct runner *r, const struct rn_key *key)
+{
+    struct rn_terms terms = {0, r->fence};
+
+    r->ops->stop(r->ctx, key, &terms);
 }
 
 static void
@@ -141,7 +163,7 @@
     r->look_ms = now;
     r->asked_ms = now;
     r->ack_asked = r->ack;
-    r->ops->look(r->ctx, until, r->ack, wait_ms, false);
+    send_look(r, until, wait_ms, false);
 }
 
 /* What became of a start that was not answered is asked at once, beside the
@@ -151,7 +173,7 @@
 {
     if (!r->quick_out) {
         r->quick_out = true;
-        r->ops->look(r->ctx, 0, r->ack, 0, true);
+        send_look(r, 0, 0, true);
     }
 }
 
@@ -194,6 +216,8 @@
 static void
 start(struct runner *r, uint64_t now, struct rn_run *run)
 {
+    struct rn_terms terms = {0, r->fence};
+
     run->state = RN_STARTING;
     run->sent_ms = now;
     run->moved_ms = now;
@@ -201,7 +225,8 @@
     r->used_memory_mb += run->memory_mb;
     r->used_gpus += run->gpus;
     r->stats.started++;
-    r->ops->start(r->ctx, run, renewal(r, now));
+    terms.until_ms = renewal(r, now);
+    r->ops->start(r->ctx, run, &terms);
 }
 
 static bool
@@ -240,7 +265,8 @@
 static uint32_t
 look_pause(const struct runner *r)
 {
-    return rn_active(r) > 0 || !r->clean || r->silent || !rn_quiet(r)
+    return rn_active(r) > 0 || !r->clean || !r->looked || r->silent ||
+                   !rn_quiet(r)
                ? RN_RETRY_MS
                : RN_IDLE_MS;
 }
@@ -283,7 +309,7 @@
         run->settle_ms = UINT64_MAX;
     }
     run->sent_ms = now;
-    r->ops->stop(r->ctx, &run->key);
+    send_stop(r, &run->key);
 }
 
 void
@@ -327,6 +353,19 @@
 
 /* --- what the worker said --- */
 
+/*
+ * An order may be carried out seconds late, by a worker that started anew
+ * meanwhile: its lease then lies far ahead on the new clock, and the task has
+ * long run elsewhere.  A fence that rises with each life makes the worker
+ * refuse it.
+ */
+static void
+set_born(struct runner *r, uint64_t born_ms)
+{
+    r->born_ms = born_ms;
+    r->fence = num_max(r->fence + 1, born_ms);
+}
+
 /*
  * The worker started anew.  Which runs were of the life before is not known:
  * an order on its way may have reached the new one.  The look that showed it,
@@ -336,7 +375,9 @@
 reborn(struct runner *r, uint64_t now, uint64_t born_ms)
 {
     r->stats.reborn++;
-    r->born_ms = born_ms;
+    r->clock_ms = 0;
+    r->looked = false;
+    set_born(r, born_ms);
     r->born_at_ms = now;
     r->have_room = false;
     r->draining = false;
@@ -352,7 +393,7 @@
     uint32_t memory_mb, uint32_t gpus, uint64_t born_ms)
 {
     if (r->born_ms == 0) {
-        r->born_ms = born_ms;
+        set_born(r, born_ms);
     }
     if (born_ms > r->born_ms) {
         reborn(r, now, born_ms);
@@ -408,7 +449,12 @@
     if (run == NULL || run->state == RN_RUNNING || run->state == RN_STOPPING) {
         return;
     }
-    if (result == RN_START_OK) {
+    if (result == RN_START_FENCED) {
+        r->fence += FENCE_LEAP;
+        finish(r, now, run, DW_END_NOT_RUN);
+        pump(r, now);
+    }
+    else if (result == RN_START_OK) {
         run->state = RN_RUNNING;
         run->started_ms = run->sent_ms;
         run->settle_ms = now;
@@ -492,7 +538,7 @@
              * size is not known, so nothing starts beside it. */
             r->orphans++;
             r->stats.orphans++;
-            r->ops->stop(r->ctx, &s->key);
+            send_stop(r, &s->key);
             continue;
         }
         run->seen = true;
@@ -543,16 +589,36 @@
     }
 }
 
+/*
+ * The first look that carried this life's fence: later arrivals of orders to
+ * the life before are refused.  One that came earlier may have renewed the
+ * lease with a time on the earlier clock, cut to the longest lease only.
+ * Entries count on RN_LAPSE_MS, should this agent die: nothing starts before
+ * that lease has run out.
+ */
+static void
+first_look(struct runner *r, uint64_t now)
+{
+    r->looked = true;
+    if (r->stats.reborn > 0) {
+        r->wild_ms = now + RN_LONGEST_MS;
+    }
+}
+
 static void
 take_look(struct runner *r, uint64_t now, const struct rn_look *l)
 {
-    note_clock(r, now, l->clock_ms);
     if (r->born_ms != 0 && l->born_ms != r->born_ms) {
         reborn(r, now, l->born_ms);
     }
-    r->born_ms = l->born_ms;
+    note_clock(r, now, l->clock_ms);
+    if (r->born_ms == 0) {
+        set_born(r, l->born_ms);
+    }
     r->silent = false;
-    r->looked = true;
+    if (!r->looked && l->asked_ms > r->born_at_ms) {
+        first_look(r, now);
+    }
     take_ends(r, now, l);
     take_running(r, now, l);
     settle_absent(r, now, l);
@@ -584,11 +650,12 @@
     }
     else {
         r->look_ms = 0;
-        r->looks_failed = l->ok ? 0 : r->looks_failed + 1;
+        r->looks_failed += !l->ok;
         r->ack_told = l->ok && !old ? r->ack_asked : r->ack_told;
     }
     if (l->ok && !old) {
         take_look(r, now, l);
+        r->looks_failed = 0;
     }
     else if (!l->ok && !l->quick) {
         look_failed(r, now, l);
@@ -620,6 +687,10 @@
     struct rn_run *run;
     struct rn_run *tmp;
 
+    if (r->wild_ms != 0 && now > r->wild_ms) {
+        r->wild_ms = 0;
+        r->room_changed_ms = now;
+    }
     lapse(r, now);
     HASH_ITER (hh, r->runs, run, tmp) {
         if (run->state == RN_STOPPING && run->settle_ms == UINT64_MAX &&
@@ -641,8 +712,8 @@
 bool
 rn_serving(const struct runner *r)
 {
-    return r->have_room && r->looked && !r->silent && r->orphans == 0 &&
-           !r->draining && !r->withdrawn && !r->leaving;
+    return r->have_room && r->looked && r->wild_ms == 0 && !r->silent &&
+           r->orphans == 0 && !r->draining && !r->withdrawn && !r->leaving;
 }
 
 bool
--- a/runner.h
+++ b/runner.h
@@ -55,6 +55,9 @@
  * for one lease. */
 #define RN_LAPSE_MS (RN_LEASE_MS + RN_LEASE_MS * RN_DRIFT_PERCENT / 100 + 20U)
 
+/* ms of the longest lease a worker grants, its clock's drift included. */
+#define RN_LONGEST_MS 1040U
+
 struct rn_key {
     uint64_t job;
     uint64_t run;
@@ -97,6 +100,7 @@
     RN_START_OK,
     RN_START_REFUSED,   /* certainly not started */
     RN_START_UNREACHED, /* the same, as no connection came about */
+    RN_START_FENCED,    /* not started: a higher fence has been there */
     RN_START_LOST
 };
 
@@ -125,13 +129,26 @@
     size_t end_count;
 };
 
+/* What every order to the worker carries. */
+struct rn_terms {
+    uint64_t until_ms; /* of the lease, in the worker's clock; 0: as it is */
+    uint64_t fence;    /* the worker does nothing for a lower one */
+};
+
+struct rn_ask {
+    uint64_t ack; /* ends up to this one have been taken note of */
+    uint32_t wait_ms;
+    bool quick; /* beside the one that waits */
+};
+
 /* How decisions are carried out. */
 struct rn_ops {
-    void (*start)(void *ctx, const struct rn_run *r, uint64_t until_ms);
-    void (*stop)(void *ctx, const struct rn_key *key);
-    /* until_ms 0: do not renew.  quick: beside the one that waits. */
-    void (*look)(void *ctx, uint64_t until_ms, uint64_t ack, uint32_t wait_ms,
-        bool quick);
+    void (*start)(
+        void *ctx, const struct rn_run *r, const struct rn_terms *terms);
+    void (*stop)(
+        void *ctx, const struct rn_key *key, const struct rn_terms *terms);
+    void (*look)(
+        void *ctx, const struct rn_ask *ask, const struct rn_terms *terms);
     void (*ended)(
         void *ctx, const struct rn_run *r, dw_end how, uint32_t ran_ms);
 };
@@ -163,6 +180,8 @@
     int64_t used_memory_mb;
     int64_t used_gpus;
     uint64_t born_ms;
+    uint64_t fence;
+    uint64_t wild_ms;     /* a lease of unknown length may last until then */
     uint64_t born_at_ms;  /* when we learned it */
     uint64_t clock_ms;    /* the worker's */
     uint64_t clock_at_ms; /* ours, when it came */
--- /dev/null
+++ b/test/serve-test.cc
@@ -0,0 +1,198 @@
+/*
+ * The platform's path as a whole, without sockets: entries, agents and
+ * workers under faults.  Whatever happens, no task runs twice at a time, no
+ * worker is given more than it holds, and answers are true.
+ */
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "world.hh"
+
+namespace {
+
+constexpr size_t ENTRIES = 2;
+constexpr size_t AGENTS = 4;
+
+/* Jobs of two kinds, about two thirds of what the workers can do. */
+void
+traffic(World &w, uint64_t ms)
+{
+    for (uint64_t t = 0; t < ms; t += 40) {
+        w.after(t, [&w] { w.submit(4, 60); });
+        if (t % 160 == 0) {
+            w.after(t + 7, [&w] { w.submit(3, 300); });
+        }
+    }
+}
+
+struct Tally {
+    size_t calls = 0;
+    size_t completed = 0;
+};
+
+Tally
+tally(const World &w, uint64_t from)
+{
+    Tally t;
+
+    for (auto &c : w.calls) {
+        if (c.second->sent_at >= from) {
+            t.calls++;
+            t.completed += c.second->completed;
+        }
+    }
+    return t;
+}
+
+std::string
+first_broken(const World &w)
+{
+    return w.broken.empty() ? "" : w.broken[0];
+}
+
+struct FaultCase {
+    const char *name;
+    void (*strike)(World &w);
+    double least; /* share of jobs that complete during the fault */
+};
+
+void
+late_orders(World &w)
+{
+    for (auto &f : w.workers) {
+        f->late = 0.08;
+    }
+    w.after(6000, [&w] {
+        for (auto &f : w.workers) {
+            f->late = 0;
+        }
+    });
+}
+
+void
+lost_answers(World &w)
+{
+    for (auto &f : w.workers) {
+        f->mute = 0.1;
+    }
+    w.after(6000, [&w] {
+        for (auto &f : w.workers) {
+            f->mute = 0;
+        }
+    });
+}
+
+const FaultCase faults[] = {
+    {"none", [](World &) {}, 1.0},
+    {"late_orders", late_orders, 0.95},
+    {"lost_answers", lost_answers, 0.95},
+    {"agent_killed", [](World &w) { w.kill_agent(0, 400); }, 0.97},
+    {"agent_killed_for_long", [](World &w) { w.kill_agent(1, 4000); }, 0.97},
+    {"agent_frozen", [](World &w) { w.freeze_agent(0, 3500); }, 0.95},
+    {"agent_frozen_past_a_session", [](World &w) { w.freeze_agent(0, 500); },
+        0.95},
+    {"agent_frozen_just_below",
+        [](World &w) { w.freeze_agent(0, SESS_LEASE_MS - 20); }, 0.95},
+    {"entry_killed", [](World &w) { w.kill_entry(0, 600); }, 0.85},
+    {"entry_frozen", [](World &w) { w.freeze_entry(0, 3500); }, 0.5},
+    {"entry_frozen_briefly", [](World &w) { w.freeze_entry(0, 600); }, 0.9},
+    {"cut_both_ways", [](World &w) { w.cut(0, 0, true, true, 3000); }, 0.95},
+    {"cut_to_agent", [](World &w) { w.cut(0, 0, true, false, 3000); }, 0.95},
+    {"cut_to_entry", [](World &w) { w.cut(0, 0, false, true, 3000); }, 0.95},
+    {"cut_near_the_lease",
+        [](World &w) { w.cut(0, 0, true, true, SESS_LEASE_MS + 5); }, 0.95},
+    {"worker_crashes", [](World &w) { w.crash_worker(0, 1500); }, 0.95},
+    {"worker_reborn_at_once", [](World &w) { w.crash_worker(0, 3); }, 0.95},
+    {"worker_drains", [](World &w) { w.drain_worker(0); }, 0.99},
+    {"worker_fails_all",
+        [](World &w) {
+            w.workers[0]->fails_all = true;
+            w.after(4000, [&w] { w.workers[0]->fails_all = false; });
+        },
+        0.9},
+};
+
+} // namespace
+
+class Fault : public testing::TestWithParam<FaultCase> {};
+
+/* Twenty seeds each: the fault strikes in the middle of steady traffic; after
+ * it all jobs complete again. */
+TEST_P(Fault, PromisesHold)
+{
+    const FaultCase &f = GetParam();
+    Tally during;
+
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        World w(seed, ENTRIES, AGENTS);
+        uint64_t began = w.now;
+
+        traffic(w, 14000);
+        w.run(1500 + seed * 13);
+        f.strike(w);
+        w.run(8500);
+        uint64_t calm = w.now;
+        w.run(8000);
+        EXPECT_EQ(first_broken(w), "") << f.name << " seed " << seed;
+        Tally all = tally(w, began);
+        Tally after = tally(w, calm);
+        during.calls += all.calls;
+        during.completed += all.completed;
+        EXPECT_EQ(after.completed, after.calls) << f.name << " seed " << seed;
+    }
+    EXPECT_GE((double)during.completed / (double)during.calls, f.least)
+        << f.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Served, Fault, testing::ValuesIn(faults),
+    [](const testing::TestParamInfo<FaultCase> &i) {
+        return std::string(i.param.name);
+    });
+
+/* Faults of all kinds one upon another, each second, for 20 s.  DW_SEEDS
+ * plays more than the 30 seeds of a usual run, DW_SEED a single one. */
+TEST(Served, FaultsOneUponAnother)
+{
+    const char *more = getenv("DW_SEEDS");
+    const char *one = getenv("DW_SEED");
+    uint64_t seeds = more != nullptr ? strtoull(more, nullptr, 10) : 30;
+    uint64_t first = 100;
+
+    if (one != nullptr) {
+        first = strtoull(one, nullptr, 10);
+        seeds = 1;
+    }
+    for (uint64_t seed = first; seed < first + seeds; seed++) {
+        World w(seed, ENTRIES, AGENTS);
+
+        traffic(w, 26000);
+        for (int k = 0; k < 30; k++) {
+            w.run(200 + w.rng() % 900);
+            faults[w.rng() % (sizeof(faults) / sizeof(faults[0]))].strike(w);
+            size_t e = w.rng() % ENTRIES;
+            size_t a = w.rng() % AGENTS;
+            switch (w.rng() % 6) {
+            case 0:
+                w.freeze_agent(a, 100 + w.rng() % 2000);
+                break;
+            case 1:
+                w.freeze_entry(e, 100 + w.rng() % 2000);
+                break;
+            case 2:
+                w.cut(e, a, w.rng() % 2, w.rng() % 2, w.rng() % 1500);
+                break;
+            case 3:
+                w.kill_agent(a, 300 + w.rng() % 1000);
+                break;
+            case 4:
+                w.kill_entry(e, 300 + w.rng() % 1000);
+                break;
+            default:
+                w.crash_worker(a, w.rng() % 800);
+            }
+        }
+        w.run(12000);
+        EXPECT_EQ(first_broken(w), "") << "seed " << seed;
+    }
+}
--- /dev/null
+++ b/test/world.cc
@@ -0,0 +1,896 @@
+#include "world.hh"
+
+#include <cstdarg>
+#include <cstdio>
+#include <cstdlib>
+#include <cstring>
+
+namespace {
+
+/* ms a call to a worker takes each way, and a message between machines. */
+constexpr uint64_t CALL_MS = 1;
+constexpr uint64_t MESSAGE_MS = 1;
+/* ms a caller waits before it sends a broken request to another entry. */
+constexpr uint64_t RESEND_MS = 1300;
+
+std::string
+task_of(const rn_key &key)
+{
+    return std::to_string(key.job) + "." + std::to_string(key.index);
+}
+
+/* --- what agents want done --- */
+
+FakeAgent *
+self(void *ctx)
+{
+    return static_cast<FakeAgent *>(ctx);
+}
+
+/* Give an answer to the agent process that asked, if it still lives. */
+void
+to_agent(FakeAgent *a, uint64_t id, uint64_t ms, std::function<void()> fn)
+{
+    a->w->after(ms, [a, id, fn] {
+        if (a->up && a->id == id) {
+            a->w->on_agent(a, fn);
+        }
+    });
+}
+
+void
+do_start(void *ctx, const rn_run *run, const rn_terms *told)
+{
+    FakeAgent *a = self(ctx);
+    World *w = a->w;
+    FakeWorker *f = w->workers[a->index].get();
+    rn_key key = run->key;
+    uint64_t id = a->id;
+    rn_terms terms = *told;
+    uint32_t millicores = run->millicores;
+    uint32_t ms = 1;
+    auto call = w->calls.find(key.job);
+
+    if (call != w->calls.end()) {
+        ms = call->second->task_ms[key.index];
+    }
+    auto lost = [a, id, key] {
+        to_agent(a, id, RN_ANSWER_MS, [a, key] {
+            rn_started(&a->a.runner, a->w->now, &key, RN_START_LOST, 0);
+        });
+    };
+    if (w->chance() < f->late) {
+        w->after(2000 + w->rng() % 10000, [w, a, key, millicores, ms, terms] {
+            rn_start_result r;
+            w->worker_start(a->index, key, millicores, ms, terms, &r);
+        });
+        lost();
+        return;
+    }
+    bool mute = w->chance() < f->mute;
+    w->after(CALL_MS, [=] {
+        rn_start_result result = RN_START_UNREACHED;
+
+        if (f->up) {
+            w->worker_start(a->index, key, millicores, ms, terms, &result);
+        }
+        if (mute) {
+            lost();
+            return;
+        }
+        uint64_t clock = f->up ? w->worker_clock(*f) : 0;
+        to_agent(a, id, CALL_MS, [a, key, result, clock] {
+            rn_started(&a->a.runner, a->w->now, &key, result, clock);
+        });
+    });
+}
+
+void
+do_stop(void *ctx, const rn_key *k, const rn_terms *told)
+{
+    FakeAgent *a = self(ctx);
+    World *w = a->w;
+    FakeWorker *f = w->workers[a->index].get();
+    rn_key key = *k;
+    rn_terms terms = *told;
+    uint64_t id = a->id;
+    bool late = w->chance() < f->late;
+
+    w->after(late ? 2000 + w->rng() % 10000 : CALL_MS, [=] {
+        bool up = f->up;
+
+        if (up) {
+            w->worker_stop(a->index, key, terms);
+        }
+        to_agent(a, id, CALL_MS, [a, key, up, late] {
+            rn_stopped(&a->a.runner, a->w->now, &key, up && !late);
+        });
+    });
+    if (late) {
+        to_agent(a, id, RN_ANSWER_MS,
+            [a, key] { rn_stopped(&a->a.runner, a->w->now, &key, false); });
+    }
+}
+
+struct LookCall {
+    bool answered = false;
+    uint64_t asked;
+    bool quick;
+};
+
+void
+answer_look(FakeAgent *a, uint64_t id, std::shared_ptr<LookCall> call)
+{
+    World *w = a->w;
+    FakeWorker *f = w->workers[a->index].get();
+    auto running = std::make_shared<std::vector<rn_shown>>();
+    auto ends = std::make_shared<std::vector<rn_end>>(f->ends);
+    uint64_t clock = w->worker_clock(*f);
+    uint64_t born = f->born;
+
+    if (call->answered) {
+        return;
+    }
+    call->answered = true;
+    for (auto &r : f->runs) {
+        running->push_back({r.second.first, 0});
+    }
+    to_agent(a, id, CALL_MS, [=] {
+        rn_look l = {};
+
+        l.asked_ms = call->asked;
+        l.quick = call->quick;
+        l.ok = true;
+        l.clock_ms = clock;
+        l.born_ms = born;
+        l.running = running->data();
+        l.running_count = running->size();
+        l.ends = ends->data();
+        l.end_count = ends->size();
+        rn_looked(&a->a.runner, w->now, &l);
+    });
+}
+
+void
+wait_look(
+    FakeAgent *a, uint64_t id, std::shared_ptr<LookCall> call, uint64_t until)
+{
+    World *w = a->w;
+    FakeWorker *f = w->workers[a->index].get();
+
+    if (!f->up) {
+        return;
+    }
+    if (!f->ends.empty() || w->now >= until) {
+        answer_look(a, id, call);
+        return;
+    }
+    w->after(1, [=] { wait_look(a, id, call, until); });
+}
+
+void
+do_look(void *ctx, const rn_ask *ask, const rn_terms *told)
+{
+    rn_terms terms = *told;
+    uint64_t ack = ask->ack;
+    uint32_t wait_ms = ask->wait_ms;
+    bool quick = ask->quick;
+    FakeAgent *a = self(ctx);
+    World *w = a->w;
+    FakeWorker *f = w->workers[a->index].get();
+    uint64_t id = a->id;
+    auto call = std::make_shared<LookCall>();
+    bool lost = w->chance() < f->late + f->mute;
+
+    call->asked = w->now;
+    call->quick = quick;
+    w->after(CALL_MS, [=] {
+        if (!f->up || lost || w->fenced(*f, terms.fence)) {
+            return;
+        }
+        w->renew(*f, terms.until_ms);
+        while (!f->ends.empty() && f->ends.front().number <= ack) {
+            f->ends.erase(f->ends.begin());
+        }
+        wait_look(a, id, call, w->now + wait_ms);
+    });
+    w->after(wait_ms + RN_LOOK_MARGIN_MS, [=] {
+        if (call->answered) {
+            return;
+        }
+        call->answered = true;
+        if (!a->up || a->id != id) {
+            return;
+        }
+        w->on_agent(a, [=] {
+            rn_look l = {};
+
+            l.asked_ms = call->asked;
+            l.quick = quick;
+            l.unreached = !f->up;
+            rn_looked(&a->a.runner, w->now, &l);
+        });
+    });
+}
+
+void
+agent_send(void *ctx, uint64_t to, const dw_msg *m)
+{
+    FakeAgent *a = self(ctx);
+
+    a->w->deliver(a->id, to, m);
+}
+
+void
+agent_reconnect(void *, uint64_t)
+{
+}
+
+void
+agent_note_end(void *ctx, const rn_run *r, dw_end how, uint32_t)
+{
+    FakeAgent *a = self(ctx);
+
+    a->w->trace("agent %zu: task %s run %lu ended %d in state %d", a->index,
+        task_of(r->key).c_str(), r->key.run, how, r->state);
+}
+
+void
+agent_note_session(void *ctx, uint64_t entry, const char *what, uint64_t ms)
+{
+    FakeAgent *a = self(ctx);
+
+    a->w->trace(
+        "agent %zu: entry %lu %s, silent %lu", a->index, entry, what, ms);
+}
+
+const ag_ops agent_ops = {{do_start, do_stop, do_look, nullptr}, agent_send,
+    agent_reconnect, agent_note_end, agent_note_session};
+
+/* --- what entries want done --- */
+
+void
+entry_send(void *ctx, uint64_t to, const dw_msg *m)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+
+    e->w->deliver(e->id, to, m);
+}
+
+void
+entry_answer(void *ctx, void *handle, co_outcome how, const char *, uint32_t)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+    Call *c = static_cast<Call *>(handle);
+    uint64_t id = e->id;
+
+    e->answers.push_back([e, c, id, how] { e->w->answered(c, id, how); });
+}
+
+void
+entry_note(void *, const co_job *, const char *)
+{
+}
+
+const co_ops entry_ops = {entry_send, entry_answer, entry_note};
+
+} // namespace
+
+/* --- the world --- */
+
+World::World(uint64_t seed, size_t entry_count, size_t agent_count) : rng(seed)
+{
+    for (size_t i = 0; i < agent_count; i++) {
+        workers.push_back(std::make_unique<FakeWorker>());
+        workers[i]->born = now;
+        workers[i]->started_at = now;
+        agents.push_back(std::make_unique<FakeAgent>());
+        agents[i]->w = this;
+        agents[i]->index = i;
+    }
+    for (size_t i = 0; i < entry_count; i++) {
+        entries.push_back(std::make_unique<FakeEntry>());
+        entries[i]->w = this;
+        entries[i]->index = i;
+        start_entry(i);
+    }
+    for (size_t i = 0; i < agent_count; i++) {
+        start_agent(i);
+    }
+    run(1500);
+}
+
+World::~World()
+{
+    for (auto &a : agents) {
+        if (a->up) {
+            ag_free(&a->a);
+        }
+    }
+    for (auto &e : entries) {
+        if (e->up) {
+            co_free(&e->c);
+        }
+    }
+}
+
+void
+World::trace(const char *fmt, ...)
+{
+    static const bool on = getenv("DW_TRACE") != nullptr;
+    va_list ap;
+
+    if (on) {
+        printf("%lu ", (unsigned long)now);
+        va_start(ap, fmt);
+        vprintf(fmt, ap);
+        va_end(ap);
+        printf("\n");
+    }
+}
+
+double
+World::chance()
+{
+    return (double)(rng() >> 11) / 9007199254740992.0;
+}
+
+void
+World::after(uint64_t ms, std::function<void()> fn)
+{
+    events.push({now + ms, order++, std::move(fn)});
+}
+
+/* A frozen process handles what came meanwhile when it wakes. */
+void
+World::on_agent(FakeAgent *a, std::function<void()> fn)
+{
+    if (now < a->frozen_until) {
+        a->unread.push_back(std::move(fn));
+        return;
+    }
+    fn();
+    ag_flush(&a->a, now);
+}
+
+void
+World::on_entry(FakeEntry *e, std::function<void()> fn)
+{
+    if (now < e->frozen_until) {
+        e->unread.push_back(std::move(fn));
+        return;
+    }
+    fn();
+    co_flush(&e->c, now);
+    auto answers = std::move(e->answers);
+    e->answers.clear();
+    for (auto &give : answers) {
+        give();
+    }
+}
+
+void
+World::start_agent(size_t i)
+{
+    FakeAgent *a = agents[i].get();
+
+    a->id = next_id++;
+    a->up = true;
+    a->frozen_until = 0;
+    a->unread.clear();
+    ag_init(&a->a, now, &agent_ops, a);
+    rn_room(&a->a.runner, now, workers[i]->millicores, 1000000, 0,
+        workers[i]->born);
+    for (auto &e : entries) {
+        if (e->up) {
+            fl_add(&e->c.fleet, a->id, "agent", "domain", "s")->member = true;
+        }
+    }
+    uint64_t id = a->id;
+    auto tick = std::make_shared<std::function<void()>>();
+    *tick = [this, a, id, tick] {
+        if (!a->up || a->id != id) {
+            return;
+        }
+        if (now >= a->frozen_until) {
+            ag_tick(&a->a, now);
+            ag_flush(&a->a, now);
+        }
+        after(20, *tick);
+    };
+    after(1, *tick);
+    /* The worker reports every 1.5 s. */
+    auto beat = std::make_shared<std::function<void()>>();
+    *beat = [this, a, id, i, beat] {
+        if (!a->up || a->id != id) {
+            return;
+        }
+        if (workers[i]->up) {
+            on_agent(a, [this, a, i] {
+                rn_room(&a->a.runner, now, workers[i]->millicores, 1000000, 0,
+                    workers[i]->born);
+            });
+        }
+        after(1500, *beat);
+    };
+    after(5, *beat);
+}
+
+void
+World::start_entry(size_t i)
+{
+    FakeEntry *e = entries[i].get();
+
+    e->id = next_id++;
+    e->up = true;
+    e->frozen_until = 0;
+    e->unread.clear();
+    co_init(&e->c, &entry_ops, e, rng(), "10.0.0.1", 1);
+    for (auto &a : agents) {
+        if (a->up) {
+            fl_add(&e->c.fleet, a->id, "agent", "domain", "s")->member = true;
+        }
+    }
+    uint64_t id = e->id;
+    auto tick = std::make_shared<std::function<void()>>();
+    *tick = [this, e, id, tick] {
+        if (!e->up || e->id != id) {
+            return;
+        }
+        if (now >= e->frozen_until) {
+            on_entry(e, [this, e] { co_tick(&e->c, now); });
+        }
+        after(20, *tick);
+    };
+    after(1, *tick);
+}
+
+/* --- the network --- */
+
+void
+World::deliver(uint64_t from, uint64_t to, const dw_msg *m)
+{
+    messages++;
+    if (cuts.count({from, to}) != 0) {
+        return;
+    }
+    std::shared_ptr<dw_msg> copy(msg_clone(m), msg_free);
+    after(MESSAGE_MS, [this, from, to, copy] {
+        for (auto &e : entries) {
+            FakeEntry *p = e.get();
+            if (p->up && p->id == to && copy->type == DW_REPORT) {
+                on_entry(p, [this, p, from, copy] {
+                    co_report(&p->c, now, from, &copy->dw_msg_u.report);
+                });
+            }
+        }
+        for (auto &a : agents) {
+            FakeAgent *p = a.get();
+            if (p->up && p->id == to && copy->type == DW_ORDERS) {
+                on_agent(p, [this, p, from, copy] {
+                    ag_orders(&p->a, now, from, &copy->dw_msg_u.orders);
+                });
+            }
+        }
+    });
+}
+
+void
+World::cut(
+    size_t entry, size_t agent, bool to_agent, bool to_entry, uint64_t for_ms)
+{
+    std::pair<uint64_t, uint64_t> there = {
+        entries[entry]->id, agents[agent]->id};
+    std::pair<uint64_t, uint64_t> back = {there.second, there.first};
+
+    trace("cut entry %zu agent %zu: %d %d for %lu", entry, agent, to_agent,
+        to_entry, for_ms);
+    if (to_agent) {
+        cuts.insert(there);
+    }
+    if (to_entry) {
+        cuts.insert(back);
+    }
+    after(for_ms, [this, there, back] {
+        cuts.erase(there);
+        cuts.erase(back);
+    });
+}
+
+/* --- processes --- */
+
+void
+World::kill_agent(size_t i, uint64_t for_ms)
+{
+    trace("kill_agent %zu for %lu", i, for_ms);
+    FakeAgent *a = agents[i].get();
+    uint64_t id = a->id;
+
+    if (!a->up) {
+        return;
+    }
+    a->up = false;
+    ag_free(&a->a);
+    for (auto &p : entries) {
+        FakeEntry *e = p.get();
+        uint64_t entry_id = e->id;
+        after(MESSAGE_MS, [this, e, entry_id, id] {
+            if (e->up && e->id == entry_id) {
+                on_entry(e, [this, e, id] {
+                    fl_agent *f = fl_find(&e->c.fleet, id);
+                    if (f != nullptr) {
+                        f->member = false;
+                    }
+                    co_refused(&e->c, now, id);
+                });
+            }
+        });
+    }
+    after(for_ms, [this, i] { start_agent(i); });
+}
+
+void
+World::kill_entry(size_t i, uint64_t for_ms)
+{
+    trace("kill_entry %zu for %lu", i, for_ms);
+    FakeEntry *e = entries[i].get();
+    uint64_t id = e->id;
+
+    if (!e->up) {
+        return;
+    }
+    e->up = false;
+    e->answers.clear();
+    co_free(&e->c);
+    for (auto &c : calls) {
+        Call *call = c.second.get();
+        if (call->open && call->entry_id == id) {
+            call->open = false;
+            if (now + RESEND_MS < call->deadline) {
+                after(RESEND_MS, [this, call] { send_call(call); });
+            }
+        }
+    }
+    for (auto &p : agents) {
+        FakeAgent *a = p.get();
+        uint64_t agent_id = a->id;
+        after(MESSAGE_MS, [this, a, agent_id, id] {
+            if (a->up && a->id == agent_id) {
+                on_agent(a, [this, a, id] { ag_refused(&a->a, now, id); });
+            }
+        });
+    }
+    after(for_ms, [this, i] { start_entry(i); });
+}
+
+void
+World::freeze_agent(size_t i, uint64_t for_ms)
+{
+    trace("freeze_agent %zu for %lu", i, for_ms);
+    FakeAgent *a = agents[i].get();
+    uint64_t id = a->id;
+
+    if (!a->up || now < a->frozen_until) {
+        return;
+    }
+    a->frozen_until = now + for_ms;
+    after(for_ms, [this, a, id] {
+        if (!a->up || a->id != id) {
+            return;
+        }
+        a->frozen_until = 0;
+        ag_tick(&a->a, now);
+        auto unread = std::move(a->unread);
+        a->unread.clear();
+        for (auto &fn : unread) {
+            fn();
+        }
+        ag_flush(&a->a, now);
+    });
+}
+
+void
+World::freeze_entry(size_t i, uint64_t for_ms)
+{
+    trace("freeze_entry %zu for %lu", i, for_ms);
+    FakeEntry *e = entries[i].get();
+    uint64_t id = e->id;
+
+    if (!e->up || now < e->frozen_until) {
+        return;
+    }
+    e->frozen_until = now + for_ms;
+    after(for_ms, [this, e, id] {
+        if (!e->up || e->id != id) {
+            return;
+        }
+        e->frozen_until = 0;
+        auto unread = std::move(e->unread);
+        e->unread.clear();
+        for (auto &fn : unread) {
+            fn();
+        }
+        on_entry(e, [this, e] { co_tick(&e->c, now); });
+    });
+}
+
+/* --- workers --- */
+
+uint64_t
+World::worker_clock(const FakeWorker &w) const
+{
+    return 1 + (now - w.started_at) * 98 / 100;
+}
+
+void
+World::crash_worker(size_t i, uint64_t for_ms)
+{
+    trace("crash_worker %zu for %lu", i, for_ms);
+    FakeWorker *w = workers[i].get();
+
+    if (!w->up) {
+        return;
+    }
+    w->up = false;
+    w->runs.clear();
+    w->highest.clear();
+    w->ends.clear();
+    w->until = 0;
+    w->fence = 0;
+    after(for_ms, [this, w] {
+        w->up = true;
+        w->born = now;
+        w->started_at = now;
+        w->next_end = 1;
+    });
+}
+
+void
+World::drain_worker(size_t i)
+{
+    FakeAgent *a = agents[i].get();
+
+    on_agent(
+        a, [this, a] { rn_draining(&a->a.runner, now, true, true, 2000); });
+    after(2300, [this, i] { crash_worker(i, 3000); });
+}
+
+/* Remembers the highest fence; true if this one is lower. */
+bool
+World::fenced(FakeWorker &w, uint64_t fence)
+{
+    w.fence = std::max(w.fence, fence);
+    return fence < w.fence;
+}
+
+/* A lease is cut to a second. */
+void
+World::renew(FakeWorker &w, uint64_t until)
+{
+    w.until = std::max(w.until, std::min(until, worker_clock(w) + 1000));
+}
+
+void
+World::end_run(FakeWorker &w, const std::string &task, dw_end how)
+{
+    auto it = w.runs.find(task);
+    rn_end end;
+
+    trace("worker: task %s run %lu ended %d", task.c_str(),
+        it->second.first.run, how);
+    end.number = w.next_end++;
+    end.key = it->second.first;
+    end.how = how;
+    w.highest[task] = end.key.run;
+    w.ends.push_back(end);
+    w.runs.erase(it);
+}
+
+void
+World::worker_tick(FakeWorker &w)
+{
+    bool lapsed = !w.runs.empty() && worker_clock(w) > w.until;
+
+    for (auto it = w.runs.begin(); it != w.runs.end();) {
+        auto next = std::next(it);
+        const FakeWorker::Run &r = it->second.second;
+
+        if (lapsed) {
+            end_run(w, it->first, DW_END_LOST);
+        }
+        else if (now >= r.ends_at) {
+            end_run(w, it->first,
+                r.stopping ? DW_END_STOPPED
+                : r.fails  ? DW_END_FAILED
+                           : DW_END_DONE);
+        }
+        it = next;
+    }
+}
+
+bool
+World::worker_start(size_t i, const rn_key &key, uint32_t millicores,
+    uint32_t ms, rn_terms terms, rn_start_result *result)
+{
+    FakeWorker &w = *workers[i];
+    std::string task = task_of(key);
+    uint32_t used = millicores;
+
+    *result = RN_START_REFUSED;
+    if (!w.up) {
+        *result = RN_START_UNREACHED;
+        return false;
+    }
+    if (fenced(w, terms.fence)) {
+        *result = RN_START_FENCED;
+        return false;
+    }
+    if (terms.until_ms < worker_clock(w)) {
+        return false; /* late */
+    }
+    if (w.runs.count(task) != 0) {
+        *result =
+            w.runs[task].first.run == key.run ? RN_START_OK : RN_START_REFUSED;
+        return false;
+    }
+    if (w.highest.count(task) != 0 && key.run <= w.highest[task]) {
+        return false; /* old */
+    }
+    for (auto &r : w.runs) {
+        used += r.second.second.millicores;
+    }
+    if (used > w.millicores) {
+        broken.push_back("worker " + std::to_string(i) +
+                         " over its capacity at " + std::to_string(now) +
+                         " by " + task + " run " + std::to_string(key.run));
+    }
+    for (size_t k = 0; k < workers.size(); k++) {
+        if (k != i && workers[k]->up && workers[k]->runs.count(task) != 0) {
+            broken.push_back(
+                "task " + task + " runs twice at " + std::to_string(now) +
+                ": on " + std::to_string(k) + " run " +
+                std::to_string(workers[k]->runs[task].first.run) + " and on " +
+                std::to_string(i) + " run " + std::to_string(key.run));
+        }
+    }
+    renew(w, terms.until_ms);
+    w.runs[task] = {
+        key, {millicores, w.hangs ? UINT64_MAX : now + (uint64_t)(ms * w.slow),
+                 w.fails_all, false}};
+    starts++;
+    trace("worker %zu: task %s run %lu starts until %lu clock %lu", i,
+        task.c_str(), key.run, w.until, worker_clock(w));
+    auto call = calls.find(key.job);
+    if (call != calls.end()) {
+        call->second->started = true;
+    }
+    *result = RN_START_OK;
+    return true;
+}
+
+void
+World::worker_stop(size_t i, const rn_key &key, rn_terms terms)
+{
+    FakeWorker &w = *workers[i];
+    std::string task = task_of(key);
+    auto it = w.runs.find(task);
+
+    if (fenced(w, terms.fence)) {
+        return;
+    }
+    w.highest[task] = std::max(w.highest[task], key.run);
+    if (it != w.runs.end() && it->second.first.run <= key.run &&
+        !it->second.second.stopping) {
+        it->second.second.stopping = true;
+        it->second.second.ends_at = now + rng() % 50;
+    }
+}
+
+/* --- callers --- */
+
+void
+World::submit(uint32_t tasks, uint32_t ms)
+{
+    uint64_t id = next_id++ << 20;
+    auto c = std::make_unique<Call>();
+
+    c->id = id;
+    for (uint32_t i = 0; i < tasks; i++) {
+        c->task_ms.push_back(ms / 2 + (uint32_t)(rng() % (ms + 1)));
+    }
+    c->sent_at = now;
+    c->deadline = now + 3000;
+    Call *call = c.get();
+    calls[id] = std::move(c);
+    send_call(call);
+}
+
+void
+World::send_call(Call *c)
+{
+    size_t i = rng() % entries.size();
+    FakeEntry *e = entries[i].get();
+
+    c->sends++;
+    c->entry = i;
+    c->entry_id = e->id;
+    c->open = e->up;
+    if (!e->up) {
+        return;
+    }
+    uint64_t id = e->id;
+    after(MESSAGE_MS, [this, e, c, id] {
+        if (!e->up || e->id != id) {
+            return;
+        }
+        trace("entry %zu (%lu): job %lu comes, send %u", e->index, e->id,
+            c->id, c->sends);
+        on_entry(e, [this, e, c] {
+            std::vector<co_task_spec> specs(
+                c->task_ms.size(), {6000, 64, 0, c->task_ms[0]});
+            struct co_submit s = {};
+
+            if (now >= c->deadline) {
+                return;
+            }
+            s.id = c->id;
+            s.wall_ms = now;
+            s.spec = STR("spec");
+            s.service = "s";
+            s.attempts = 3;
+            s.objective_ms = 200;
+            s.left_ms = (uint32_t)(c->deadline - now);
+            s.tasks = specs.data();
+            s.count = specs.size();
+            co_submit(&e->c, now, &s, c);
+        });
+    });
+    /* The caller leaves at its deadline. */
+    after(c->deadline - now, [this, e, c, id] {
+        if (!c->open || c->entry_id != id) {
+            return;
+        }
+        c->open = false;
+        if (e->up && e->id == id) {
+            on_entry(e, [this, e, c] { co_leave(&e->c, now, c); });
+        }
+    });
+}
+
+void
+World::answered(Call *c, uint64_t entry_id, co_outcome how)
+{
+    trace("entry %zu: job %lu answered %d", c->entry, c->id, how);
+    if (!c->open || c->entry_id != entry_id) {
+        return;
+    }
+    c->open = false;
+    c->answers++;
+    c->done = true;
+    c->completed = how == CO_COMPLETED;
+    c->refused = how == CO_NOT_RUN;
+    if (how == CO_NOT_RUN && c->started && c->sends == 1) {
+        broken.push_back(
+            "job " + std::to_string(c->id) + " is said not to have run");
+    }
+}
+
+void
+World::run(uint64_t ms)
+{
+    uint64_t end = now + ms;
+
+    while (now < end) {
+        now++;
+        for (auto &w : workers) {
+            if (w->up) {
+                worker_tick(*w);
+            }
+        }
+        while (!events.empty() && events.top().at <= now) {
+            auto fn = events.top().fn;
+            events.pop();
+            fn();
+        }
+    }
+}
--- a/web.c
+++ b/web.c
@@ -8,8 +8,18 @@
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #define CONNECTION_MEMORY 65536U
+#define DRAIN_IDLE_S 1U
+
+/* One open connection. */
+struct web_conn {
+    struct web *w;
+    struct MHD_Connection *conn;
+    struct web_conn *prev;
+    struct web_conn *next;
+};
 
 struct web_req {
     struct web *w;
@@ -38,6 +48,7 @@
     void *ctx;
     size_t open;
     bool draining;
+    struct web_conn *conns;
     bool in_run;
     bool run_again;
 };
@@ -232,6 +243,35 @@
     return handle_whole(r);
 }
 
+static void
+shorten_idle(struct web_conn *c)
+{
+    MHD_set_connection_option(
+        c->conn, MHD_CONNECTION_OPTION_TIMEOUT, DRAIN_IDLE_S);
+}
+
+static void
+on_connection(void *ctx, struct MHD_Connection *conn, void **socket_ctx,
+    enum MHD_ConnectionNotificationCode what)
+{
+    struct web *w = ctx;
+    struct web_conn *c = *socket_ctx;
+
+    if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+        DL_DELETE(w->conns, c);
+        free(c);
+        return;
+    }
+    c = dw_zero(1, sizeof(*c));
+    c->w = w;
+    c->conn = conn;
+    *socket_ctx = c;
+    DL_APPEND(w->conns, c);
+    if (w->draining) {
+        shorten_idle(c);
+    }
+}
+
 enum web_status
 web_open(struct web **out, struct ev_loop *loop, const struct web_cfg *cfg,
     web_handle_fn handle, web_gone_fn gone, void *ctx, struct err *e)
@@ -252,6 +292,7 @@
             cfg->port, NULL, NULL, on_access, w, MHD_OPTION_SOCK_ADDR,
             (struct sockaddr *)&sa, MHD_OPTION_URI_LOG_CALLBACK, begin, w,
             MHD_OPTION_NOTIFY_COMPLETED, complete, w,
+            MHD_OPTION_NOTIFY_CONNECTION, on_connection, w,
             MHD_OPTION_CONNECTION_LIMIT, cfg->connections_max,
             MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
             MHD_OPTION_CONNECTION_TIMEOUT, cfg->idle_s,
@@ -289,7 +330,13 @@
 void
 web_drain(struct web *w)
 {
+    struct web_conn *c;
+
     w->draining = true;
+    DL_FOREACH (w->conns, c) {
+        shorten_idle(c);
+    }
+    arm_timer(w);
 }
 
 size_t
--- a/web.h
+++ b/web.h
@@ -42,7 +42,9 @@
     void *ctx, struct err *e);
 /* Take no new connections; those open are served. */
 void web_stop_accepting(struct web *w);
-/* Ask callers, with each answer from now on, to connect anew elsewhere. */
+/* Ask callers, with each answer from now on, to connect anew elsewhere, and
+ * close connections that are idle for a second: what comes on one that stays
+ * open would come too late to be served. */
 void web_drain(struct web *w);
 size_t web_open_requests(const struct web *w);
 void web_close(struct web *w);
