Tests of the platform's parts: wire, routes, sessions, runner, coordinator, web

Tables of cases and the small situations behind each safeguard: a message that waited through a freeze, a lost start, a worker that is not reached, a rebirth, a run of an ended session, a silent agent, a caller that leaves, a drain.

--- a/Makefile
+++ b/Makefile
@@ -49,9 +49,10 @@
 	$(CC) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd -lcurl -ljansson -lxxhash
 
 TESTS = unit-test work-test link-test lend-test path-test member-test matrix-test \
-	property-test fleet world serve-test
+	property-test fleet world serve-test part-test web-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
-$(B)/tests: $(TEST_O) $(COMMON_O) $(B)/link.o $(B)/log.o
+$(B)/tests: $(TEST_O) $(COMMON_O) $(B)/link.o $(B)/log.o $(B)/web.o \
+	$(B)/platform/wire.o
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
 
--- a/agent.c
+++ b/agent.c
@@ -1,5 +1,6 @@
 #include "agent.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -299,6 +300,7 @@
     HASH_ITER (hh, a->entries, e, tmp) {
         msg_free(e->batch);
         sess_end(&e->sess);
+        assert(a->entries != NULL);
         HASH_DEL(a->entries, e);
         free(e);
     }
--- a/agentd.c
+++ b/agentd.c
@@ -151,7 +151,7 @@
     struct err e = {""};
 
     if (d->status == HTTPC_OK && d->code == 200 &&
-        wire_look(&l, d->body, &e) != WIRE_OK) {
+        wire_read_look(&l, d->body, &e) != WIRE_OK) {
         log_event(LOG_LEVEL_WARN, "look_unreadable", "error=\"%s\"", e.msg);
     }
     l.look.asked_ms = c->asked_ms;
@@ -319,7 +319,7 @@
     else if (!begins(web_path(r), BEAT_PATH)) {
         web_reply(r, 404, "application/json", STR("{}"), 0);
     }
-    else if (wire_beat(&b, web_body(r), &e) != WIRE_OK) {
+    else if (wire_read_beat(&b, web_body(r), &e) != WIRE_OK) {
         log_event(
             LOG_LEVEL_WARN, "announcement_unreadable", "error=\"%s\"", e.msg);
         web_reply(r, 400, "application/json", STR("{}"), 0);
--- a/entryd.c
+++ b/entryd.c
@@ -181,7 +181,7 @@
     struct wire_job job;
     struct err why = {""};
     struct co_submit s = {0};
-    enum wire_status st = wire_job(&job, web_body(r), &why);
+    enum wire_status st = wire_read_job(&job, web_body(r), &why);
 
     if (st != WIRE_OK) {
         log_event(LOG_LEVEL_WARN, "job_refused",
@@ -339,7 +339,7 @@
     size_t left_out;
     uint64_t version;
 
-    if (wire_config(&fresh, text, &left_out, &why) != WIRE_OK) {
+    if (wire_read_config(&fresh, text, &left_out, &why) != WIRE_OK) {
         log_event(LOG_LEVEL_ERROR, "config_refused", "error=\"%s\"", why.msg);
         return;
     }
--- a/fleet.c
+++ b/fleet.c
@@ -1,5 +1,6 @@
 #include "fleet.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -76,6 +77,7 @@
 fl_remove(struct fleet *f, struct fl_agent *a)
 {
     fl_close(a);
+    assert(f->agents != NULL);
     HASH_DEL(f->agents, a);
     free(a);
 }
--- a/runner.c
+++ b/runner.c
@@ -1,5 +1,6 @@
 #include "runner.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,6 +35,7 @@
         r->used_memory_mb -= run->memory_mb;
         r->used_gpus -= run->gpus;
     }
+    assert(r->runs != NULL);
     HASH_DEL(r->runs, run);
     free(run->spec);
     free(run);
--- /dev/null
+++ b/test/web-test.cc
@@ -0,0 +1,179 @@
+/* The HTTP server over loopback sockets: callers that leave, and a drain. */
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <netinet/in.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "web.h"
+
+namespace {
+
+uint16_t
+free_port()
+{
+    sockaddr_in sa = {};
+    socklen_t n = sizeof(sa);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(fd, (sockaddr *)&sa, sizeof(sa));
+    getsockname(fd, (sockaddr *)&sa, &n);
+    close(fd);
+    return ntohs(sa.sin_port);
+}
+
+class Web : public testing::Test {
+  protected:
+    struct ev_loop *loop = ev_loop_new(0);
+    struct ::web *w = nullptr;
+    web_req *held = nullptr;
+    int gone = 0;
+    uint16_t port = free_port();
+
+    void
+    SetUp() override
+    {
+        web_cfg cfg = {"127.0.0.1", port, 100, 1000, 30};
+        err e = {""};
+
+        ASSERT_EQ(
+            web_open(&w, loop, &cfg, on_request, on_gone, this, &e), WEB_OK)
+            << e.msg;
+    }
+    void
+    TearDown() override
+    {
+        if (held != nullptr) {
+            web_reply(held, 200, "text/plain", STR("late"), 0);
+        }
+        web_close(w);
+        ev_loop_destroy(loop);
+    }
+    static void
+    on_request(void *ctx, web_req *r)
+    {
+        if (strcmp(web_path(r), "/hold") == 0) {
+            static_cast<Web *>(ctx)->held = r;
+            return;
+        }
+        web_reply(r, 200, "text/plain", STR("ok"), 0);
+    }
+    static void
+    on_gone(void *ctx, web_req *)
+    {
+        static_cast<Web *>(ctx)->gone++;
+        static_cast<Web *>(ctx)->held = nullptr;
+    }
+    int
+    connect_to()
+    {
+        sockaddr_in sa = {};
+        int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+        sa.sin_family = AF_INET;
+        sa.sin_port = htons(port);
+        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(connect(fd, (sockaddr *)&sa, sizeof(sa)), 0);
+        return fd;
+    }
+    void
+    ask(int fd, const char *path)
+    {
+        std::string text =
+            std::string("GET ") + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+
+        EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+    }
+    /* Run the loop until done() or some seconds have passed. */
+    template <typename F>
+    bool
+    until(F done)
+    {
+        ev_tstamp end = ev_time() + 10;
+
+        while (!done() && ev_time() < end) {
+            ev_timer t;
+
+            ev_timer_init(
+                &t, [](struct ev_loop *, ev_timer *, int) {}, 0.01, 0);
+            ev_timer_start(loop, &t);
+            ev_run(loop, EVRUN_ONCE);
+            ev_timer_stop(loop, &t);
+        }
+        return done();
+    }
+    /* What came, once it holds the word or nothing more comes. */
+    std::string
+    read_until(int fd, const char *word)
+    {
+        std::string all;
+
+        until([&] {
+            char text[1000];
+            ssize_t n = recv(fd, text, sizeof(text), MSG_DONTWAIT);
+
+            if (n > 0) {
+                all.append(text, (size_t)n);
+            }
+            return n == 0 || all.find(word) != std::string::npos;
+        });
+        return all;
+    }
+};
+
+} // namespace
+
+/* Work goes on for nobody: the caller left while its request waited, and
+ * nothing looked at its connection. */
+TEST_F(Web, ACallerThatLeavesIsNoticedWhileItsRequestWaits)
+{
+    int fd = connect_to();
+
+    ask(fd, "/hold");
+    ASSERT_TRUE(until([&] { return held != nullptr; }));
+    close(fd);
+    EXPECT_TRUE(until([&] { return gone == 1; }));
+    EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+}
+
+TEST_F(Web, ACallerThatStaysIsAnswered)
+{
+    int fd = connect_to();
+
+    ask(fd, "/hold");
+    ASSERT_TRUE(until([&] { return held != nullptr; }));
+    web_reply(held, 200, "text/plain", STR("late"), 0);
+    held = nullptr;
+    EXPECT_NE(read_until(fd, "late").find("late"), std::string::npos);
+    EXPECT_EQ(gone, 0);
+    close(fd);
+}
+
+/* A request is cut off by a planned stop: it came seconds after the signal on
+ * a connection that had stayed open.  A drain closes idle connections. */
+TEST_F(Web, ADrainClosesIdleConnectionsAndSaysSoOnTheOthers)
+{
+    int idle = connect_to();
+    int busy = connect_to();
+
+    ask(idle, "/");
+    EXPECT_NE(read_until(idle, "ok").find("ok"), std::string::npos);
+    ask(busy, "/hold");
+    ASSERT_TRUE(until([&] { return held != nullptr; }));
+    web_drain(w);
+    char byte;
+    EXPECT_TRUE(
+        until([&] { return recv(idle, &byte, 1, MSG_DONTWAIT) == 0; }));
+    web_reply(held, 200, "text/plain", STR("late"), 0);
+    held = nullptr;
+    std::string answer = read_until(busy, "late");
+    EXPECT_NE(answer.find("late"), std::string::npos);
+    EXPECT_NE(answer.find("close"), std::string::npos) << answer;
+    close(idle);
+    close(busy);
+}
