--- a/entryd.c
+++ b/entryd.c
@@ -7,6 +7,7 @@
 
 #include "coord.h"
 #include "log.h"
+#include "news.h"
 #include "num.h"
 #include "platform/follow.h"
 #include "platform/wire.h"
@@ -34,7 +35,6 @@
 #define IDLE_S 30U
 /* Callers that say no deadline. */
 #define LEFT_MS 10000U
-#define DOMAINS_MAX 64
 
 struct answer {
     struct answer *next;
@@ -54,8 +54,8 @@
     struct follow *members;
     struct answer *answers; /* to be given when the decisions are over */
     struct answer **answers_tail;
-    char *withdrawn[DOMAINS_MAX];
-    size_t withdrawn_count;
+    struct news news;
+    uint64_t asked_last; /* the entry asked for news last */
     bool accepting;
     uint64_t stale_ms; /* requests read before this time waited too long */
 };
@@ -357,44 +357,24 @@
 static void
 tell_withdrawn(struct entry *e)
 {
-    fl_withdraw(&e->coord.fleet, (const char *const *)e->withdrawn,
-        e->withdrawn_count);
-}
-
-static void
-drop_withdrawn(struct entry *e)
-{
-    while (e->withdrawn_count > 0) {
-        free(e->withdrawn[--e->withdrawn_count]);
-    }
-}
-
-static void
-set_withdrawn(struct entry *e, const char *domain, bool out)
-{
-    for (size_t i = 0; i < e->withdrawn_count; i++) {
-        if (strcmp(e->withdrawn[i], domain) == 0) {
-            free(e->withdrawn[i]);
-            e->withdrawn[i] = e->withdrawn[--e->withdrawn_count];
-            break;
-        }
-    }
-    if (out && e->withdrawn_count < DOMAINS_MAX) {
-        e->withdrawn[e->withdrawn_count++] = str_dup(str_of(domain));
-    }
-    log_event(LOG_LEVEL_INFO, out ? "domain_out" : "domain_back", "domain=%s",
-        domain);
+    fl_withdraw(&e->coord.fleet, (const char *const *)e->news.withdrawn,
+        e->news.withdrawn_count);
 }
 
 static void
 operators_item(struct entry *e, const struct kv_item *it)
 {
+    const char *domain = it->key + sizeof(EVACUATE_PREFIX) - 1;
+
     if (strcmp(it->key, CONFIG_KEY) == 0 && !it->deleted) {
+        nw_config(&e->news, it->value, it->rev);
         take_config(e, it->value);
     }
     else if (strncmp(it->key, EVACUATE_PREFIX, sizeof(EVACUATE_PREFIX) - 1) ==
              0) {
-        set_withdrawn(e, it->key + sizeof(EVACUATE_PREFIX) - 1, !it->deleted);
+        nw_domain(&e->news, domain, !it->deleted, it->rev);
+        log_event(LOG_LEVEL_INFO, it->deleted ? "domain_back" : "domain_out",
+            "domain=%s rev=%" PRIu64, domain, it->rev);
     }
 }
 
@@ -403,31 +383,85 @@
 {
     struct entry *e = ctx;
 
-    (void)rev;
-    drop_withdrawn(e);
+    nw_clear_domains(&e->news);
     for (size_t i = 0; i < n; i++) {
         operators_item(e, &items[i]);
     }
+    nw_seen(&e->news, rev);
     tell_withdrawn(e);
 }
 
 static void
 operators_change(void *ctx, const struct kv_item *it)
 {
-    operators_item(ctx, it);
-    tell_withdrawn(ctx);
+    struct entry *e = ctx;
+
+    operators_item(e, it);
+    nw_seen(&e->news, it->rev);
+    tell_withdrawn(e);
 }
 
 static void
-store_state(void *ctx, bool answers, const char *message)
+note_store(bool answers, const char *message)
 {
-    (void)ctx;
     log_event(answers ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
         answers ? "store_regained" : "store_lost", "message=\"%s\"", message);
 }
 
+static void
+operators_state(void *ctx, bool answers, const char *message)
+{
+    struct entry *e = ctx;
+
+    nw_store(&e->news, sv_now(), answers);
+    note_store(answers, message);
+}
+
+/* Entries other than this one, in the order of their ids after ours, so that
+ * not all ask the same. */
+#define ASKED_MAX 2U
+
+static void
+ask_others(struct entry *e)
+{
+    struct sv_peer *p;
+    uint32_t asked = 0;
+    dw_msg m;
+
+    nw_question(&e->news, &m);
+    for (p = e->s->peers; p != NULL && asked < ASKED_MAX; p = p->hh.next) {
+        if (!p->is_agent && p->entered && p->id != e->s->id &&
+            p->id != e->asked_last) {
+            link_send(e->s->link, p->id, &m);
+            e->asked_last = p->id;
+            asked++;
+        }
+    }
+}
+
+static void
+take_news(struct entry *e, uint64_t from, const dw_news *told)
+{
+    dw_msg answer;
+
+    if (told->question) {
+        nw_seen(&e->news, e->news.answers ? follow_rev(e->operators) : 0);
+        if (nw_answer(&e->news, told, &answer)) {
+            link_send(e->s->link, from, &answer);
+            xdr_free((xdrproc_t)xdr_dw_msg, &answer);
+        }
+    }
+    else if (nw_take(&e->news, told)) {
+        log_event(LOG_LEVEL_INFO, "news_from_entry",
+            "entry=%016" PRIx64 " as_of=%" PRIu64, from,
+            (uint64_t)told->as_of);
+        take_config(e, buf_str(&e->news.config));
+        tell_withdrawn(e);
+    }
+}
+
 static const struct follow_events operators_events = {
-    operators_whole, operators_change, store_state};
+    operators_whole, operators_change, operators_state};
 
 /* --- members --- */
 
@@ -504,8 +538,15 @@
     }
 }
 
+static void
+members_state(void *ctx, bool answers, const char *message)
+{
+    (void)ctx;
+    note_store(answers, message);
+}
+
 static const struct follow_events members_events = {
-    members_whole, members_change, store_state};
+    members_whole, members_change, members_state};
 
 /* --- the role --- */
 
@@ -532,6 +573,7 @@
     s->state = e;
     e->s = s;
     e->accepting = true;
+    e->news.answers = true;
     e->answers_tail = &e->answers;
     co_init(&e->coord, &co_ops, e, s->seed, s->conf->node.me.addr,
         s->conf->node.me.port);
@@ -569,7 +611,7 @@
         web_close(e->ready);
     }
     rt_free(&e->routes);
-    drop_withdrawn(e);
+    nw_free(&e->news);
     free(e);
 }
 
@@ -579,6 +621,9 @@
     struct entry *e = s->state;
 
     co_tick(&e->coord, now);
+    if (nw_must_ask(&e->news, now)) {
+        ask_others(e);
+    }
     if (s->leaving && e->accepting && now - s->leave_ms > ACCEPT_MS) {
         e->accepting = false;
         web_stop_accepting(e->callers);
@@ -602,6 +647,9 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_NEWS) {
+        take_news(e, from, &m->dw_msg_u.news);
+    }
 }
 
 static void
--- a/proto.h
+++ b/proto.h
@@ -543,8 +543,8 @@
 typedef struct dw_report dw_report;
 
 struct dw_news {
-	u_quad_t rev;
-	u_quad_t newest;
+	bool_t question;
+	u_quad_t as_of;
 	dw_value config;
 	struct {
 		u_int withdrawn_len;
--- a/proto.x
+++ b/proto.x
@@ -433,11 +433,14 @@
     dw_run_end ends<DW_MAX_ITEMS>;
 };
 
-/* Operators' state as of a revision of the platform's store; without a text
- * the message only tells the revision known. */
+/*
+ * What operators want, between entries, while one of them does not reach the
+ * platform's store.  as_of is the store's revision up to which the sender
+ * knows all; a question has only that.
+ */
 struct dw_news {
-    unsigned hyper rev;
-    unsigned hyper newest;
+    bool question;
+    unsigned hyper as_of;
     dw_value config;
     dw_bytes withdrawn<64>;
 };
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1461,9 +1461,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->rev))
+	 if (!xdr_bool (xdrs, &objp->question))
 		 return FALSE;
-	 if (!xdr_u_quad_t (xdrs, &objp->newest))
+	 if (!xdr_u_quad_t (xdrs, &objp->as_of))
 		 return FALSE;
 	 if (!xdr_dw_value (xdrs, &objp->config))
 		 return FALSE;
