Coord: runs leave slow workers; two speeds learned from progress

Change: speed follows progress; a present speed under 40 % of the usual one makes a worker slow: tasks wait for a sound one while that is shorter, and runs move if that ends them a third sooner.

--- a/coord.c
+++ b/coord.c
@@ -316,7 +316,8 @@
     }
     for (size_t i = 0; i < s->count; i++) {
         struct fl_need need = {s->service, s->tasks[i].millicores,
-            s->tasks[i].memory_mb, s->tasks[i].gpus, s->tasks[i].est_ms, 0};
+            s->tasks[i].memory_mb, s->tasks[i].gpus, s->tasks[i].est_ms, 0,
+            false, 0};
 
         if (fl_never_fits(&c->fleet, now, &need)) {
             return "never_fits";
@@ -432,6 +433,7 @@
 run_failed(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
 {
     t->failed++;
+    t->avoid = t->agent;
     if (t->failed >= j->attempts) {
         end_job(c, now, j, CO_FAILED, "task_failed");
         return;
@@ -590,14 +592,25 @@
 
 /* --- placing --- */
 
+static struct fl_need
+need_of(const struct co_job *j, const struct co_task *t)
+{
+    struct fl_need need = {j->service, t->spec.millicores, t->spec.memory_mb,
+        t->spec.gpus, t->spec.est_ms, 0, false, t->avoid};
+
+    return need;
+}
+
 /* Send one task out; false if no worker has room for it. */
 static bool
 place_task(struct coord *c, uint64_t now, struct co_job *j, uint32_t index)
 {
     struct co_task *t = &j->tasks[index];
-    struct fl_need need = {j->service, t->spec.millicores, t->spec.memory_mb,
-        t->spec.gpus, t->spec.est_ms, t->failed > 0 ? t->agent : 0};
-    struct fl_agent *a = fl_pick(&c->fleet, now, &need);
+    struct fl_need need = need_of(j, t);
+    struct fl_agent *a;
+
+    need.waited_ms = (uint32_t)(now - j->come_ms);
+    a = fl_pick(&c->fleet, now, &need);
 
     if (a == NULL) {
         return false;
@@ -606,10 +619,11 @@
     t->agent = a->id;
     t->session = a->sess.number;
     t->sent_ms = now;
+    t->moving = false;
     j->begun = true;
     c->stats.runs++;
     add_run(c, a, j, index);
-    fl_reserve(a, &need);
+    fl_reserve(a, now, &need);
     set_state(c, j, t, CO_OUT);
     return true;
 }
@@ -654,6 +668,55 @@
     }
 }
 
+/* --- runs on slow workers --- */
+
+/*
+ * A worker turned slow, or its tasks stand still: what runs there would end
+ * far too late.  A run is stopped and begun again elsewhere if that ends it
+ * clearly sooner, by as much as estimates are off, and there is room now.
+ */
+#define MOVE_GAIN_PERCENT 130U
+#define MOVE_COST_MS 40U
+/* The part of the free room that one entry moves runs into at a time. */
+#define MOVE_SHARE 4
+
+static bool
+better_elsewhere(const struct co_task *t, const struct fl_agent *a,
+    uint32_t speed, uint64_t now)
+{
+    uint64_t there =
+        (uint64_t)t->spec.est_ms * 1000 / num_max(a->room.pace_permille, 1);
+    uint64_t left = num_minus(there, now - t->sent_ms);
+    uint64_t again = (uint64_t)t->spec.est_ms * 1000 / num_max(speed, 1);
+
+    return left * 100 > (again + MOVE_COST_MS) * MOVE_GAIN_PERCENT;
+}
+
+static void
+move_runs(struct coord *c, uint64_t now, struct co_job *j)
+{
+    for (uint32_t i = 0; i < j->count; i++) {
+        struct co_task *t = &j->tasks[i];
+        struct fl_agent *a = fl_find(&c->fleet, t->agent);
+        struct fl_need need = need_of(j, t);
+
+        need.quick = true;
+        need.avoid = t->agent;
+        if (t->state != CO_OUT || t->moving || a == NULL ||
+            a->sess.number != t->session || !fl_slow(&c->fleet, a) ||
+            !better_elsewhere(t, a, c->fleet.speed, now) ||
+            c->move_room < (int64_t)need.millicores ||
+            fl_pick(&c->fleet, now, &need) == NULL) {
+            continue;
+        }
+        t->moving = true;
+        t->avoid = t->agent;
+        c->move_room -= need.millicores;
+        c->stats.moved++;
+        add_stop(c, a, j->id, i, t->run);
+    }
+}
+
 /* --- time --- */
 
 static void
@@ -687,18 +750,19 @@
     }
 }
 
-static void
+/* False if the job has ended. */
+static bool
 tend_job(struct coord *c, uint64_t now, struct co_job *j)
 {
     uint64_t least = j->longest_ms * EST_LEAST_PERCENT / 100;
 
     if (now >= j->deadline_ms) {
         give_up(c, now, j, "deadline");
-        return;
+        return false;
     }
     if (!j->begun && now + least >= j->deadline_ms) {
         give_up(c, now, j, "too_late");
-        return;
+        return false;
     }
     for (uint32_t i = 0; i < j->count; i++) {
         struct co_task *t = &j->tasks[i];
@@ -707,6 +771,7 @@
             run_lost(c, now, j, t);
         }
     }
+    return true;
 }
 
 static void
@@ -738,6 +803,9 @@
     struct co_job *j_tmp;
 
     c->ticked_ms = now;
+    fl_learn_speed(&c->fleet, now);
+    /* Other entries see the same room. */
+    c->move_room = fl_free_room(&c->fleet, now) / MOVE_SHARE;
     if (c->capable_ms == 0 || fl_capacity(&c->fleet, now) > 0) {
         c->capable_ms = now;
     }
@@ -752,8 +820,8 @@
         if (paused) {
             give_up(c, now, j, "paused");
         }
-        else {
-            tend_job(c, now, j);
+        else if (tend_job(c, now, j)) {
+            move_runs(c, now, j);
         }
     }
     forget_ended(c, now);
--- a/coord.h
+++ b/coord.h
@@ -61,6 +61,8 @@
     uint64_t again_ms; /* CO_LOST: when the last run is certainly over */
     uint64_t sent_ms;
     uint32_t failed;
+    uint64_t avoid; /* an agent that failed or held it up; 0: none */
+    bool moving;    /* being stopped, to run elsewhere */
 };
 
 struct co_waiter {
@@ -120,6 +122,7 @@
     uint64_t lost;
     uint64_t bounced; /* sent to an agent that had no room after all */
     uint64_t retried; /* after a failure */
+    uint64_t moved;   /* stopped on a slow worker */
 };
 
 struct coord {
@@ -129,6 +132,7 @@
     struct co_job *jobs;
     struct co_job *queue;
     struct co_ended *ended;
+    int64_t move_room;     /* millicores that may be moved this tick */
     uint64_t waiting_work; /* estimated millicores x ms of waiting tasks */
     uint64_t ticked_ms;
     uint64_t
--- a/entryd.c
+++ b/entryd.c
@@ -710,6 +710,7 @@
         {"dw_runs_lost", st->lost},
         {"dw_runs_bounced", st->bounced},
         {"dw_runs_retried", st->retried},
+        {"dw_runs_moved", st->moved},
         {"dw_config_version", e->routes.version},
     };
 
--- a/fleet.c
+++ b/fleet.c
@@ -11,6 +11,11 @@
  * this share of its runs is the cause itself. */
 #define SICK_PERMILLE 400U
 #define FAIL_WEIGHT 8U
+/* A worker at this part of the usual speed, or below, is slow.  Machines
+ * differ by 0.8 to 1.25; slow ones take four to eight times as long. */
+#define SLOW_PERCENT 40U
+/* ms between single runs that try a slow worker without runs. */
+#define PROBE_MS 500U
 /* ms of the first probation; it doubles up to the longest. */
 #define SICK_MIN_MS 500U
 #define SICK_MAX_MS 4000U
@@ -20,6 +25,7 @@
 {
     f->agents = NULL;
     f->seed = seed;
+    f->speed = 1000;
 }
 
 struct fl_agent *
@@ -142,12 +148,13 @@
 }
 
 void
-fl_reserve(struct fl_agent *a, const struct fl_need *need)
+fl_reserve(struct fl_agent *a, uint64_t now, const struct fl_need *need)
 {
     a->batch_millicores += need->millicores;
     a->batch_memory_mb += need->memory_mb;
     a->batch_gpus += need->gpus;
     a->out++;
+    a->probed_ms = now;
     count_free(a);
 }
 
@@ -229,6 +236,75 @@
            0.1 * chance;
 }
 
+static int
+by_number(const void *a, const void *b)
+{
+    uint32_t x = *(const uint32_t *)a;
+    uint32_t y = *(const uint32_t *)b;
+
+    return (x > y) - (x < y);
+}
+
+/* Workers looked at for the median; more tell nothing new. */
+#define MEDIAN_MAX 128U
+
+void
+fl_learn_speed(struct fleet *f, uint64_t now)
+{
+    const struct fl_agent *a;
+    uint32_t speeds[MEDIAN_MAX];
+    size_t n = 0;
+
+    for (a = f->agents; a != NULL && n < MEDIAN_MAX; a = a->hh.next) {
+        if (fl_usable(a, now)) {
+            speeds[n++] = a->room.speed_permille;
+        }
+    }
+    qsort(speeds, n, sizeof(speeds[0]), by_number);
+    f->speed = n > 0 ? speeds[n / 2] : 1000;
+}
+
+bool
+fl_slow(const struct fleet *f, const struct fl_agent *a)
+{
+    return (uint64_t)a->room.pace_permille * 100 <=
+           (uint64_t)f->speed * SLOW_PERCENT;
+}
+
+/*
+ * While some workers are slow the others are full, and the slow ones look
+ * free.  Waiting for a sound one costs less than running on a slow one, for
+ * as long as the wait is shorter than what the slow run takes longer.
+ */
+static bool
+worth_waiting(const struct fleet *f, const struct fl_agent *a, uint64_t now,
+    const struct fl_need *need)
+{
+    uint64_t there =
+        (uint64_t)need->est_ms * 1000 / num_max(a->room.pace_permille, 1);
+    uint64_t usual = (uint64_t)need->est_ms * 1000 / num_max(f->speed, 1);
+
+    if (!fl_slow(f, a)) {
+        return false;
+    }
+    if (!need->quick && a->out == 0 && now - a->probed_ms >= PROBE_MS) {
+        return false; /* or it would never be seen to be sound again */
+    }
+    return need->quick || need->waited_ms < there - usual;
+}
+
+static bool
+may_take(const struct fleet *f, const struct fl_agent *a, uint64_t now,
+    const struct fl_need *need)
+{
+    return fl_usable(a, now) && strcmp(a->service, need->service) == 0 &&
+           has_room(a, need) && !on_probation(a, now) &&
+           !worth_waiting(f, a, now, need) &&
+           (a->room.left_ms == UINT32_MAX ||
+               need->est_ms <= a->room.left_ms) &&
+           !(need->quick && a->id == need->avoid);
+}
+
 struct fl_agent *
 fl_pick(struct fleet *f, uint64_t now, const struct fl_need *need)
 {
@@ -239,10 +315,7 @@
     for (a = f->agents; a != NULL; a = a->hh.next) {
         double s;
 
-        if (!fl_usable(a, now) || strcmp(a->service, need->service) != 0 ||
-            !has_room(a, need) || on_probation(a, now) ||
-            (a->room.left_ms != UINT32_MAX &&
-                need->est_ms > a->room.left_ms)) {
+        if (!may_take(f, a, now, need)) {
             continue;
         }
         s = score(f, a) - (a->id == need->avoid ? 10.0 : 0.0);
--- a/fleet.h
+++ b/fleet.h
@@ -50,6 +50,7 @@
     int64_t free_millicores; /* room less what is under way */
     int64_t free_memory_mb;
     int64_t free_gpus;
+    uint64_t probed_ms;     /* when a run was sent last */
     uint32_t out;           /* runs there, as this entry knows */
     uint32_t fail_permille; /* of runs that ended there lately */
     uint64_t sick_until_ms;
@@ -64,6 +65,7 @@
 struct fleet {
     struct fl_agent *agents;
     uint64_t seed;
+    uint32_t speed; /* median of usable workers, permille */
 };
 
 struct fl_need {
@@ -72,7 +74,9 @@
     uint32_t memory_mb;
     uint32_t gpus;
     uint32_t est_ms;
-    uint64_t avoid; /* an agent where it failed before; 0: none */
+    uint32_t waited_ms; /* so far */
+    bool quick;         /* only where it is not slow */
+    uint64_t avoid;     /* an agent where it failed before; 0: none */
 };
 
 void fl_init(struct fleet *f, uint64_t seed);
@@ -88,16 +92,20 @@
 /* Note the room that came with acknowledgement ack. */
 void fl_room(struct fl_agent *a, uint64_t ack, const dw_room *room);
 /* A run has been put into the agent's next message. */
-void fl_reserve(struct fl_agent *a, const struct fl_need *need);
+void fl_reserve(struct fl_agent *a, uint64_t now, const struct fl_need *need);
 /* The collected orders went out as message seq. */
 void fl_sent(struct fl_agent *a, uint64_t seq);
 /* How a run ended there; sick workers get probes only. */
 void fl_note_end(struct fl_agent *a, uint64_t now, dw_end how);
+/* Learn the median speed of usable workers. */
+void fl_learn_speed(struct fleet *f, uint64_t now);
 /* The best agent with room, NULL if there is none. */
 struct fl_agent *fl_pick(
     struct fleet *f, uint64_t now, const struct fl_need *need);
 
 /* Queries. */
+/* Its present speed is far below what workers usually have. */
+bool fl_slow(const struct fleet *f, const struct fl_agent *a);
 bool fl_usable(const struct fl_agent *a, uint64_t now);
 /* Cores of all usable workers, and those free. */
 int64_t fl_capacity(const struct fleet *f, uint64_t now);
--- a/proto.h
+++ b/proto.h
@@ -527,7 +527,7 @@
 	int free_gpus;
 	u_int waiting;
 	u_int speed_permille;
-	u_int stuck;
+	u_int pace_permille;
 };
 typedef struct dw_room dw_room;
 
--- a/proto.x
+++ b/proto.x
@@ -422,7 +422,7 @@
     int free_gpus;
     unsigned int waiting;
     unsigned int speed_permille;
-    unsigned int stuck;
+    unsigned int pace_permille;
 };
 
 /* Agent to entry: its room, and runs that ended. */
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1351,7 +1351,7 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->speed_permille))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->stuck))
+			 if (!xdr_u_int (xdrs, &objp->pace_permille))
 				 return FALSE;
 		} else {
 			IXDR_PUT_BOOL(buf, objp->serving);
@@ -1365,7 +1365,7 @@
 			IXDR_PUT_LONG(buf, objp->free_gpus);
 			IXDR_PUT_U_LONG(buf, objp->waiting);
 			IXDR_PUT_U_LONG(buf, objp->speed_permille);
-			IXDR_PUT_U_LONG(buf, objp->stuck);
+			IXDR_PUT_U_LONG(buf, objp->pace_permille);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
@@ -1393,7 +1393,7 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->speed_permille))
 				 return FALSE;
-			 if (!xdr_u_int (xdrs, &objp->stuck))
+			 if (!xdr_u_int (xdrs, &objp->pace_permille))
 				 return FALSE;
 		} else {
 			objp->serving = IXDR_GET_BOOL(buf);
@@ -1407,7 +1407,7 @@
 			objp->free_gpus = IXDR_GET_LONG(buf);
 			objp->waiting = IXDR_GET_U_LONG(buf);
 			objp->speed_permille = IXDR_GET_U_LONG(buf);
-			objp->stuck = IXDR_GET_U_LONG(buf);
+			objp->pace_permille = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -1434,7 +1434,7 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->speed_permille))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->stuck))
+	 if (!xdr_u_int (xdrs, &objp->pace_permille))
 		 return FALSE;
 	return TRUE;
 }
--- a/runner.c
+++ b/runner.c
@@ -6,9 +6,17 @@
 
 #include "num.h"
 
-/* Weight of the newest run in the learned speed: a tenth follows a worker
- * that turns slow within some ten runs. */
-#define SPEED_WEIGHT 10U
+/*
+ * Two speeds are learned from the progress of runs.  The present one tells
+ * within a tenth of a second that a worker has turned slow or stands still:
+ * after PACE_MS of each run under way (at most PACE_RUNS of them) half of it
+ * is new.  The usual one tells fast machines from slower ones; estimates are
+ * off by 40 %, so it takes some hundred runs, and none from times in which the
+ * worker is slow.
+ */
+#define PACE_MS 100U
+#define PACE_RUNS 6U
+#define USUAL_MS 8000U
 /* Added to the fence when the worker has seen a higher one, as after the
  * time of day was set back: more than clocks are set back by, in ms. */
 #define FENCE_LEAP 86400000U
@@ -23,6 +31,7 @@
     r->ctx = ctx;
     r->begun_ms = now;
     r->speed_permille = 1000;
+    r->pace_permille = 1000;
 }
 
 static void
@@ -52,15 +61,46 @@
     }
 }
 
+/* A run has come so far since it was last seen. */
+static void
+note_progress(
+    struct runner *r, uint64_t now, struct rn_run *run, uint32_t percent)
+{
+    if (percent < run->percent) {
+        return;
+    }
+    r->work_us += (uint64_t)run->est_ms * (percent - run->percent) * 10;
+    r->work_ms += now - run->percent_ms;
+    run->percent = percent;
+    run->percent_ms = now;
+}
+
+/* Half of the value is new after so many ms. */
+static uint32_t
+follow(uint32_t value, uint64_t seen, uint64_t ms, uint64_t half_ms)
+{
+    return (uint32_t)((value * half_ms + seen * ms) / (half_ms + ms));
+}
+
+/* Speed is work done, as estimated, over the time it took. */
 static void
-learn_speed(struct runner *r, const struct rn_run *run, uint32_t ran_ms)
+learn_speed(struct runner *r)
 {
-    uint64_t speed = (uint64_t)run->est_ms * 1000 / num_max(ran_ms, 1);
+    uint64_t runs = num_min(num_max(rn_active(r), 1), PACE_RUNS);
+    uint64_t seen;
 
-    speed = num_max(num_min(speed, SPEED_MAX), SPEED_MIN);
-    r->speed_permille =
-        (uint32_t)((r->speed_permille * (SPEED_WEIGHT - 1) + speed) /
-                   SPEED_WEIGHT);
+    if (r->work_ms == 0) {
+        return;
+    }
+    seen = num_max(num_min(r->work_us / r->work_ms, SPEED_MAX), SPEED_MIN);
+    r->pace_permille =
+        follow(r->pace_permille, seen, r->work_ms, runs * PACE_MS);
+    if (2 * r->pace_permille > r->speed_permille) {
+        r->speed_permille =
+            follow(r->speed_permille, seen, r->work_ms, USUAL_MS);
+    }
+    r->work_us = 0;
+    r->work_ms = 0;
 }
 
 static void
@@ -71,7 +111,7 @@
 
     if (how == DW_END_DONE) {
         r->stats.done++;
-        learn_speed(r, run, ran_ms);
+        note_progress(r, now, run, 100);
     }
     else if (how == DW_END_FAILED) {
         r->stats.failed++;
@@ -222,7 +262,7 @@
 
     run->state = RN_STARTING;
     run->sent_ms = now;
-    run->moved_ms = now;
+    run->percent_ms = now;
     r->used_millicores += run->millicores;
     r->used_memory_mb += run->memory_mb;
     r->used_gpus += run->gpus;
@@ -544,10 +584,7 @@
             continue;
         }
         run->seen = true;
-        if (s->percent > run->percent) {
-            run->percent = s->percent;
-            run->moved_ms = now;
-        }
+        note_progress(r, now, run, s->percent);
         if (run->state == RN_UNSURE || run->state == RN_STARTING) {
             run->state = RN_RUNNING;
             run->started_ms = run->sent_ms;
@@ -624,6 +661,7 @@
     take_ends(r, now, l);
     take_running(r, now, l);
     settle_absent(r, now, l);
+    learn_speed(r);
     if (r->orphans == 0 && now - r->begun_ms > RN_LAPSE_MS) {
         r->clean = true;
     }
@@ -762,6 +800,7 @@
     room->memory_mb = r->memory_mb;
     room->gpus = r->gpus;
     room->speed_permille = r->speed_permille;
+    room->pace_permille = r->pace_permille;
     room->free_millicores = (int)(r->millicores - r->used_millicores);
     room->free_memory_mb = (int)(r->memory_mb - r->used_memory_mb);
     room->free_gpus = (int)(r->gpus - r->used_gpus);
--- a/runner.h
+++ b/runner.h
@@ -92,7 +92,7 @@
     uint64_t forced_ms;
     uint64_t started_ms;
     uint32_t percent;
-    uint64_t moved_ms; /* when percent last grew */
+    uint64_t percent_ms; /* when it was last seen */
     UT_hash_handle hh;
 };
 
@@ -199,9 +199,12 @@
     size_t orphans; /* runs of an earlier agent, as last shown */
     bool leaving;   /* this agent ends: start nothing more */
     uint64_t room_changed_ms;
-    bool looked; /* a look has succeeded */
-    bool clean;  /* nothing of an earlier agent runs there */
-    uint32_t speed_permille;
+    bool looked;             /* a look has succeeded */
+    bool clean;              /* nothing of an earlier agent runs there */
+    uint32_t speed_permille; /* usual; 1000: runs end as estimated */
+    uint32_t pace_permille;  /* at present */
+    uint64_t work_us;        /* seen since it was learned last */
+    uint64_t work_ms;
     struct rn_stats stats;
 };
 
--- a/test/part-test.cc
+++ b/test/part-test.cc
@@ -678,6 +678,7 @@
         r.room.serving = true;
         r.room.left_ms = UINT32_MAX;
         r.room.speed_permille = 1000;
+        r.room.pace_permille = 1000;
         r.room.millicores = 10000;
         r.room.memory_mb = 1000;
         r.room.free_millicores = 10000;
