--- a/coord.c
+++ b/coord.c
@@ -639,6 +639,28 @@
     return true;
 }
 
+/* In what order jobs are placed while not all can be. */
+enum turn {
+    TURN_BEGUN,  /* parts of it hold cores already */
+    TURN_ON_TIME,
+    TURN_LATE,   /* its objective cannot be met any more */
+    TURN_COUNT
+};
+
+/*
+ * With more work than cores, the order of objectives alone makes every job
+ * late: the oldest, which have missed theirs, go before those that could
+ * still meet it.
+ */
+static enum turn
+turn_of(const struct co_job *j, uint64_t now)
+{
+    if (j->begun) {
+        return TURN_BEGUN;
+    }
+    return now + j->longest_ms <= j->objective_ms ? TURN_ON_TIME : TURN_LATE;
+}
+
 static void
 place_all(struct coord *c, uint64_t now)
 {
@@ -646,9 +668,12 @@
     struct co_job *tmp;
     uint32_t misses = 0;
 
-    DL_FOREACH_SAFE (c->queue, j, tmp) {
-        if (!place_job(c, now, j) && ++misses >= MISSES_MAX) {
-            break;
+    for (int turn = 0; turn < TURN_COUNT; turn++) {
+        DL_FOREACH_SAFE (c->queue, j, tmp) {
+            if (turn_of(j, now) == (enum turn)turn &&
+                !place_job(c, now, j) && ++misses >= MISSES_MAX) {
+                return;
+            }
         }
     }
 }
