Tests take free ports

Cause: two test runs on one machine used the same ports (8 checks of test/ops.sh failed). Change: test/fleet.sh takes a block of ports held by a directory; the link's and the web server's tests ask the kernel.

--- a/Makefile
+++ b/Makefile
@@ -80,7 +80,7 @@
 	rpcgen -N -C -c proto.x > proto_xdr.c
 
 SOURCES = $(filter-out proto.h proto_xdr.c,$(wildcard *.c *.h *.cc platform/*.c \
-	platform/*.h test/*.c test/*.cc test/*.h))
+	platform/*.h test/*.c test/*.cc test/*.h test/*.hh))
 
 format:
 	clang-format -i $(SOURCES)
--- a/test/fleet.hh
+++ b/test/fleet.hh
@@ -102,7 +102,7 @@
     std::vector<std::unique_ptr<Proc>> procs; /* entries, then agents */
     std::vector<Request> requests;
     std::map<std::string, std::vector<Start>> starts; /* "customer key i" */
-    std::vector<std::string> faults; /* what check() found */
+    std::vector<std::string> faults;                  /* what check() found */
     uint64_t messages = 0;
     std::map<int, uint64_t> messages_by_type;
     uint32_t memory_mb = 0; /* declared by the tasks of submit() */
@@ -115,10 +115,26 @@
     /* Called as a task starts. */
     std::function<void(Proc &, const std::string &)> started;
 
-    size_t entries() const { return entry_count; }
-    size_t agents() const { return procs.size() - entry_count; }
-    Proc &entry(size_t i) { return *procs[i]; }
-    Proc &agent(size_t i) { return *procs[entry_count + i]; }
+    size_t
+    entries() const
+    {
+        return entry_count;
+    }
+    size_t
+    agents() const
+    {
+        return procs.size() - entry_count;
+    }
+    Proc &
+    entry(size_t i)
+    {
+        return *procs[i];
+    }
+    Proc &
+    agent(size_t i)
+    {
+        return *procs[entry_count + i];
+    }
 
     void run(uint64_t ms);
     /* Run until done() or ms have passed; true if it was done. */
@@ -162,7 +178,8 @@
         uint64_t at;
         uint64_t seq;
         std::function<void()> fn;
-        bool operator<(const Event &o) const
+        bool
+        operator<(const Event &o) const
         {
             return at != o.at ? at > o.at : seq > o.seq;
         }
@@ -177,7 +194,11 @@
     std::set<std::pair<size_t, size_t>> cuts;
     std::map<std::string, uint64_t> out_since; /* failure domains */
 
-    double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
+    double
+    chance()
+    {
+        return std::uniform_real_distribution<>(0, 1)(random);
+    }
     void start(size_t i);
     void tick(size_t i, uint64_t id);
     void input(size_t i, uint64_t id, const std::function<void(acts *)> &fn);
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -4,15 +4,46 @@
 #   fleet_stop                               stops what fleet_start started
 #   fleet_pid NAME                           the process id of store, e1, a1, b1
 #
-# Ports follow FLEET_BASE (7000): the store has BASE, entry i BASE+100+i and
+# Ports follow FLEET_BASE, which is found free: the store has BASE, entry i BASE+100+i and
 # HTTP BASE+200+i, agent i BASE+300+i and HTTP BASE+400+i, backend server i
 # BASE+500+i.
 
-FLEET_BASE=${FLEET_BASE:-7000}
 FLEET_BIN=${FLEET_BIN:-build}
 FLEET_TOKEN=operators-secret
 FLEET_DOMAINS="kolding aarhus herning"
 
+# Several fleets may run on one machine: each takes 700 ports for itself, held
+# by a directory with the process id of the script that has them.
+FLEET_LOCK=
+fleet_take_ports() {
+    local base lock pid
+    for base in $(seq 7000 700 27300 | shuf); do
+        lock=${TMPDIR:-/tmp}/dunlinweir-ports-$base
+        pid=$(cat "$lock/pid" 2>/dev/null)
+        if [ -n "$pid" ] && ! kill -0 "$pid" 2>/dev/null; then
+            rm -rf "$lock"
+        fi
+        mkdir "$lock" 2>/dev/null || continue
+        echo $$ > "$lock/pid"
+        if fleet_ports_free "$base"; then
+            FLEET_BASE=$base FLEET_LOCK=$lock
+            return 0
+        fi
+        rm -rf "$lock"
+    done
+    echo "fleet: no free ports" >&2
+    return 1
+}
+
+fleet_ports_free() {
+    local p
+    for p in 0 101 102 201 202 301 302 303 401 402 403 501 502 503; do
+        if (exec 3<> "/dev/tcp/127.0.0.1/$(($1 + p))") 2>/dev/null; then
+            return 1
+        fi
+    done
+}
+
 fleet_domain() {
     set -- $FLEET_DOMAINS "$1"
     eval "echo \$$(( ($4 - 1) % 3 + 1 ))"
@@ -87,6 +118,7 @@
     FLEET_DIR=$1 FLEET_ENTRIES=$2 FLEET_AGENTS=$3
     FLEET_SLOTS=${4:-8}
     mkdir -p "$FLEET_DIR"
+    [ -n "$FLEET_LOCK" ] || fleet_take_ports || return 1
     fleet_run store "$FLEET_BIN/fake-store" "$FLEET_BASE"
     fleet_await "http://127.0.0.1:$FLEET_BASE/control" || return 1
     for i in $(seq "$FLEET_AGENTS"); do
@@ -115,6 +147,8 @@
     done
     rm -f "$FLEET_DIR"/*.pid
     { wait; } 2>/dev/null
+    [ -z "$FLEET_LOCK" ] || rm -rf "$FLEET_LOCK"
+    FLEET_LOCK=
 }
 
 # fleet_cli WORDS: the operators' command line against the first entry
--- a/test/link-test.cc
+++ b/test/link-test.cc
@@ -13,6 +13,7 @@
 
 #include "act.h"
 #include "link.h"
+#include "ports.hh"
 
 namespace {
 
@@ -113,8 +114,8 @@
 
 TEST_F(Link, MessagesArriveInOrder)
 {
-    open(a, 1, 18801);
-    open(b, 2, 18802);
+    open(a, 1, port_of(1));
+    open(b, 2, port_of(2));
     for (uint32_t i = 0; i < 100; i++) {
         send(a, 2, i);
     }
@@ -129,9 +130,9 @@
  * sender learns that the earlier one is gone. */
 TEST_F(Link, AnotherIncarnationGetsNothing)
 {
-    open(a, 1, 18803);
-    open(b, 2, 18804);
-    ports[3] = 18804;
+    open(a, 1, port_of(3));
+    open(b, 2, port_of(4));
+    ports[3] = port_of(4);
     send(a, 3, 7);
     run(0.3);
     EXPECT_TRUE(b.got.empty());
@@ -141,8 +142,8 @@
 
 TEST_F(Link, ARefusedConnectionIsTold)
 {
-    open(a, 1, 18805);
-    ports[9] = 18899;
+    open(a, 1, port_of(5));
+    ports[9] = port_of(99);
     send(a, 9, 7);
     run(0.2);
     ASSERT_FALSE(a.refused.empty());
@@ -159,18 +160,18 @@
     struct sockaddr_in sa = {};
 
     sa.sin_family = AF_INET;
-    sa.sin_port = htons(18807);
+    sa.sin_port = htons(port_of(7));
     sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     setsockopt(mute, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     ASSERT_EQ(bind(mute, (struct sockaddr *)&sa, sizeof(sa)), 0);
     ASSERT_EQ(listen(mute, 16), 0);
-    open(a, 1, 18806);
-    ports[2] = 18807;
+    open(a, 1, port_of(6));
+    ports[2] = port_of(7);
     send(a, 2, 1);
     run(1.6);
     EXPECT_EQ(link_stats(a.l)->replaced, 1U);
     close(mute);
-    open(b, 2, 18807);
+    open(b, 2, port_of(7));
     send(a, 2, 2);
     run(0.4);
     ASSERT_EQ(b.got.size(), 1U);
@@ -181,8 +182,8 @@
  * what it had queued before is dropped, not sent as if it were new. */
 TEST_F(Link, WhatWaitedTooLongIsDropped)
 {
-    open(a, 1, 18808);
-    open(b, 2, 18809);
+    open(a, 1, port_of(8));
+    open(b, 2, port_of(9));
     send(a, 2, 1);
     usleep(1700000);
     run(0.3);
@@ -200,11 +201,12 @@
     struct ev_loop *other = ev_loop_new(0);
     err why = {""};
 
-    open(a, 1, 18810);
-    ports[2] = 18811;
+    open(a, 1, port_of(10));
+    ports[2] = port_of(11);
     b.id = 2;
     b.ports = &ports;
-    ASSERT_EQ(link_open(&b.l, other, 2, "127.0.0.1", 18811, &events, &b, &why),
+    ASSERT_EQ(
+        link_open(&b.l, other, 2, "127.0.0.1", port_of(11), &events, &b, &why),
         LINK_OK);
     auto both = [&](int rounds) {
         for (int i = 0; i < rounds; i++) {
@@ -232,10 +234,10 @@
     struct sockaddr_in sa = {};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-    open(a, 1, 18812);
-    open(b, 2, 18813);
+    open(a, 1, port_of(12));
+    open(b, 2, port_of(13));
     sa.sin_family = AF_INET;
-    sa.sin_port = htons(18813);
+    sa.sin_port = htons(port_of(13));
     sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ASSERT_EQ(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
     ASSERT_EQ(::send(fd, "GET / HTTP/1.1\r\n\r\n", 18, 0), 18);
--- a/test/ops.sh
+++ b/test/ops.sh
@@ -6,7 +6,6 @@
 set -u
 cd "$(dirname "$0")/.."
 . test/fleet.sh
-FLEET_BASE=7600
 FLEET_AUDIT=10
 dir=$(mktemp -d)
 passed=0 failed=0
--- a/test/path.sh
+++ b/test/path.sh
@@ -12,7 +12,7 @@
 passed=0 failed=0
 
 
-E1="http://127.0.0.1:$((FLEET_BASE + 201))"
+
 call() { # METHOD PATH KEY BODY [TOKEN]: prints status and body
     curl -s --noproxy '*' -X "$1" -H "Authorization: Bearer ${5:-token-one}" \
         ${3:+-H "Idempotency-Key: $3"} ${4:+--data-binary "$4"} \
@@ -26,6 +26,7 @@
 }
 
 fleet_start "$dir" 1 3 || exit 1
+E1="http://127.0.0.1:$((FLEET_BASE + 201))"
 hash=$("$FLEET_BIN"/dunlinweir contract hash token-one)
 echo "{\"customer\":\"one\",\"token_sha256\":\"$hash\"}" > "$dir/c.json"
 fleet_cli --wait contract set one "$dir/c.json" > "$dir/out"
--- /dev/null
+++ b/test/ports.hh
@@ -0,0 +1,43 @@
+/*
+ * ports - TCP and UDP ports for tests that nobody else uses
+ *
+ * Several test programs may run on one machine at a time.
+ */
+#ifndef PORTS_HH
+#define PORTS_HH
+
+#include <arpa/inet.h>
+#include <cstdint>
+#include <map>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+inline uint16_t
+free_port()
+{
+    sockaddr_in sa = {};
+    socklen_t n = sizeof(sa);
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    sa.sin_family = AF_INET;
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(fd, (sockaddr *)&sa, sizeof(sa));
+    getsockname(fd, (sockaddr *)&sa, &n);
+    close(fd);
+    return ntohs(sa.sin_port);
+}
+
+/* The same free port for the same number, within one process. */
+inline uint16_t
+port_of(int number)
+{
+    static std::map<int, uint16_t> ports;
+
+    if (ports.count(number) == 0) {
+        ports[number] = free_port();
+    }
+    return ports[number];
+}
+
+#endif
--- a/test/rest.sh
+++ b/test/rest.sh
@@ -4,7 +4,6 @@
 set -u
 cd "$(dirname "$0")/.."
 . test/fleet.sh
-FLEET_BASE=21000
 sum() { # NAME: over all daemons
     for p in $ports; do curl -s --noproxy '*' "http://127.0.0.1:$p/metrics"; done |
         awk -v n="dunlinweir_$1" '$1 == n {s += $2} END {printf "%.0f", s}'
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -1,32 +1,14 @@
 /* The HTTP server over loopback sockets: callers that leave, and a drain. */
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <cstring>
-#include <netinet/in.h>
 #include <string>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "ports.hh"
 #include "web.h"
 
 namespace {
 
-uint16_t
-free_port()
-{
-    sockaddr_in sa = {};
-    socklen_t n = sizeof(sa);
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-    sa.sin_family = AF_INET;
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd, (sockaddr *)&sa, sizeof(sa));
-    getsockname(fd, (sockaddr *)&sa, &n);
-    close(fd);
-    return ntohs(sa.sin_port);
-}
-
 class Web : public testing::Test {
   protected:
     struct ev_loop *loop = ev_loop_new(0);
