Fleet: a worker that fails part of its runs comes last, not out of use

Change: such workers are chosen when no sound one has room, for tasks that have not failed; only those that fail three quarters go on probation; bad tasks, which fail everywhere, do not count. Log: standard output without blocking, limits a kind; histograms (not yet in use).

--- a/coord.c
+++ b/coord.c
@@ -317,7 +317,7 @@
     for (size_t i = 0; i < s->count; i++) {
         struct fl_need need = {s->service, s->tasks[i].millicores,
             s->tasks[i].memory_mb, s->tasks[i].gpus, s->tasks[i].est_ms, 0,
-            false, 0};
+            false, false, 0};
 
         if (fl_never_fits(&c->fleet, now, &need)) {
             return "never_fits";
@@ -597,7 +597,7 @@
 need_of(const struct co_job *j, const struct co_task *t)
 {
     struct fl_need need = {j->service, t->spec.millicores, t->spec.memory_mb,
-        t->spec.gpus, t->spec.est_ms, 0, false, t->avoid};
+        t->spec.gpus, t->spec.est_ms, 0, t->failed > 0, false, t->avoid};
 
     return need;
 }
@@ -829,7 +829,7 @@
     struct co_job *j_tmp;
 
     c->ticked_ms = now;
-    fl_learn_speed(&c->fleet, now);
+    fl_learn(&c->fleet, now);
     /* Other entries see the same room. */
     c->move_room = fl_free_room(&c->fleet, now) / MOVE_SHARE;
     if (c->capable_ms == 0 || fl_capacity(&c->fleet, now) > 0) {
--- a/fleet.c
+++ b/fleet.c
@@ -7,9 +7,16 @@
 #include "num.h"
 #include "str.h"
 
-/* Failures come from bad tasks too (some per thousand); a worker that fails
- * this share of its runs is the cause itself. */
-#define SICK_PERMILLE 400U
+/*
+ * A worker that fails this share of its runs gets one run at a time.  One
+ * that fails less is still of use when the sound ones are full: it comes last
+ * in the choice, and takes only tasks that have not failed yet, as attempts
+ * are few.  Bad tasks fail everywhere; so a share counts only where it is
+ * far above the mean of all.
+ */
+#define SICK_PERMILLE 750U
+#define RISKY_PERMILLE 150U
+#define RISKY_TIMES 2U
 #define FAIL_WEIGHT 8U
 /* A worker at this part of the usual speed, or below, is slow.  Machines
  * differ by 0.8 to 1.25; slow ones take four to eight times as long. */
@@ -221,6 +228,32 @@
     return a->sick_until_ms > now || (a->sick_ms > 0 && a->out > 0);
 }
 
+static void
+learn_failures(struct fleet *f, uint64_t now)
+{
+    const struct fl_agent *a;
+    uint64_t sum = 0;
+    uint64_t n = 0;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        if (fl_usable(a, now)) {
+            sum += a->fail_permille;
+            n++;
+        }
+    }
+    f->fail_permille = n > 0 ? (uint32_t)(sum / n) : 0;
+}
+
+static bool
+is_risky(const struct fleet *f, const struct fl_agent *a)
+{
+    return a->fail_permille >= RISKY_PERMILLE &&
+           a->fail_permille > RISKY_TIMES * f->fail_permille;
+}
+
+/* More than speed and free cores together can make up for. */
+#define RISKY_PENALTY 5.0
+
 /* Speed first, then the freer; a little chance keeps entries from choosing
  * the same worker in the same moment. */
 static double
@@ -234,7 +267,8 @@
 
     f->seed = mix64(f->seed, a->id);
     chance = (double)(f->seed & 0xff) / 256.0;
-    return (double)speed / 1000.0 + 0.5 * free_part + 0.1 * chance;
+    return (double)speed / 1000.0 + 0.5 * free_part + 0.1 * chance -
+           (is_risky(f, a) ? RISKY_PENALTY : 0.0);
 }
 
 static int
@@ -249,8 +283,8 @@
 /* Workers looked at for the median; more tell nothing new. */
 #define MEDIAN_MAX 128U
 
-void
-fl_learn_speed(struct fleet *f, uint64_t now)
+static void
+learn_speed(struct fleet *f, uint64_t now)
 {
     const struct fl_agent *a;
     uint32_t speeds[MEDIAN_MAX];
@@ -265,6 +299,13 @@
     f->speed = n > 0 ? speeds[n / 2] : 1000;
 }
 
+void
+fl_learn(struct fleet *f, uint64_t now)
+{
+    learn_speed(f, now);
+    learn_failures(f, now);
+}
+
 bool
 fl_slow(const struct fleet *f, const struct fl_agent *a)
 {
@@ -303,7 +344,8 @@
            !worth_waiting(f, a, now, need) &&
            (a->room.left_ms == UINT32_MAX ||
                need->est_ms <= a->room.left_ms) &&
-           !(need->quick && a->id == need->avoid);
+           !(need->quick && a->id == need->avoid) &&
+           !(need->failed && is_risky(f, a));
 }
 
 struct fl_agent *
--- a/fleet.h
+++ b/fleet.h
@@ -65,7 +65,8 @@
 struct fleet {
     struct fl_agent *agents;
     uint64_t seed;
-    uint32_t speed; /* median of usable workers, permille */
+    uint32_t fail_permille; /* mean of usable workers */
+    uint32_t speed;         /* median of usable workers, permille */
 };
 
 struct fl_need {
@@ -75,6 +76,7 @@
     uint32_t gpus;
     uint32_t est_ms;
     uint32_t waited_ms; /* so far */
+    bool failed;        /* it has failed before */
     bool quick;         /* only where it is not slow */
     uint64_t avoid;     /* an agent where it failed before; 0: none */
 };
@@ -97,8 +99,8 @@
 void fl_sent(struct fl_agent *a, uint64_t seq);
 /* How a run ended there; sick workers get probes only. */
 void fl_note_end(struct fl_agent *a, uint64_t now, dw_end how);
-/* Learn the median speed of usable workers. */
-void fl_learn_speed(struct fleet *f, uint64_t now);
+/* Learn the median speed and the mean failures of usable workers. */
+void fl_learn(struct fleet *f, uint64_t now);
 /* The best agent with room, NULL if there is none. */
 struct fl_agent *fl_pick(
     struct fleet *f, uint64_t now, const struct fl_need *need);
--- /dev/null
+++ b/hist.c
@@ -0,0 +1,67 @@
+#include "hist.h"
+
+#include <inttypes.h>
+
+#define SUB 8U /* buckets an octave */
+
+/* Values below 8 have a bucket each. */
+static uint32_t
+bucket_of(uint64_t ms)
+{
+    uint32_t octave;
+    uint32_t b;
+
+    if (ms < SUB) {
+        return (uint32_t)ms;
+    }
+    octave = 63U - (uint32_t)__builtin_clzll(ms);
+    b = (octave - 2) * SUB + (uint32_t)((ms >> (octave - 3)) & (SUB - 1));
+    return b < HIST_BUCKETS ? b : HIST_BUCKETS - 1;
+}
+
+static uint64_t
+upper_bound(uint32_t bucket)
+{
+    uint32_t octave = bucket / SUB + 2;
+
+    if (bucket < SUB) {
+        return bucket;
+    }
+    return (((uint64_t)SUB + bucket % SUB + 1) << (octave - 3)) - 1;
+}
+
+void
+hist_add(struct hist *h, uint64_t ms)
+{
+    h->count++;
+    h->sum_ms += ms;
+    h->buckets[bucket_of(ms)]++;
+}
+
+uint64_t
+hist_at(const struct hist *h, uint32_t permille)
+{
+    uint64_t want = (h->count * permille + 999) / 1000;
+    uint64_t seen = 0;
+
+    for (uint32_t i = 0; i < HIST_BUCKETS; i++) {
+        seen += h->buckets[i];
+        if (seen >= want && seen > 0) {
+            return upper_bound(i);
+        }
+    }
+    return 0;
+}
+
+void
+hist_format(const struct hist *h, const char *name, struct buf *out)
+{
+    static const uint32_t quantiles[] = {500, 900, 990, 999};
+
+    buf_addf(out, "%s_count %" PRIu64 "\n%s_sum_ms %" PRIu64 "\n", name,
+        h->count, name, h->sum_ms);
+    for (size_t i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++) {
+        buf_addf(out, "%s_ms{quantile=\"0.%03u\"} %" PRIu64 "\n", name,
+            quantiles[i], hist_at(h, quantiles[i]));
+    }
+}
--- a/log.c
+++ b/log.c
@@ -1,15 +1,49 @@
 #include "log.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_MAX_LEN 1024
 #define CATEGORY "dunlinweir"
 
+/* Standard output: lines wait here until log_flush(). */
+#define PENDING_MAX 65536U
+/* A pipe that poll(2) calls writable takes this much without blocking. */
+#define WRITE_MAX 4096U
+
+/*
+ * Lines of one event a second.  What went well is kept as samples only, so
+ * that under load the decisions that refuse, repeat, stop or move work stay
+ * whole and the processor serves callers.
+ */
+#define LIMIT_USUAL 50U
+#define LIMIT_SAMPLE 5U
+#define KINDS_MAX 64U
+
+struct kind {
+    const char *event;
+    time_t second;
+    unsigned taken;
+    unsigned left_out;
+};
+
+static const char *const samples[] = {"job_done", "run_done", "run_sent"};
+
+static struct kind kinds[KINDS_MAX];
+static size_t kind_count;
+static bool to_stdout;
+static char pending[PENDING_MAX];
+static size_t pending_n;
+static unsigned long lost;
+
 static FILE *stream;
 static char path[256];
 static char line[LINE_MAX_LEN + 128];
@@ -53,10 +87,52 @@
     return line;
 }
 
+static void
+keep_line(const char *text)
+{
+    size_t n = strlen(text);
+
+    if (pending_n + n > PENDING_MAX) {
+        lost++;
+        return;
+    }
+    memcpy(pending + pending_n, text, n);
+    pending_n += n;
+}
+
+/* A reader that stopped reading, or has gone, costs lines and no request. */
+void
+log_flush(void)
+{
+    struct pollfd p = {STDOUT_FILENO, POLLOUT, 0};
+
+    while (
+        pending_n > 0 && poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0) {
+        size_t n = pending_n < WRITE_MAX ? pending_n : WRITE_MAX;
+        ssize_t done = write(STDOUT_FILENO, pending, n);
+
+        if (done <= 0) {
+            return;
+        }
+        pending_n -= (size_t)done;
+        memmove(pending, pending + done, pending_n);
+    }
+}
+
+unsigned long
+log_lost(void)
+{
+    return lost;
+}
+
 static int
 append_line(log4c_appender_t *appender, const log4c_logging_event_t *ev)
 {
     (void)appender;
+    if (to_stdout) {
+        keep_line(ev->evt_rendered_msg);
+        return 0;
+    }
     if (stream == NULL) {
         return 0;
     }
@@ -71,8 +147,13 @@
 static enum log_status
 open_stream(struct err *e)
 {
-    FILE *f = path[0] != '\0' ? fopen(path, "ae") : stderr;
+    FILE *f;
 
+    to_stdout = strcmp(path, "-") == 0;
+    if (to_stdout) {
+        return LOG_OK;
+    }
+    f = path[0] != '\0' ? fopen(path, "ae") : stderr;
     if (f == NULL) {
         err_set(e, "log file %s: %s", path, strerror(errno));
         return LOG_BAD_FILE;
@@ -118,6 +199,7 @@
 void
 log_close(void)
 {
+    log_flush();
     if (stream != NULL && stream != stderr) {
         fclose(stream);
     }
@@ -126,10 +208,60 @@
     category = NULL;
 }
 
+static struct kind *
+kind_of(const char *event)
+{
+    size_t i;
+
+    for (i = 0; i < kind_count; i++) {
+        if (strcmp(kinds[i].event, event) == 0) {
+            return &kinds[i];
+        }
+    }
+    if (kind_count < KINDS_MAX) {
+        kinds[kind_count].event = event;
+        return &kinds[kind_count++];
+    }
+    return &kinds[KINDS_MAX - 1];
+}
+
+static unsigned
+limit_of(const char *event)
+{
+    for (size_t i = 0; i < sizeof(samples) / sizeof(samples[0]); i++) {
+        if (strcmp(samples[i], event) == 0) {
+            return LIMIT_SAMPLE;
+        }
+    }
+    return LIMIT_USUAL;
+}
+
+/* False if the event has had its lines of this second. */
+static bool
+may_write(const char *event, unsigned *left_out)
+{
+    struct kind *k = kind_of(event);
+    time_t now = time(NULL);
+
+    if (k->second != now) {
+        *left_out = k->left_out;
+        k->second = now;
+        k->taken = 0;
+        k->left_out = 0;
+    }
+    if (k->taken >= limit_of(event)) {
+        k->left_out++;
+        return false;
+    }
+    k->taken++;
+    return true;
+}
+
 void
 log_event(enum log_level level, const char *event, const char *fmt, ...)
 {
     char text[LINE_MAX_LEN];
+    unsigned left_out = 0;
     va_list ap;
     int n;
 
@@ -137,6 +269,13 @@
         !log4c_category_is_priority_enabled(category, priorities[level])) {
         return;
     }
+    if (!may_write(event, &left_out)) {
+        return;
+    }
+    if (left_out > 0) {
+        log4c_category_log(category, priorities[level],
+            "event=left_out of=%s count=%u", event, left_out);
+    }
     n = snprintf(text, sizeof(text), "event=%s ", event);
     va_start(ap, fmt);
     vsnprintf(text + n, sizeof(text) - (size_t)n, fmt, ap);
--- a/log.h
+++ b/log.h
@@ -1,8 +1,10 @@
 /*
  * log - structured log lines through log4c
  *
- * A line is `time=... level=... event=NAME key=value ...`.  Without a file
- * it goes to standard error.
+ * A line is `time=... level=... event=NAME key=value ...`.  It goes to a
+ * file, to standard error, or by log_flush() to standard output, which never
+ * blocks: what a reader does not take is left out and counted.  Each event
+ * has a limit a second; how much was left out is told the second after.
  */
 #ifndef LOG_H
 #define LOG_H
@@ -22,12 +24,16 @@
 
 enum log_status { LOG_OK, LOG_BAD_FILE, LOG_BAD_LIBRARY };
 
-/* file "" means standard error. */
+/* file "" means standard error, "-" standard output. */
 enum log_status log_open(
     const char *file, enum log_level level, struct err *e);
 /* Open the file anew, as after a rotation, and set the level. */
 enum log_status log_reopen(enum log_level level, struct err *e);
 void log_close(void);
+/* Write what the reader of standard output takes, without waiting. */
+void log_flush(void);
+/* Lines that were left out because the reader took none. */
+unsigned long log_lost(void);
 /* fmt gives the fields, as in "id=%s ms=%u". */
 void log_event(enum log_level level, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
