explain ID from logs; settings files that change without a signal are read

Cause: the way of a request over processes was not put together anywhere, and a settings file that changes without SIGHUP went unseen. Change: 'dunlinweir explain ID' orders the lines of a job out of logs on standard input; each process looks at its settings file every 2 s.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 
 COMMON_O = $(COMMON:%=$(B)/%.o) $(B)/toml.o
 DAEMON_O = $(COMMON_O) $(IO:%=$(B)/%.o) $(B)/dunlinweird.o
-CLI_O = $(COMMON_O) $(B)/dunlinweir.o
+CLI_O = $(COMMON_O) $(B)/explain.o $(B)/dunlinweir.o
 LOAD_O = $(COMMON_O) $(B)/log.o $(B)/httpc.o $(B)/dwload.o $(B)/dwtrace.o \
 	$(B)/dwfleet.o $(B)/dwreport.o
 PROGRAMS = $(B)/dunlinweird $(B)/dunlinweir $(B)/dwload
--- a/dunlinweir.c
+++ b/dunlinweir.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "conf.h"
+#include "explain.h"
 #include "contract.h"
 #include "str.h"
 
@@ -545,6 +546,18 @@
     return count > 0 ? EXIT_GOOD : EXIT_REFUSED;
 }
 
+/* A job on the users' platform: its lines out of the logs of all machines. */
+static int
+explain_log(const char **words, size_t n)
+{
+    (void)n;
+    if (explain_lines(stdin, words[0], stdout) == 0) {
+        fprintf(stderr, "dunlinweir: no line has job=%s\n", words[0]);
+        return EXIT_REFUSED;
+    }
+    return EXIT_GOOD;
+}
+
 static int
 check(const char **words, size_t n)
 {
@@ -580,6 +593,7 @@
     {"status", NULL, 0, status, ""},
     {"audit", NULL, 0, audit, ""},
     {"explain", NULL, 2, explain, "CUSTOMER KEY"},
+    {"explain", NULL, 1, explain_log, "ID, with logs on standard input"},
     {"submit", NULL, 1, submit, "FILE"},
     {"get", NULL, 1, job_get, "KEY"},
     {"cancel", NULL, 1, job_cancel, "KEY"},
--- /dev/null
+++ b/explain.c
@@ -0,0 +1,84 @@
+#include "explain.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "str.h"
+
+#define TIME_FIELD "time="
+
+struct line {
+    char *text;
+    const char *time; /* in text; "" if it has none */
+    size_t number;
+};
+
+/* The field as a whole word: an id must not match the head of a longer one. */
+static bool
+has_field(const char *text, const char *field)
+{
+    size_t n = strlen(field);
+    const char *at;
+
+    for (at = strstr(text, field); at != NULL; at = strstr(at + 1, field)) {
+        char before = at == text ? ' ' : at[-1];
+        char after = at[n];
+
+        if (before == ' ' &&
+            (after == ' ' || after == '\n' || after == '\0')) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static int
+by_time(const void *a, const void *b)
+{
+    const struct line *x = a;
+    const struct line *y = b;
+    int order = strncmp(x->time, y->time, strcspn(x->time, " "));
+
+    /* Lines of one moment stay as they came. */
+    return order != 0 ? order : (x->number > y->number ? 1 : -1);
+}
+
+static const char *
+time_of(const char *text)
+{
+    const char *at = strstr(text, TIME_FIELD);
+
+    return at != NULL ? at + strlen(TIME_FIELD) : "";
+}
+
+size_t
+explain_lines(FILE *in, const char *id, FILE *out)
+{
+    struct buf field = {0};
+    struct line *lines = NULL;
+    size_t count = 0;
+    char *text = NULL;
+    size_t cap = 0;
+
+    buf_addf(&field, "job=%s", id);
+    while (getline(&text, &cap, in) > 0) {
+        if (has_field(text, field.p)) {
+            lines = dw_grow(lines, (count + 1) * sizeof(*lines));
+            lines[count].text = str_dup(str_of(text));
+            lines[count].time = time_of(lines[count].text);
+            lines[count].number = count;
+            count++;
+        }
+    }
+    if (count > 0) {
+        qsort(lines, count, sizeof(*lines), by_time);
+    }
+    for (size_t i = 0; i < count; i++) {
+        fputs(lines[i].text, out);
+        free(lines[i].text);
+    }
+    free(lines);
+    free(text);
+    buf_free(&field);
+    return count;
+}
--- a/log.c
+++ b/log.c
@@ -92,11 +92,11 @@
 {
     size_t n = strlen(text);
 
-    if (pending_n + n > PENDING_MAX) {
+    if (pending_n + n + 1 > PENDING_MAX) {
         lost++;
         return;
     }
-    memcpy(pending + pending_n, text, n);
+    memcpy(pending + pending_n, text, n + 1);
     pending_n += n;
 }
 
--- a/serve.c
+++ b/serve.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/random.h>
+#include <sys/stat.h>
 #include <time.h>
 
 #include "log.h"
@@ -286,19 +287,6 @@
     }
 }
 
-static void
-on_tick(struct ev_loop *loop, ev_timer *w, int revents)
-{
-    struct serve *s = w->data;
-    uint64_t now = sv_now();
-
-    (void)loop;
-    (void)revents;
-    s->role->tick(s, now);
-    tend_entry(s, now);
-    check_leaving(s, now);
-}
-
 static void
 on_prepare(struct ev_loop *loop, ev_prepare *w, int revents)
 {
@@ -346,14 +334,11 @@
 
 /* Settings that may change while the process runs: the log's level. */
 static void
-on_hup(struct ev_loop *loop, ev_signal *w, int revents)
+reload(struct serve *s)
 {
-    struct serve *s = w->data;
     struct conf *fresh = dw_zero(1, sizeof(*fresh));
     struct err e = {""};
 
-    (void)loop;
-    (void)revents;
     if (conf_read(fresh, s->conf_path, &e) != CONF_OK) {
         log_event(LOG_LEVEL_ERROR, "settings_refused", "error=\"%s\"", e.msg);
     }
@@ -366,6 +351,52 @@
     free(fresh);
 }
 
+static void
+on_hup(struct ev_loop *loop, ev_signal *w, int revents)
+{
+    (void)loop;
+    (void)revents;
+    reload(w->data);
+}
+
+/* The settings file may change without a signal. */
+#define CONF_LOOK_MS 2000U
+
+static void
+look_at_conf(struct serve *s, uint64_t now)
+{
+    struct stat st;
+    uint64_t seen;
+
+    if (now - s->conf_look_ms < CONF_LOOK_MS) {
+        return;
+    }
+    s->conf_look_ms = now;
+    if (stat(s->conf_path, &st) != 0) {
+        return;
+    }
+    seen = (uint64_t)st.st_mtim.tv_sec * 1000000000U +
+           (uint64_t)st.st_mtim.tv_nsec;
+    if (s->conf_seen != 0 && s->conf_seen != seen) {
+        reload(s);
+    }
+    s->conf_seen = seen;
+}
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *w, int revents)
+{
+    struct serve *s = w->data;
+    uint64_t now = sv_now();
+
+    (void)loop;
+    (void)revents;
+    s->role->tick(s, now);
+    tend_entry(s, now);
+    look_at_conf(s, now);
+    check_leaving(s, now);
+}
+
 static void
 watch_signal(struct serve *s, ev_signal *w, int signum,
     void (*fn)(struct ev_loop *, ev_signal *, int))
--- a/serve.h
+++ b/serve.h
@@ -83,6 +83,8 @@
     bool entered;
     uint64_t keep_ms;
     uint64_t check_ms;
+    uint64_t conf_look_ms;
+    uint64_t conf_seen; /* when the settings file was written, as read last */
     ev_timer tick;
     ev_prepare prepare;
     ev_check check;
