Fault soak of the real daemons on our own stand-ins; patience told by callers

Change: guess.c takes the time of use from the deadline only where it fits, else all of the caller's patience counts. test/soak*.c play store, workers and callers, proxy the links from entries to agents and send signals; three seeds of 6 s run in `make test`.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 LOAD_O = $(COMMON_O) $(B)/log.o $(B)/httpc.o $(B)/dwload.o $(B)/dwtrace.o \
 	$(B)/dwfleet.o $(B)/dwreport.o
 PROGRAMS = $(B)/dunlinweird $(B)/dunlinweir $(B)/dwload
-STANDINS = $(B)/fake-store $(B)/fake-backend
+STANDINS = $(B)/fake-store $(B)/fake-backend $(B)/soak
 
 all: $(PROGRAMS) $(STANDINS)
 
@@ -48,6 +48,11 @@
 	$(B)/web.o
 	$(CC) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd -lcurl -ljansson -lxxhash
 
+$(B)/soak: $(B)/test/soak.o $(B)/test/soak-store.o $(B)/test/soak-worker.o \
+	$(B)/test/soak-proxy.o $(B)/web.o $(B)/httpc.o $(B)/str.o $(B)/err.o
+	$(CC) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd -lcurl -ljansson -lxxhash \
+		-lpopt -lnettle
+
 TESTS = unit-test work-test link-test lend-test path-test member-test matrix-test \
 	property-test fleet world serve-test part-test web-test log-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
@@ -98,7 +103,7 @@
 	clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) 2>/dev/null
 	@touch $@
 
-test: all test-unit test-regress test-path
+test: all test-unit test-regress test-path test-soak
 
 test-unit: $(B)/tests
 	bash test/shards.sh $(B)/tests
@@ -108,6 +113,10 @@
 	FLEET_BIN=$(B) bash test/path.sh
 	FLEET_BIN=$(B) bash test/ops.sh
 
+# The real daemons under faults from outside; more: test/soak.sh 20 SEED ...
+test-soak: all
+	FLEET_BIN=$(B) bash test/soak.sh 6 1 2 3
+
 test-regress: all
 	FLEET_BIN=$(B) bash regress/run.sh
 
@@ -131,4 +140,4 @@
 -include $(wildcard $(B)/*.d $(B)/platform/*.d $(B)/test/*.d)
 
 .PHONY: all proto clean format format-check lint test test-unit test-path test-regress \
-	test-asan demo capacity
+	test-asan test-soak demo capacity
--- a/guess.c
+++ b/guess.c
@@ -32,16 +32,14 @@
     struct gs_guess g;
 
     g.run_ms = declared_ms;
+    g.use_ms = left_ms;
     if ((uint64_t)told * 100 >= (uint64_t)declared_ms * LEAST_PERCENT &&
         (uint64_t)told * 100 <= (uint64_t)declared_ms * MOST_PERCENT) {
         g.run_ms = told;
-    }
-    g.objective_ms = objective_of(r, g.run_ms);
-    g.use_ms = g.objective_ms * GS_USE_OBJECTIVES;
-    /* A request sent again has less time left than a new one. */
-    if (left_ms > r->timeout_ms && left_ms - r->timeout_ms < g.use_ms) {
         g.use_ms = left_ms - r->timeout_ms;
-        g.objective_ms = (uint32_t)num_min(g.objective_ms, g.use_ms);
     }
+    /* Otherwise the caller has a habit of its own, or sends again: while it
+     * waits, an answer is taken to be of use. */
+    g.objective_ms = objective_of(r, g.run_ms);
     return g;
 }
--- a/test/fleet.sh
+++ b/test/fleet.sh
@@ -24,7 +24,7 @@
             rm -rf "$lock"
         fi
         mkdir "$lock" 2>/dev/null || continue
-        echo $$ > "$lock/pid"
+        echo "$BASHPID" > "$lock/pid"
         if fleet_ports_free "$base"; then
             FLEET_BASE=$base FLEET_LOCK=$lock
             return 0
--- /dev/null
+++ b/test/soak.c
@@ -0,0 +1,793 @@
+/* Callers, faults and checks of the soak; see soak.h. */
+#include <curl/curl.h>
+#include <inttypes.h>
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "num.h"
+#include "soak.h"
+
+#define TICK_S 0.005
+#define CALLS_MAX 20000
+/* ms a caller waits before it sends a broken request elsewhere. */
+#define RESEND_MS 1300U
+#define LEFT_MS 3000U
+#define SUBMIT_MS 40U
+#define START_MS 4000U
+#define CALM_MS 6000U
+/* Of calls sent in the calm after all faults, the last seconds. */
+#define SETTLE_MS 3000U
+
+/* Ports after the base. */
+enum {
+    AT_STORE = 0,
+    AT_ENTRY_CALLERS = 10,
+    AT_ENTRY_READY = 20,
+    AT_ENTRY_LINK = 30,
+    AT_AGENT_LINK = 100,
+    AT_AGENT_ANNOUNCE = 200,
+    AT_WORKER = 300,
+    AT_PROXY = 400
+};
+
+struct daemon_proc {
+    struct soak *s;
+    char name[16];
+    bool is_agent;
+    int number;
+    pid_t pid;
+    uint64_t start_ms; /* to be started then; 0: runs */
+    uint64_t wake_ms;  /* stopped until then; 0: runs */
+};
+
+struct call {
+    struct soak *s;
+    uint64_t id;
+    uint32_t tasks;
+    uint32_t ms[SOAK_TASKS_MAX];
+    bool done[SOAK_TASKS_MAX];
+    uint32_t started;
+    uint32_t sends;
+    uint32_t rejects;
+    int entry;
+    uint64_t come_ms;
+    uint64_t deadline_ms;
+    uint64_t again_ms; /* send it again then; 0: no */
+    bool answered;
+    bool completed;
+};
+
+struct soak {
+    struct ev_loop *loop;
+    struct httpc *http;
+    uint64_t random;
+    uint64_t began_ms;
+    uint64_t now;
+    int base;
+    int entries;
+    int agents;
+    char dir[256];
+    const char *bin;
+    struct fake_store *store;
+    struct fake_worker *workers[SOAK_AGENTS_MAX];
+    struct proxy *proxies[SOAK_AGENTS_MAX];
+    struct daemon_proc procs[SOAK_AGENTS_MAX + SOAK_ENTRIES_MAX];
+    int proc_count;
+    struct call calls[CALLS_MAX];
+    size_t call_count;
+    uint64_t next_submit_ms;
+    uint64_t next_fault_ms;
+    uint64_t next_beat_ms;
+    uint64_t faults_end_ms;
+    uint64_t end_ms;
+    uint64_t version;
+    uint64_t faults;
+    uint64_t starts;
+    uint64_t broken;
+    struct { /* what is undone later */
+        uint64_t at_ms;
+        void (*fn)(struct soak *s, int i);
+        int i;
+    } undo[64];
+    size_t undo_count;
+    bool verbose;
+    ev_timer tick;
+};
+
+static uint64_t
+clock_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+uint64_t
+soak_random(struct soak *s, uint64_t below)
+{
+    s->random = mix64(s->random, 0x9e3779b97f4a7c15U);
+    return below > 0 ? s->random % below : 0;
+}
+
+static void
+broken(void *ctx, const char *what)
+{
+    struct soak *s = ctx;
+
+    s->broken++;
+    printf("BROKEN at %" PRIu64 " ms: %s\n", s->now - s->began_ms, what);
+}
+
+static void
+tell(struct soak *s, const char *what, const char *whom, uint64_t ms)
+{
+    if (s->verbose) {
+        printf("%" PRIu64 " %s %s %" PRIu64 "\n", s->now - s->began_ms, what,
+            whom, ms);
+    }
+}
+
+/* --- processes --- */
+
+static void
+write_settings(const struct daemon_proc *p, const char *path)
+{
+    const struct soak *s = p->s;
+    FILE *f = fopen(path, "we");
+    int i = p->number;
+
+    if (f == NULL) {
+        fprintf(stderr, "soak: %s cannot be written\n", path);
+        exit(2);
+    }
+    fprintf(f,
+        "[process]\nrole = \"%s\"\nname = \"%s\"\ndomain = \"d%d\"\n"
+        "address = \"127.0.0.1\"\nport = %d\n[log]\nfile = \"%s/%s.log\"\n"
+        "[platform]\nstore = \"http://127.0.0.1:%d\"\ngrace_s = 4\n",
+        p->is_agent ? "agent" : "entry", p->name, i % 3,
+        s->base + (p->is_agent ? AT_AGENT_LINK : AT_ENTRY_LINK) + i, s->dir,
+        p->name, s->base + AT_STORE);
+    if (p->is_agent) {
+        fprintf(f,
+            "announce = \"127.0.0.1:%d\"\nworker = \"127.0.0.1:%d\"\n"
+            "service = \"s\"\n",
+            s->base + AT_AGENT_ANNOUNCE + i, s->base + AT_WORKER + i);
+    }
+    else {
+        fprintf(f,
+            "callers = \"127.0.0.1:%d\"\nreadiness = \"127.0.0.1:%d\"\n",
+            s->base + AT_ENTRY_CALLERS + i, s->base + AT_ENTRY_READY + i);
+    }
+    fclose(f);
+}
+
+static void
+start_proc(struct daemon_proc *p)
+{
+    char path[512];
+
+    snprintf(path, sizeof(path), "%s/%s.toml", p->s->dir, p->name);
+    write_settings(p, path);
+    p->start_ms = 0;
+    p->wake_ms = 0;
+    p->pid = fork();
+    if (p->pid == 0) {
+        execl(p->s->bin, p->s->bin, "-f", path, (char *)NULL);
+        _exit(127);
+    }
+}
+
+/* Ends that were asked for and those that were not. */
+static void
+reap(struct soak *s)
+{
+    for (int i = 0; i < s->proc_count; i++) {
+        struct daemon_proc *p = &s->procs[i];
+        int status;
+
+        if (p->pid <= 0 || waitpid(p->pid, &status, WNOHANG) != p->pid) {
+            continue;
+        }
+        if (WIFSIGNALED(status) && WTERMSIG(status) != SIGKILL) {
+            broken(s, "a process crashed");
+        }
+        p->pid = 0;
+        p->wake_ms = 0;
+        p->start_ms = s->now + 300 + soak_random(s, 700);
+    }
+}
+
+static void
+tend_procs(struct soak *s)
+{
+    reap(s);
+    for (int i = 0; i < s->proc_count; i++) {
+        struct daemon_proc *p = &s->procs[i];
+
+        if (p->wake_ms != 0 && s->now >= p->wake_ms) {
+            p->wake_ms = 0;
+            kill(p->pid, SIGCONT);
+        }
+        if (p->start_ms != 0 && s->now >= p->start_ms) {
+            start_proc(p);
+        }
+    }
+}
+
+/* --- checks --- */
+
+static struct call *
+find_call(struct soak *s, uint64_t id)
+{
+    uint64_t i = id & 0xffffffff;
+
+    return i < s->call_count && s->calls[i].id == id ? &s->calls[i] : NULL;
+}
+
+static void
+on_start(void *ctx, struct fake_worker *w, uint64_t job, uint32_t index)
+{
+    struct soak *s = ctx;
+    struct call *c = find_call(s, job);
+    char text[200];
+
+    s->starts++;
+    for (int i = 0; i < s->agents; i++) {
+        if (s->workers[i] != w && fw_runs(s->workers[i], job, index)) {
+            snprintf(text, sizeof(text),
+                "task %016" PRIx64 ".%u runs twice at a time", job, index);
+            broken(s, text);
+        }
+    }
+    if (c == NULL) {
+        broken(s, "a task was started that nobody sent");
+        return;
+    }
+    c->started++;
+    if (c->sends > 0 && c->rejects == c->sends) {
+        snprintf(text, sizeof(text),
+            "task of job %016" PRIx64
+            " started after all its requests were refused",
+            job);
+        broken(s, text);
+    }
+}
+
+static void
+on_end(
+    void *ctx, struct fake_worker *w, uint64_t job, uint32_t index, bool done)
+{
+    struct call *c = find_call(ctx, job);
+
+    (void)w;
+    if (c != NULL && done) {
+        c->done[index] = true;
+    }
+}
+
+static uint32_t
+run_time(void *ctx, uint64_t job, uint32_t index)
+{
+    struct call *c = find_call(ctx, job);
+
+    return c != NULL ? c->ms[index] : 50;
+}
+
+static const struct fw_events worker_events = {
+    on_start, on_end, run_time, broken};
+
+/* --- callers --- */
+
+static void send_call(struct call *c);
+
+static void
+check_answer(struct call *c, const struct httpc_done *d)
+{
+    struct soak *s = c->s;
+    char text[200];
+
+    if (d->code == 503 || d->code == 429) {
+        c->rejects++;
+        if (c->started > 0 && c->rejects == c->sends) {
+            snprintf(text, sizeof(text),
+                "job %016" PRIx64 " is said not to have run", c->id);
+            broken(s, text);
+        }
+        return;
+    }
+    if (d->code == 200 && strstr(d->body.p, "\"completed\"") != NULL) {
+        c->completed = true;
+        for (uint32_t i = 0; i < c->tasks; i++) {
+            if (!c->done[i]) {
+                snprintf(text, sizeof(text),
+                    "job %016" PRIx64 " is said to be complete", c->id);
+                broken(s, text);
+            }
+        }
+        return;
+    }
+    if (d->code == 200) {
+        snprintf(text, sizeof(text),
+            "job %016" PRIx64 " is said to have failed", c->id);
+        broken(s, text);
+    }
+}
+
+static void
+on_answer(void *ctx, const struct httpc_done *d)
+{
+    struct call *c = ctx;
+    uint64_t now = c->s->now;
+
+    if (d->status == HTTPC_OK && d->code != 504) {
+        c->answered = true;
+        check_answer(c, d);
+    }
+    else if (now + RESEND_MS < c->deadline_ms) {
+        c->again_ms = now + RESEND_MS;
+    }
+}
+
+static void
+send_call(struct call *c)
+{
+    struct soak *s = c->s;
+    uint64_t left = num_minus(c->deadline_ms, s->now);
+    char url[128];
+    char deadline[64];
+    char body[256];
+    const char *headers[] = {
+        "Host: h.example", "Content-Type: application/json", deadline, NULL};
+    struct httpc_call h = {0};
+
+    c->again_ms = 0;
+    c->sends++;
+    c->entry = (int)soak_random(s, (uint64_t)s->entries);
+    snprintf(url, sizeof(url), "http://127.0.0.1:%d/q/%016" PRIx64,
+        s->base + AT_ENTRY_CALLERS + c->entry, c->id);
+    snprintf(deadline, sizeof(deadline), "Deadline-Remaining: %" PRIu64, left);
+    snprintf(body, sizeof(body),
+        "{\"task_spec\":\"x\",\"best_effort\":true,\"steps\":[{\"count\":%u,"
+        "\"cpu\":2000,\"mem_mb\":10,\"est_runtime_ms\":%u}]}",
+        c->tasks, c->ms[0]);
+    h.method = "POST";
+    h.url = url;
+    h.headers = headers;
+    h.body = str_of(body);
+    h.timeout_ms = (uint32_t)left;
+    h.connect_timeout_ms = 1000;
+    h.done = on_answer;
+    h.ctx = c;
+    httpc_start(s->http, &h);
+}
+
+static void
+submit(struct soak *s)
+{
+    struct call *c = &s->calls[s->call_count];
+
+    if (s->call_count == CALLS_MAX) {
+        return;
+    }
+    c->s = s;
+    c->id = ((soak_random(s, 0xffffffff) + 1) << 32) | s->call_count;
+    s->call_count++;
+    c->tasks = 1 + (uint32_t)soak_random(s, SOAK_TASKS_MAX);
+    for (uint32_t i = 0; i < c->tasks; i++) {
+        c->ms[i] = 20 + (uint32_t)soak_random(s, i == 0 ? 300 : 120);
+    }
+    c->come_ms = s->now;
+    c->deadline_ms = s->now + LEFT_MS;
+    send_call(c);
+}
+
+static void
+tend_callers(struct soak *s)
+{
+    if (s->now >= s->next_submit_ms && s->now + SETTLE_MS < s->end_ms) {
+        s->next_submit_ms = s->now + SUBMIT_MS;
+        submit(s);
+    }
+    for (size_t i = num_minus(s->call_count, 200); i < s->call_count; i++) {
+        struct call *c = &s->calls[i];
+
+        if (c->again_ms != 0 && s->now >= c->again_ms) {
+            send_call(c);
+        }
+    }
+}
+
+/* --- workers' announcements --- */
+
+static void
+on_announced(void *ctx, const struct httpc_done *d)
+{
+    (void)ctx;
+    (void)d;
+}
+
+static void
+announce(struct soak *s, int i)
+{
+    static const char *const headers[] = {
+        "Content-Type: application/json", NULL};
+    struct buf b = {0};
+    char url[128];
+    struct httpc_call h = {0};
+
+    fw_announce(s->workers[i], &b);
+    if (b.n > 0) {
+        snprintf(url, sizeof(url),
+            "http://127.0.0.1:%d/dunlinweir/Instances.Heartbeat/i-%d",
+            s->base + AT_AGENT_ANNOUNCE + i, i);
+        h.method = "POST";
+        h.url = url;
+        h.headers = headers;
+        h.body = buf_str(&b);
+        h.timeout_ms = 1000;
+        h.done = on_announced;
+        httpc_start(s->http, &h);
+    }
+    buf_free(&b);
+}
+
+/* --- operators --- */
+
+static void
+write_config(struct soak *s)
+{
+    char text[600];
+
+    snprintf(text, sizeof(text),
+        "{\"version\":%" PRIu64 ",\"routes\":[{\"name\":\"r\",\"hostname\":"
+        "\"h.example\",\"prefix\":\"/q/\",\"service\":\"s\",\"timeout_ms\":"
+        "1500,\"slo_ms\":60,\"stretch\":1.6,\"priority\":0,\"attempts\":3}],"
+        "\"services\":[],\"limits\":{}}",
+        ++s->version);
+    fs_put(s->store, "op/config", text);
+}
+
+/* --- faults --- */
+
+static void
+undo_later(
+    struct soak *s, uint64_t ms, void (*fn)(struct soak *s, int i), int i)
+{
+    size_t n = sizeof(s->undo) / sizeof(s->undo[0]);
+
+    if (s->undo_count == n) {
+        fn(s, i);
+        return;
+    }
+    s->undo[s->undo_count].at_ms = s->now + ms;
+    s->undo[s->undo_count].fn = fn;
+    s->undo[s->undo_count++].i = i;
+}
+
+static struct daemon_proc *
+any_proc(struct soak *s)
+{
+    return &s->procs[soak_random(s, (uint64_t)s->proc_count)];
+}
+
+static int
+any_agent(struct soak *s)
+{
+    return (int)soak_random(s, (uint64_t)s->agents);
+}
+
+static void
+kill_one(struct soak *s)
+{
+    struct daemon_proc *p = any_proc(s);
+
+    if (p->pid > 0) {
+        tell(s, "kill", p->name, 0);
+        kill(p->pid, SIGKILL);
+    }
+}
+
+static void
+term_one(struct soak *s)
+{
+    struct daemon_proc *p = any_proc(s);
+
+    if (p->pid > 0 && p->wake_ms == 0) {
+        tell(s, "term", p->name, 0);
+        kill(p->pid, SIGTERM);
+    }
+}
+
+static void
+pause_one(struct soak *s)
+{
+    struct daemon_proc *p = any_proc(s);
+    uint64_t ms = 50 + soak_random(s, soak_random(s, 2) ? 600 : 2500);
+
+    if (p->pid > 0 && p->wake_ms == 0) {
+        tell(s, "pause", p->name, ms);
+        kill(p->pid, SIGSTOP);
+        p->wake_ms = s->now + ms;
+    }
+}
+
+static void
+hup_one(struct soak *s)
+{
+    struct daemon_proc *p = any_proc(s);
+
+    if (p->pid > 0) {
+        kill(p->pid, SIGHUP);
+    }
+}
+
+static void
+undo_store(struct soak *s, int i)
+{
+    (void)i;
+    fs_mode(s->store, STORE_SERVES);
+}
+
+static void
+store_away(struct soak *s)
+{
+    uint64_t ms = 500 + soak_random(s, 3000);
+
+    tell(s, "store", "away", ms);
+    fs_mode(s->store, soak_random(s, 2) ? STORE_REFUSES : STORE_SILENT);
+    undo_later(s, ms, undo_store, 0);
+}
+
+static void
+undo_proxy(struct soak *s, int i)
+{
+    px_mode(s->proxies[i], PROXY_PASS);
+}
+
+static void
+link_fault(struct soak *s)
+{
+    static const char *const names[] = {"pass", "silent", "one_way", "slow"};
+    int i = any_agent(s);
+    enum proxy_mode mode = 1 + (enum proxy_mode)soak_random(s, 3);
+    uint64_t ms = 100 + soak_random(s, 2500);
+
+    tell(s, names[mode], s->procs[i].name, ms);
+    px_mode(s->proxies[i], mode);
+    undo_later(s, ms, undo_proxy, i);
+}
+
+static void
+link_reset(struct soak *s)
+{
+    int i = any_agent(s);
+
+    tell(s, "reset", s->procs[i].name, 0);
+    px_reset(s->proxies[i]);
+}
+
+static void
+worker_crash(struct soak *s)
+{
+    int i = any_agent(s);
+    uint32_t ms = 20 + (uint32_t)soak_random(s, 1500);
+
+    tell(s, "worker_crash", s->procs[i].name, ms);
+    fw_crash(s->workers[i], s->now, ms);
+}
+
+static void
+undo_worker(struct soak *s, int i)
+{
+    fw_lossy(s->workers[i], 0, 0);
+    fw_slow(s->workers[i], 1);
+}
+
+static void
+worker_lossy(struct soak *s)
+{
+    int i = any_agent(s);
+    uint64_t ms = 500 + soak_random(s, 3000);
+
+    tell(s, "worker_lossy", s->procs[i].name, ms);
+    fw_lossy(s->workers[i], (uint32_t)soak_random(s, 150),
+        (uint32_t)soak_random(s, 100));
+    undo_later(s, ms, undo_worker, i);
+}
+
+static void
+worker_slow(struct soak *s)
+{
+    int i = any_agent(s);
+    uint64_t ms = 500 + soak_random(s, 3000);
+
+    tell(s, "worker_slow", s->procs[i].name, ms);
+    fw_slow(s->workers[i], 2 + (uint32_t)soak_random(s, 6));
+    undo_later(s, ms, undo_worker, i);
+}
+
+static void (*const faults[])(struct soak *s) = {kill_one, term_one, pause_one,
+    pause_one, hup_one, store_away, link_fault, link_fault, link_reset,
+    worker_crash, worker_lossy, worker_slow};
+
+/* Series that overlap: a fault each fifth of a second to second. */
+static void
+tend_faults(struct soak *s)
+{
+    for (size_t i = 0; i < s->undo_count;) {
+        if (s->now >= s->undo[i].at_ms) {
+            void (*fn)(struct soak *, int) = s->undo[i].fn;
+            int which = s->undo[i].i;
+
+            s->undo[i] = s->undo[--s->undo_count];
+            fn(s, which);
+            continue;
+        }
+        i++;
+    }
+    if (s->now >= s->next_fault_ms && s->now < s->faults_end_ms) {
+        s->next_fault_ms = s->now + 200 + soak_random(s, 800);
+        s->faults++;
+        faults[soak_random(s, sizeof(faults) / sizeof(faults[0]))](s);
+        if (soak_random(s, 5) == 0) {
+            write_config(s);
+        }
+    }
+}
+
+/* --- the loop --- */
+
+static void
+on_tick(struct ev_loop *loop, ev_timer *t, int revents)
+{
+    struct soak *s = t->data;
+
+    (void)revents;
+    s->now = clock_ms();
+    fs_tick(s->store, s->now);
+    for (int i = 0; i < s->agents; i++) {
+        fw_tick(s->workers[i], s->now);
+    }
+    tend_procs(s);
+    if (s->now >= s->next_beat_ms) {
+        s->next_beat_ms = s->now + 500;
+        for (int i = 0; i < s->agents; i++) {
+            announce(s, i);
+        }
+    }
+    if (s->now - s->began_ms > START_MS) {
+        tend_callers(s);
+        tend_faults(s);
+    }
+    if (s->now >= s->end_ms) {
+        ev_break(loop, EVBREAK_ALL);
+    }
+}
+
+static void
+add_proc(struct soak *s, bool is_agent, int number)
+{
+    struct daemon_proc *p = &s->procs[s->proc_count++];
+
+    p->s = s;
+    p->is_agent = is_agent;
+    p->number = number;
+    snprintf(p->name, sizeof(p->name), "%c%d", is_agent ? 'a' : 'e', number);
+    start_proc(p);
+}
+
+static void
+set_up(struct soak *s)
+{
+    /* The default loop would wait for the processes itself. */
+    s->loop = ev_loop_new(0);
+    s->http = httpc_new(s->loop, 100);
+    s->store = fs_new(
+        s->loop, (uint16_t)(s->base + AT_STORE), AT_PROXY - AT_AGENT_LINK);
+    write_config(s);
+    for (int i = 0; i < s->agents; i++) {
+        s->workers[i] = fw_new(s, s->loop, (uint16_t)(s->base + AT_WORKER + i),
+            &worker_events, s);
+        s->proxies[i] = px_new(s->loop, (uint16_t)(s->base + AT_PROXY + i),
+            (uint16_t)(s->base + AT_AGENT_LINK + i));
+        add_proc(s, true, i);
+    }
+    for (int i = 0; i < s->entries; i++) {
+        add_proc(s, false, i);
+    }
+    ev_timer_init(&s->tick, on_tick, TICK_S, TICK_S);
+    s->tick.data = s;
+    ev_timer_start(s->loop, &s->tick);
+}
+
+/* By id, and only what was started here. */
+static void
+stop_all(struct soak *s)
+{
+    for (int i = 0; i < s->proc_count; i++) {
+        struct daemon_proc *p = &s->procs[i];
+
+        if (p->pid > 0) {
+            kill(p->pid, SIGCONT);
+            kill(p->pid, SIGKILL);
+            waitpid(p->pid, NULL, 0);
+        }
+    }
+}
+
+/* In the calm after the faults every call must complete. */
+static void
+check_calm(struct soak *s, size_t *completed)
+{
+    uint64_t calm = s->faults_end_ms + CALM_MS - 2000;
+
+    for (size_t i = 0; i < s->call_count; i++) {
+        const struct call *c = &s->calls[i];
+
+        *completed += c->completed;
+        if (c->come_ms >= calm && !c->completed) {
+            char text[120];
+
+            snprintf(text, sizeof(text),
+                "job %016" PRIx64 " of the calm did not complete", c->id);
+            broken(s, text);
+        }
+    }
+}
+
+int
+main(int argc, char **argv)
+{
+    struct soak *s = dw_zero(1, sizeof(*s));
+    int seed = 1;
+    int seconds = 10;
+    int verbose = 0;
+    char *dir = NULL;
+    char *bin = NULL;
+    const struct poptOption options[] = {
+        {"seed", 's', POPT_ARG_INT, &seed, 0, "of all chance", "N"},
+        {"seconds", 't', POPT_ARG_INT, &seconds, 0, "of faults", "N"},
+        {"entries", 'e', POPT_ARG_INT, &s->entries, 0, "entries", "N"},
+        {"agents", 'a', POPT_ARG_INT, &s->agents, 0, "agents", "N"},
+        {"base", 'p', POPT_ARG_INT, &s->base, 0, "first of 500 ports", "N"},
+        {"dir", 'd', POPT_ARG_STRING, &dir, 0, "settings and logs", "DIR"},
+        {"bin", 'b', POPT_ARG_STRING, &bin, 0, "dunlinweird", "FILE"},
+        {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "tell faults", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext ctx =
+        poptGetContext("soak", argc, (const char **)argv, options, 0);
+    size_t completed = 0;
+
+    s->entries = 2;
+    s->agents = 5;
+    s->base = 24000;
+    if (poptGetNextOpt(ctx) < -1 || dir == NULL || bin == NULL ||
+        s->agents > SOAK_AGENTS_MAX || s->entries > SOAK_ENTRIES_MAX) {
+        poptPrintUsage(ctx, stderr, 0);
+        return 2;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    s->random = mix64((uint64_t)seed, 1);
+    s->verbose = verbose != 0;
+    s->bin = bin;
+    snprintf(s->dir, sizeof(s->dir), "%s", dir);
+    s->began_ms = s->now = clock_ms();
+    s->faults_end_ms = s->now + START_MS + (uint64_t)seconds * 1000;
+    s->end_ms = s->faults_end_ms + CALM_MS + SETTLE_MS;
+    set_up(s);
+    ev_run(s->loop, 0);
+    stop_all(s);
+    check_calm(s, &completed);
+    printf("seed %d: %" PRIu64 " faults, %zu calls, %zu completed, %" PRIu64
+           " starts, %" PRIu64 " broken\n",
+        seed, s->faults, s->call_count, completed, s->starts, s->broken);
+    return s->broken == 0 ? 0 : 1;
+}
