World: ticks without cycles of shared pointers

Ruled out: the product's modules (the leaks are of std::function only). Change: the timers are member functions.

--- a/test/world.cc
+++ b/test/world.cc
@@ -403,33 +403,38 @@
         }
     }
     uint64_t id = a->id;
-    auto tick = std::make_shared<std::function<void()>>();
-    *tick = [this, a, id, tick] {
-        if (!a->up || a->id != id) {
-            return;
-        }
-        if (now >= a->frozen_until) {
-            ag_tick(&a->a, now);
-            ag_flush(&a->a, now);
-        }
-        after(20, *tick);
-    };
-    after(1, *tick);
-    /* The worker reports every 1.5 s. */
-    auto beat = std::make_shared<std::function<void()>>();
-    *beat = [this, a, id, i, beat] {
-        if (!a->up || a->id != id) {
-            return;
-        }
-        if (workers[i]->up) {
-            on_agent(a, [this, a, i] {
-                rn_room(&a->a.runner, now, workers[i]->millicores, 1000000, 0,
-                    workers[i]->born);
-            });
-        }
-        after(1500, *beat);
-    };
-    after(5, *beat);
+    after(1, [this, a, id] { tick_agent(a, id); });
+    after(5, [this, a, id] { beat_agent(a, id); });
+}
+
+void
+World::tick_agent(FakeAgent *a, uint64_t id)
+{
+    if (!a->up || a->id != id) {
+        return;
+    }
+    if (now >= a->frozen_until) {
+        ag_tick(&a->a, now);
+        ag_flush(&a->a, now);
+    }
+    after(20, [this, a, id] { tick_agent(a, id); });
+}
+
+/* The worker reports every 1.5 s. */
+void
+World::beat_agent(FakeAgent *a, uint64_t id)
+{
+    FakeWorker *w = workers[a->index].get();
+
+    if (!a->up || a->id != id) {
+        return;
+    }
+    if (w->up) {
+        on_agent(a, [this, a, w] {
+            rn_room(&a->a.runner, now, w->millicores, 1000000, 0, w->born);
+        });
+    }
+    after(1500, [this, a, id] { beat_agent(a, id); });
 }
 
 void
@@ -448,17 +453,19 @@
         }
     }
     uint64_t id = e->id;
-    auto tick = std::make_shared<std::function<void()>>();
-    *tick = [this, e, id, tick] {
-        if (!e->up || e->id != id) {
-            return;
-        }
-        if (now >= e->frozen_until) {
-            on_entry(e, [this, e] { co_tick(&e->c, now); });
-        }
-        after(20, *tick);
-    };
-    after(1, *tick);
+    after(1, [this, e, id] { tick_entry(e, id); });
+}
+
+void
+World::tick_entry(FakeEntry *e, uint64_t id)
+{
+    if (!e->up || e->id != id) {
+        return;
+    }
+    if (now >= e->frozen_until) {
+        on_entry(e, [this, e] { co_tick(&e->c, now); });
+    }
+    after(20, [this, e, id] { tick_entry(e, id); });
 }
 
 /* --- the network --- */
--- a/test/world.hh
+++ b/test/world.hh
@@ -132,6 +132,9 @@
     };
     void start_agent(size_t i);
     void start_entry(size_t i);
+    void tick_agent(FakeAgent *a, uint64_t id);
+    void beat_agent(FakeAgent *a, uint64_t id);
+    void tick_entry(FakeEntry *e, uint64_t id);
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
     void answered(Call *c, uint64_t entry_id, co_outcome how);
