Requests sent again come after those that can still meet their objective

For a second after the return the callers that try again come together with those that come now; all were taken to have a whole objective ahead, and most ended late. Ruled out: slow starts (started to first answer 0.1 to 0.25 s), agents found late (all sessions open 0.25 s after the start). Change: where the deadline tells less time than the work takes, the objective has passed, and the job is placed after those that can still meet theirs. A line a second tells the load that the entry sees.

--- a/coord.c
+++ b/coord.c
@@ -354,15 +354,6 @@
     }
 }
 
-/* Waiting work as time of the whole fleet. */
-static uint64_t
-waiting_ms(const struct coord *c, uint64_t now)
-{
-    int64_t capacity = fl_capacity(&c->fleet, now);
-
-    return capacity > 0 ? c->waiting_work / (uint64_t)capacity : 0;
-}
-
 void
 co_submit(
     struct coord *c, uint64_t now, const struct co_submit *s, void *handle)
@@ -386,7 +377,7 @@
     why = refusal(c, now, s);
     if (why != NULL) {
         c->stats.not_run++;
-        c->ops->note_refusal(c->ctx, s, why, waiting_ms(c, now));
+        c->ops->note_refusal(c->ctx, s, why, co_waiting_ms(c, now));
         c->ops->answer(c->ctx, handle, CO_NOT_RUN, why, RETRY_MS);
         return;
     }
@@ -909,6 +900,14 @@
     return HASH_COUNT(c->jobs);
 }
 
+uint64_t
+co_waiting_ms(const struct coord *c, uint64_t now)
+{
+    int64_t capacity = fl_capacity(&c->fleet, now);
+
+    return capacity > 0 ? c->waiting_work / (uint64_t)capacity : 0;
+}
+
 size_t
 co_pending(const struct coord *c)
 {
--- a/coord.h
+++ b/coord.h
@@ -173,6 +173,8 @@
 size_t co_running(const struct coord *c);
 /* Jobs of which nothing has been sent to a worker. */
 size_t co_pending(const struct coord *c);
+/* Waiting work as time of the whole fleet, in ms. */
+uint64_t co_waiting_ms(const struct coord *c, uint64_t now);
 
 #ifdef __cplusplus
 }
--- a/entryd.c
+++ b/entryd.c
@@ -59,6 +59,7 @@
     struct news news;
     struct hist answer_ms; /* from a request to its answer */
     uint64_t asked_last;   /* the entry asked for news last */
+    uint64_t load_line_ms;
     bool accepting;
     uint64_t stale_ms; /* requests read before this time waited too long */
 };
@@ -676,12 +677,36 @@
     free(e);
 }
 
+/* ms between lines that tell what the entry takes the fleet's load to be. */
+#define LOAD_LINE_MS 1000U
+
+/* What decided on a request afterwards: the room that was seen then. */
+static void
+note_load(struct entry *e, uint64_t now)
+{
+    const struct coord *c = &e->coord;
+    size_t jobs = co_running(c);
+
+    if (now - e->load_line_ms < LOAD_LINE_MS) {
+        return;
+    }
+    e->load_line_ms = now;
+    if (jobs > 0) {
+        log_event(LOG_LEVEL_INFO, "load",
+            "jobs=%zu pending=%zu waiting_ms=%" PRIu64 " capacity=%" PRId64
+            " free=%" PRId64,
+            jobs, co_pending(c), co_waiting_ms(c, now),
+            fl_capacity(&c->fleet, now), fl_free_room(&c->fleet, now));
+    }
+}
+
 static void
 entry_tick(struct serve *s, uint64_t now)
 {
     struct entry *e = s->state;
 
     co_tick(&e->coord, now);
+    note_load(e, now);
     if (nw_must_ask(&e->news, now)) {
         ask_others(e);
     }
--- a/guess.c
+++ b/guess.c
@@ -1,5 +1,7 @@
 #include "guess.h"
 
+#include <stdbool.h>
+
 #include "num.h"
 
 /* Declared times off by 40 % lie within these bounds of the true ones for
@@ -25,6 +27,18 @@
     return (uint32_t)((objective - r->slo_ms) * 1000 / r->stretch_milli);
 }
 
+static bool
+is_below(uint32_t told_ms, uint32_t declared_ms)
+{
+    return (uint64_t)told_ms * 100 < (uint64_t)declared_ms * LEAST_PERCENT;
+}
+
+static bool
+is_above(uint32_t told_ms, uint32_t declared_ms)
+{
+    return (uint64_t)told_ms * 100 > (uint64_t)declared_ms * MOST_PERCENT;
+}
+
 struct gs_guess
 gs_times(const struct gs_route *r, uint32_t declared_ms, uint32_t left_ms)
 {
@@ -33,13 +47,18 @@
 
     g.run_ms = declared_ms;
     g.use_ms = left_ms;
-    if ((uint64_t)told * 100 >= (uint64_t)declared_ms * LEAST_PERCENT &&
-        (uint64_t)told * 100 <= (uint64_t)declared_ms * MOST_PERCENT) {
+    if (is_below(told, declared_ms)) {
+        /* Its caller has waited before, or waits for less than the work
+         * takes: what objective it had has passed. */
+        g.objective_ms = 0;
+        return g;
+    }
+    if (!is_above(told, declared_ms)) {
         g.run_ms = told;
         g.use_ms = left_ms - r->timeout_ms;
     }
-    /* Otherwise the caller has a habit of its own, or sends again: while it
-     * waits, an answer is taken to be of use. */
+    /* Otherwise the caller has a habit of its own: while it waits, an answer
+     * is taken to be of use. */
     g.objective_ms = objective_of(r, g.run_ms);
     return g;
 }
--- a/guess.h
+++ b/guess.h
@@ -5,7 +5,13 @@
  * was measured to be the route's timeout plus the time in which an answer is
  * of use, which is three objectives, and an objective is the stretched run
  * time plus the route's allowance (docs/DESIGN.md, "Deadlines").  Where the
- * two disagree by more than estimates are off, the declared time holds.
+ * two disagree by more than estimates are off, the declared time holds; and
+ * where less time is left than that, the caller has tried before.
+ *
+ * After a loss of power all callers of some two seconds come at once, those
+ * that try again with those that come now.  Served as they come, nearly all
+ * are late; the objective of a request that is sent again has passed, so
+ * that those which come now are served in time before it.
  */
 #ifndef GUESS_H
 #define GUESS_H
@@ -27,7 +33,7 @@
 
 struct gs_guess {
     uint32_t run_ms;       /* of the longest task at usual speed */
-    uint32_t objective_ms; /* from now */
+    uint32_t objective_ms; /* from now; 0: it has passed */
     uint32_t use_ms;       /* from now; an answer later is of no use */
 };
 
