One way of calls in the daemon; clocks, signals and base64 once

Cause: api, ops and metric called back into dunlinweird.c for its time and for carrying actions out; clock, random id, signal set-up stood in dunlinweird.c and serve.c, base64 in store.c and platform/kv.c.

--- a/Makefile
+++ b/Makefile
@@ -15,8 +15,8 @@
 DECIDE = str err act subkey contract view member sync place host job jobmove lend \
 	own front node route sess fleet coord runner agent news guess
 # What carries their actions out.
-IO = log hist httpc store link web trail back api ops metric serve entryd agentd \
-	platform/wire platform/kv platform/follow
+IO = log hist proc base64 httpc store link web trail back carry api ops metric serve \
+	entryd agentd platform/wire platform/kv platform/follow
 COMMON = $(DECIDE) conf proto_xdr
 LIBS = -ltirpc -lev -lmicrohttpd -lcurl -lpopt -llog4c -ljansson -lxxhash \
 	-lnettle -lm
--- a/agentd.c
+++ b/agentd.c
@@ -11,6 +11,7 @@
 #include "log.h"
 #include "num.h"
 #include "platform/wire.h"
+#include "proc.h"
 #include "serve.h"
 
 /* To the worker for starts and stops; more wait their turn, a start takes
@@ -52,7 +53,7 @@
     char url[400];
 
     c->w = w;
-    c->asked_ms = sv_now();
+    c->asked_ms = proc_now();
     if (key != NULL) {
         c->key = *key;
     }
@@ -104,10 +105,10 @@
             "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
             " code=%ld ms=%" PRIu64 " lost=%d body=\"%.*s\"",
             c->key.job, c->key.index, c->key.run, d->code,
-            sv_now() - c->asked_ms, result == RN_START_LOST,
+            proc_now() - c->asked_ms, result == RN_START_LOST,
             (int)num_min(d->body.n, 100), d->body.n > 0 ? d->body.p : "");
     }
-    rn_started(&c->w->agent.runner, sv_now(), &c->key, result,
+    rn_started(&c->w->agent.runner, proc_now(), &c->key, result,
         d->status == HTTPC_OK ? wire_clock(d->body) : 0);
     free(c);
 }
@@ -129,7 +130,7 @@
 {
     struct run_call *c = ctx;
 
-    rn_stopped(&c->w->agent.runner, sv_now(), &c->key,
+    rn_stopped(&c->w->agent.runner, proc_now(), &c->key,
         d->status == HTTPC_OK && d->code == 200);
     free(c);
 }
@@ -159,7 +160,7 @@
     l.look.asked_ms = c->asked_ms;
     l.look.quick = c->quick;
     l.look.unreached = d->status == HTTPC_NOT_SENT;
-    rn_looked(&c->w->agent.runner, sv_now(), &l.look);
+    rn_looked(&c->w->agent.runner, proc_now(), &l.look);
     wire_look_free(&l);
     free(c);
 }
@@ -322,7 +323,7 @@
 
     if (begins(web_path(r), LEAVE_PATH)) {
         log_event(LOG_LEVEL_INFO, "worker_left", "path=%s", web_path(r));
-        rn_draining(&w->agent.runner, sv_now(), true, true, 0);
+        rn_draining(&w->agent.runner, proc_now(), true, true, 0);
         web_reply(r, 200, "application/json", STR("{}"), 0);
     }
     else if (!begins(web_path(r), BEAT_PATH)) {
@@ -334,7 +335,7 @@
         web_reply(r, 400, "application/json", STR("{}"), 0);
     }
     else {
-        take_beat(w, sv_now(), &b);
+        take_beat(w, proc_now(), &b);
         web_reply(r, 200, "application/json", STR("{}"), 0);
     }
 }
@@ -360,7 +361,7 @@
     snprintf(w->url, sizeof(w->url), "http://%s", s->conf->platform.worker);
     w->http = httpc_new(s->loop, WORKER_CONNECTIONS);
     w->look_http = httpc_new(s->loop, 1);
-    ag_init(&w->agent, sv_now(), &ag_ops, w);
+    ag_init(&w->agent, proc_now(), &ag_ops, w);
     conf_endpoint(&at, s->conf->platform.announce);
     cfg.port = at.port;
     return web_open(&w->announce, s->loop, &cfg, on_announce, on_announce_gone,
@@ -431,10 +432,7 @@
 {
     const struct worker *w = s->state;
     const struct rn_stats *st = &w->agent.runner.stats;
-    const struct {
-        const char *name;
-        uint64_t value;
-    } rows[] = {
+    const struct sv_row rows[] = {
         {"dw_runs_started", st->started},
         {"dw_runs_done", st->done},
         {"dw_runs_failed", st->failed},
@@ -447,9 +445,7 @@
         {"dw_worker_speed_permille", w->agent.runner.speed_permille},
     };
 
-    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-        buf_addf(b, "%s %" PRIu64 "\n", rows[i].name, rows[i].value);
-    }
+    sv_add_rows(b, rows, sizeof(rows) / sizeof(rows[0]));
     hist_format(&w->run_ms, "dw_run", b);
 }
 
--- a/api.c
+++ b/api.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "daemon.h"
+#include "proc.h"
 #include "log.h"
 
 #define JOBS_PATH "/v1/jobs"
@@ -216,7 +217,7 @@
         return;
     }
     HASH_DEL(d->waiters, w);
-    node_gone(&d->node, daemon_now(), w->request);
+    node_gone(&d->node, proc_now(), w->request);
     free(w);
 }
 
@@ -448,7 +449,7 @@
 static uint32_t
 unseen_ms(const struct daemon *d)
 {
-    uint64_t now = daemon_now();
+    uint64_t now = proc_now();
 
     return now > d->ticked_ms ? (uint32_t)(now - d->ticked_ms) : 0;
 }
@@ -468,8 +469,8 @@
     s->key = str_to_bytes(key);
     HASH_ADD(hh, d->waiters, request, sizeof(w->request), w);
     web_set_ctx(r, w);
-    if (node_request(&d->node, daemon_now(), w->request, kind, msg,
-            unseen_ms(d), deadline_ms, &d->acts) != FRONT_OK) {
+    if (node_request(&d->node, proc_now(), w->request, kind, msg, unseen_ms(d),
+            deadline_ms, &d->acts) != FRONT_OK) {
         HASH_DEL(d->waiters, w);
         web_set_ctx(r, NULL);
         free(w);
@@ -480,7 +481,7 @@
             1);
         return;
     }
-    daemon_carry_out(d);
+    carry_out(d);
 }
 
 static dw_msg *
@@ -589,8 +590,8 @@
     }
     else {
         back_set_urls(d->back, url, worker != NULL ? worker : url);
-        d->node.host.announced_ms = daemon_now();
-        node_backend(&d->node, daemon_now(), true, (uint32_t)slots, &d->acts);
+        d->node.host.announced_ms = proc_now();
+        node_backend(&d->node, proc_now(), true, (uint32_t)slots, &d->acts);
         web_reply(r, 200, "application/json", STR("{\"announced\":true}"), 0);
     }
     json_decref(o);
@@ -609,13 +610,13 @@
         announce(d, r);
     }
     else if (strcmp(web_method(r), "DELETE") == 0) {
-        node_backend(&d->node, daemon_now(), false, 0, &d->acts);
+        node_backend(&d->node, proc_now(), false, 0, &d->acts);
         web_reply(r, 200, "application/json", STR("{\"leaving\":true}"), 0);
     }
     else {
         web_problem(r, 405, "bad_method", "want POST or DELETE", 0);
     }
-    daemon_carry_out(d);
+    carry_out(d);
 }
 
 /* --- queries about this process --- */
@@ -625,7 +626,7 @@
 {
     struct buf b = {0};
 
-    metric_format(d, &b);
+    metric_format(d, proc_now(), &b);
     web_reply(r, 200, "text/plain; version=0.0.4", buf_str(&b), 0);
     buf_free(&b);
 }
@@ -640,7 +641,7 @@
 static void
 handle_ready(struct daemon *d, struct web_req *r)
 {
-    bool ready = !d->leaving && node_fresh(&d->node, daemon_now()) &&
+    bool ready = !d->leaving && node_fresh(&d->node, proc_now()) &&
                  d->node.view.have_map;
 
     if (ready) {
--- a/coord.c
+++ b/coord.c
@@ -97,21 +97,19 @@
 /* --- messages to agents --- */
 
 static dw_orders *
-batch_of(struct coord *c, struct fl_agent *a)
+batch_of(struct fl_agent *a)
 {
     if (a->batch == NULL) {
         a->batch = dw_zero(1, sizeof(*a->batch));
         a->batch->type = DW_ORDERS;
     }
-    (void)c;
     return &a->batch->dw_msg_u.orders;
 }
 
 static void
-add_stop(struct coord *c, struct fl_agent *a, uint64_t job, uint32_t index,
-    uint64_t run)
+add_stop(struct fl_agent *a, uint64_t job, uint32_t index, uint64_t run)
 {
-    dw_orders *o = batch_of(c, a);
+    dw_orders *o = batch_of(a);
     dw_run_ref *ref;
 
     o->stops.stops_val = dw_grow(o->stops.stops_val,
@@ -144,11 +142,10 @@
 }
 
 static void
-add_run(struct coord *c, struct fl_agent *a, const struct co_job *j,
-    uint32_t index)
+add_run(struct fl_agent *a, const struct co_job *j, uint32_t index)
 {
     const struct co_task *t = &j->tasks[index];
-    dw_run_group *g = group_of(batch_of(c, a), j);
+    dw_run_group *g = group_of(batch_of(a), j);
     dw_run *run;
 
     g->runs.runs_val =
@@ -199,7 +196,7 @@
 
         if (t->state == CO_OUT && a != NULL && a->live &&
             a->sess.number == t->session) {
-            add_stop(c, a, j->id, i, t->run);
+            add_stop(a, j->id, i, t->run);
         }
     }
 }
@@ -631,7 +628,7 @@
     t->moving = false;
     j->begun = true;
     c->stats.runs++;
-    add_run(c, a, j, index);
+    add_run(a, j, index);
     fl_reserve(a, now, &need);
     set_state(c, j, t, CO_OUT);
     return true;
@@ -748,7 +745,7 @@
         c->move_room -= need.millicores;
         c->stats.moved++;
         c->ops->note_run(c->ctx, j, i, "run_moved");
-        add_stop(c, a, j->id, i, t->run);
+        add_stop(a, j->id, i, t->run);
     }
 }
 
--- a/daemon.h
+++ b/daemon.h
@@ -2,7 +2,9 @@
  * daemon - what the I/O modules of dunlinweird share
  *
  * Internal: the loop, the node that decides, and the sides that carry its
- * actions out.  One loop on one thread; nothing here blocks.
+ * actions out.  One loop on one thread; nothing here blocks.  Calls go one
+ * way: dunlinweird (loop, events), api and ops (callers, operators), metric,
+ * carry; an answer goes up by the function pointer that is handed down.
  */
 #ifndef DAEMON_H
 #define DAEMON_H
@@ -35,6 +37,8 @@
     struct web *web;
     struct trail *trail;
     struct acts acts;
+    /* Gives an answer to the caller that waits for it. */
+    void (*answer)(struct daemon *d, uint64_t request, const dw_answer *a);
     bool carrying_out;
     ev_timer tick;
     ev_signal term;
@@ -51,11 +55,8 @@
     uint64_t ticked_ms;
 };
 
-/* Present time in ms, which goes on while the machine sleeps. */
-uint64_t daemon_now(void);
-uint64_t daemon_wall(void);
-/* Carry out all actions; call it after every input to the node. */
-void daemon_carry_out(struct daemon *d);
+/* carry.c: do what the node has decided; call it after every input to it */
+void carry_out(struct daemon *d);
 
 /* api.c: the callers' and operators' HTTP interface */
 void api_handle(void *ctx, struct web_req *r);
@@ -71,6 +72,6 @@
 bool ops_is_path(const char *path);
 
 /* metric.c: counters as Prometheus text */
-void metric_format(struct daemon *d, struct buf *out);
+void metric_format(struct daemon *d, uint64_t now, struct buf *out);
 
 #endif
--- a/dunlinweird.c
+++ b/dunlinweird.c
@@ -1,18 +1,15 @@
-#include <errno.h>
 #include <inttypes.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
-#include <sys/resource.h>
-#include <time.h>
 
 #include <curl/curl.h>
 
 #include "daemon.h"
 #include "log.h"
+#include "proc.h"
 #include "serve.h"
 
 #define TICK_S 0.01
@@ -25,187 +22,6 @@
 
 enum exit_code { EXIT_OK = 0, EXIT_BAD_START = 1, EXIT_BAD_USAGE = 2 };
 
-static uint64_t
-clock_in_ms(clockid_t id)
-{
-    struct timespec ts;
-
-    clock_gettime(id, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
-uint64_t
-daemon_now(void)
-{
-    return clock_in_ms(CLOCK_BOOTTIME);
-}
-
-uint64_t
-daemon_wall(void)
-{
-    return clock_in_ms(CLOCK_REALTIME);
-}
-
-/* --- carrying out actions --- */
-
-/* A store call on its way, and when it left. */
-struct store_call {
-    struct daemon *d;
-    uint64_t asked_ms;
-    uint64_t ref;
-};
-
-static struct store_call *
-new_store_call(struct daemon *d, uint64_t ref)
-{
-    struct store_call *c = dw_zero(1, sizeof(*c));
-
-    c->d = d;
-    c->asked_ms = daemon_now();
-    c->ref = ref;
-    return c;
-}
-
-static void
-on_checked(void *ctx, enum store_status st, uint64_t rev)
-{
-    struct store_call *c = ctx;
-    struct daemon *d = c->d;
-
-    if (st == STORE_OK) {
-        node_checked(&d->node, daemon_now(), c->asked_ms, rev, &d->acts);
-    }
-    else {
-        node_read_failed(&d->node);
-    }
-    free(c);
-    daemon_carry_out(d);
-}
-
-static void
-on_read(void *ctx, enum store_status st, const dw_state *all)
-{
-    struct store_call *c = ctx;
-    struct daemon *d = c->d;
-
-    if (st == STORE_OK) {
-        node_read(&d->node, daemon_now(), c->asked_ms, all, &d->acts);
-    }
-    else {
-        node_read_failed(&d->node);
-    }
-    free(c);
-    daemon_carry_out(d);
-}
-
-static void
-on_txn(void *ctx, enum store_status st, uint64_t rev)
-{
-    static const enum txn_status meaning[] = {
-        [STORE_OK] = TXN_OK,
-        [STORE_CONFLICT] = TXN_CONFLICT,
-        [STORE_DOWN] = TXN_UNKNOWN,
-        [STORE_UNKNOWN] = TXN_UNKNOWN,
-    };
-    struct store_call *c = ctx;
-    struct daemon *d = c->d;
-
-    (void)rev;
-    node_txn_done(&d->node, daemon_now(), c->ref, meaning[st], &d->acts);
-    free(c);
-    daemon_carry_out(d);
-}
-
-static void
-do_send(struct daemon *d, struct act *a)
-{
-    if (a->to == d->node.self) {
-        node_message(&d->node, daemon_now(), a->to, a->msg, &d->acts);
-        return;
-    }
-    link_send(d->link, a->to, a->msg);
-}
-
-static void
-do_start(struct daemon *d, struct act *a)
-{
-    const struct host_run *r = host_find(&d->node.host, a->ref);
-
-    if (r != NULL) {
-        back_run(d->back, r);
-    }
-}
-
-static void
-do_stop(struct daemon *d, struct act *a)
-{
-    back_stop(d->back, a->ref);
-}
-
-static void
-do_answer(struct daemon *d, struct act *a)
-{
-    api_answer(d, a->ref, &a->msg->dw_msg_u.answer);
-}
-
-static void
-do_txn(struct daemon *d, struct act *a)
-{
-    d->store->ops->txn(d->store, a->txn, on_txn, new_store_call(d, a->ref));
-}
-
-static void
-do_read(struct daemon *d, struct act *a)
-{
-    struct store_call *c = new_store_call(d, a->ref);
-
-    if (a->ref == ACT_READ_CHECK) {
-        d->store->ops->check(d->store, on_checked, c);
-    }
-    else {
-        d->store->ops->read(d->store, VIEW_PREFIX, on_read, c);
-    }
-}
-
-static void
-do_note(struct daemon *d, struct act *a)
-{
-    if (a->customer[0] == '\0') {
-        log_event(LOG_LEVEL_INFO, "fleet", "%s", a->text);
-        return;
-    }
-    trail_add(d->trail, daemon_wall(), str_of(a->customer), str_of(a->key),
-        str_of(a->text));
-    log_event(LOG_LEVEL_DEBUG, "note", "customer=%s key=%s text=\"%s\"",
-        a->customer, a->key, a->text);
-}
-
-static void (*const doers[])(struct daemon *d, struct act *a) = {
-    [ACT_SEND] = do_send,
-    [ACT_START] = do_start,
-    [ACT_STOP] = do_stop,
-    [ACT_ANSWER] = do_answer,
-    [ACT_TXN] = do_txn,
-    [ACT_READ] = do_read,
-    [ACT_NOTE] = do_note,
-};
-
-void
-daemon_carry_out(struct daemon *d)
-{
-    struct act *a;
-
-    if (d->carrying_out) {
-        return;
-    }
-    d->carrying_out = true;
-    while ((a = acts_take(&d->acts)) != NULL) {
-        doers[a->kind](d, a);
-        act_free(a);
-    }
-    d->carrying_out = false;
-}
-
 /* --- events --- */
 
 static void
@@ -213,8 +29,8 @@
 {
     struct daemon *d = ctx;
 
-    node_message(&d->node, daemon_now(), from, msg, &d->acts);
-    daemon_carry_out(d);
+    node_message(&d->node, proc_now(), from, msg, &d->acts);
+    carry_out(d);
 }
 
 static void
@@ -222,8 +38,8 @@
 {
     struct daemon *d = ctx;
 
-    node_refused(&d->node, daemon_now(), id, &d->acts);
-    daemon_carry_out(d);
+    node_refused(&d->node, proc_now(), id, &d->acts);
+    carry_out(d);
 }
 
 static bool
@@ -249,7 +65,7 @@
     struct daemon *d = ctx;
 
     (void)ref;
-    return node_may_start(&d->node, daemon_now());
+    return node_may_start(&d->node, proc_now());
 }
 
 static void
@@ -258,8 +74,8 @@
 {
     struct daemon *d = ctx;
 
-    node_task_ended(&d->node, daemon_now(), ref, state, code, body, &d->acts);
-    daemon_carry_out(d);
+    node_task_ended(&d->node, proc_now(), ref, state, code, body, &d->acts);
+    carry_out(d);
 }
 
 static void
@@ -278,8 +94,8 @@
 {
     struct daemon *d = ctx;
 
-    node_store_hint(&d->node, daemon_now(), &d->acts);
-    daemon_carry_out(d);
+    node_store_hint(&d->node, proc_now(), &d->acts);
+    carry_out(d);
 }
 
 /* Only readers watch: the store counts a waiting watch as a call. */
@@ -328,7 +144,7 @@
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
     struct daemon *d = w->data;
-    uint64_t now = daemon_now();
+    uint64_t now = proc_now();
 
     (void)loop;
     (void)revents;
@@ -337,13 +153,13 @@
         log_event(LOG_LEVEL_WARN, "paused", "ms=%" PRIu64, now - d->ticked_ms);
     }
     d->ticked_ms = now;
-    node_tick(&d->node, now, daemon_wall(), &d->acts);
-    daemon_carry_out(d);
+    node_tick(&d->node, now, proc_wall(), &d->acts);
+    carry_out(d);
     ops_tick(d, now);
     check_announcement(d, now);
     follow_readers(d);
     check_leaving(d, now);
-    daemon_carry_out(d);
+    carry_out(d);
 }
 
 static void
@@ -359,9 +175,9 @@
     log_event(LOG_LEVEL_INFO, "leaving", "requests=%zu",
         front_waiting(&d->node.front));
     d->leaving = true;
-    d->leave_ms = daemon_now();
+    d->leave_ms = proc_now();
     node_leave(&d->node, d->leave_ms, &d->acts);
-    daemon_carry_out(d);
+    carry_out(d);
 }
 
 /* Settings that may change while the process runs: the log. */
@@ -389,21 +205,12 @@
 
 /* --- starting --- */
 
-static void
-watch_signal(struct daemon *d, ev_signal *w, int signum,
-    void (*fn)(struct ev_loop *, ev_signal *, int))
-{
-    ev_signal_init(w, fn, signum);
-    w->data = d;
-    ev_signal_start(d->loop, w);
-}
-
 static void
 start_loop(struct daemon *d)
 {
-    watch_signal(d, &d->term, SIGTERM, on_term);
-    watch_signal(d, &d->intr, SIGINT, on_term);
-    watch_signal(d, &d->hup, SIGHUP, on_hup);
+    proc_watch_signal(d->loop, &d->term, SIGTERM, on_term, d);
+    proc_watch_signal(d->loop, &d->intr, SIGINT, on_term, d);
+    proc_watch_signal(d->loop, &d->hup, SIGHUP, on_hup, d);
     ev_timer_init(&d->tick, on_tick, TICK_S, TICK_S);
     d->tick.data = d;
     ev_timer_start(d->loop, &d->tick);
@@ -432,7 +239,7 @@
     d->back = back_new(d->loop, d->back_http, &back, &back_events, d);
     if (d->conf.backend_url[0] != '\0') {
         back_set_urls(d->back, d->conf.backend_url, d->conf.worker_url);
-        node_backend(&d->node, daemon_now(), true, 0, &d->acts);
+        node_backend(&d->node, proc_now(), true, 0, &d->acts);
     }
     return 0;
 }
@@ -460,44 +267,19 @@
     }
 }
 
-static uint64_t
-random_id(void)
-{
-    uint64_t id = 0;
-
-    while (id == 0) {
-        if (getrandom(&id, sizeof(id), 0) != (ssize_t)sizeof(id)) {
-            id = 0;
-        }
-    }
-    return id;
-}
-
-/* Many peers and callers each hold a file descriptor. */
-static void
-raise_limits(void)
-{
-    struct rlimit r;
-
-    if (getrlimit(RLIMIT_NOFILE, &r) == 0) {
-        r.rlim_cur = r.rlim_max;
-        setrlimit(RLIMIT_NOFILE, &r);
-    }
-    signal(SIGPIPE, SIG_IGN);
-}
-
 static int
 run(struct daemon *d)
 {
     struct err e = {""};
     int code = EXIT_OK;
 
-    d->conf.node.me.id = random_id();
-    d->conf.node.seed = random_id();
+    d->conf.node.me.id = proc_random_id();
+    d->conf.node.seed = proc_random_id();
     d->loop = ev_default_loop(0);
-    d->started_ms = daemon_now();
-    d->next_request = random_id() >> 1;
+    d->started_ms = proc_now();
+    d->next_request = proc_random_id() >> 1;
     acts_init(&d->acts);
+    d->answer = api_answer;
     d->trail = trail_new(d->conf.trail_max);
     node_init(&d->node, &d->conf.node);
     if (open_sides(d, &e) == 0) {
@@ -573,7 +355,7 @@
         code = EXIT_BAD_START;
     }
     else {
-        raise_limits();
+        proc_raise_limits();
         curl_global_init(CURL_GLOBAL_DEFAULT);
         d->conf_path = path;
         code = d->conf.platform.store[0] == '\0' ? run(d) : run_served(d);
--- a/entryd.c
+++ b/entryd.c
@@ -13,6 +13,7 @@
 #include "num.h"
 #include "platform/follow.h"
 #include "platform/wire.h"
+#include "proc.h"
 #include "route.h"
 #include "serve.h"
 
@@ -96,7 +97,7 @@
 note_job(void *ctx, const struct co_job *j, const char *why)
 {
     struct entry *e = ctx;
-    uint64_t now = sv_now();
+    uint64_t now = proc_now();
     bool done = strcmp(why, "done") == 0;
 
     hist_add(&e->answer_ms, now - j->come_ms);
@@ -114,7 +115,7 @@
     void *ctx, const struct co_submit *s, const char *why, uint64_t waiting_ms)
 {
     struct entry *e = ctx;
-    uint64_t now = sv_now();
+    uint64_t now = proc_now();
 
     log_event(LOG_LEVEL_WARN, "job_refused",
         "job=%016" PRIx64 " why=%s tasks=%zu run_ms=%u left_ms=%u"
@@ -135,8 +136,8 @@
         "job=%016" PRIx64 " task=%u run=%" PRIu64
         " agent=%s failed=%u ms=%" PRIu64 " pace=%u room_age_ms=%" PRIu64,
         j->id, index, t->run, a != NULL ? a->name : "gone", t->failed,
-        sv_now() - t->sent_ms, a != NULL ? a->room.pace_permille : 0,
-        a != NULL ? sv_now() - a->sess.heard_ms : 0);
+        proc_now() - t->sent_ms, a != NULL ? a->room.pace_permille : 0,
+        a != NULL ? proc_now() - a->sess.heard_ms : 0);
 }
 
 static void
@@ -146,7 +147,7 @@
     log_event(
         strcmp(what, "agent_live") == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
         what, "agent=%s id=%016" PRIx64 " heard_ms=%" PRIu64 " runs=%u",
-        a->name, a->id, sv_now() - a->sess.heard_ms, a->out);
+        a->name, a->id, proc_now() - a->sess.heard_ms, a->out);
 }
 
 static const struct co_ops co_ops = {
@@ -261,7 +262,7 @@
         return;
     }
     s.id = id;
-    s.wall_ms = sv_wall();
+    s.wall_ms = proc_wall();
     s.spec = job.spec;
     s.service = route->service;
     s.priority = route->priority;
@@ -326,7 +327,7 @@
 on_caller(void *ctx, struct web_req *r)
 {
     struct entry *e = ctx;
-    uint64_t now = sv_now();
+    uint64_t now = proc_now();
     const char *host = web_header(r, "Host");
     struct str path = str_of(web_path(r));
     const struct rt_route *route;
@@ -365,14 +366,14 @@
             return;
         }
     }
-    co_leave(&e->coord, sv_now(), r);
+    co_leave(&e->coord, proc_now(), r);
 }
 
 static bool
 is_ready(const struct entry *e)
 {
     return !e->s->leaving && e->routes.version != 0 &&
-           fl_capacity(&e->coord.fleet, sv_now()) > 0;
+           fl_capacity(&e->coord.fleet, proc_now()) > 0;
 }
 
 static void
@@ -475,7 +476,7 @@
 {
     struct entry *e = ctx;
 
-    nw_store(&e->news, sv_now(), answers);
+    nw_store(&e->news, proc_now(), answers);
     note_store(answers, message);
 }
 
@@ -780,10 +781,7 @@
 {
     const struct entry *e = s->state;
     const struct co_stats *st = &e->coord.stats;
-    const struct {
-        const char *name;
-        uint64_t value;
-    } rows[] = {
+    const struct sv_row rows[] = {
         {"dw_jobs_submitted", st->submitted},
         {"dw_jobs_attached", st->attached},
         {"dw_jobs_completed", st->completed},
@@ -800,9 +798,7 @@
         {"dw_config_version", e->routes.version},
     };
 
-    for (size_t i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
-        buf_addf(b, "%s %" PRIu64 "\n", rows[i].name, rows[i].value);
-    }
+    sv_add_rows(b, rows, sizeof(rows) / sizeof(rows[0]));
     hist_format(&e->answer_ms, "dw_answer", b);
 }
 
--- a/metric.c
+++ b/metric.c
@@ -132,10 +132,9 @@
 }
 
 static void
-add_state(struct daemon *d, struct buf *b)
+add_state(struct daemon *d, uint64_t now, struct buf *b)
 {
     struct node *n = &d->node;
-    uint64_t now = daemon_now();
 
     add(b, GAUGE, "revision", n->view.rev);
     add(b, GAUGE, "state_age_ms", sync_age(&n->sync, now));
@@ -175,7 +174,7 @@
 }
 
 static void
-add_process(struct daemon *d, struct buf *b)
+add_process(struct daemon *d, uint64_t now, struct buf *b)
 {
     struct rusage u;
 
@@ -184,14 +183,14 @@
         (uint64_t)(u.ru_utime.tv_sec + u.ru_stime.tv_sec) * 1000000 +
             (uint64_t)(u.ru_utime.tv_usec + u.ru_stime.tv_usec));
     add(b, GAUGE, "resident_kb", resident_kb());
-    add(b, COUNTER, "uptime_ms", daemon_now() - d->started_ms);
+    add(b, COUNTER, "uptime_ms", now - d->started_ms);
 }
 
 void
-metric_format(struct daemon *d, struct buf *out)
+metric_format(struct daemon *d, uint64_t now, struct buf *out)
 {
-    add_process(d, out);
-    add_state(d, out);
+    add_process(d, now, out);
+    add_state(d, now, out);
     add_link(d, out);
     add_front(&d->node, out);
     if (d->node.agent) {
--- a/ops.c
+++ b/ops.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #include "daemon.h"
+#include "proc.h"
 #include "log.h"
 
 #define CONTRACTS "/v1/contracts"
@@ -178,10 +179,10 @@
 {
     op->rev = rev;
     op->state = OP_SPREADING;
-    op->began_ms = daemon_now();
+    op->began_ms = proc_now();
     op->next_ms = 0;
     node_store_hint(&op->d->node, op->began_ms, &op->d->acts);
-    daemon_carry_out(op->d);
+    carry_out(op->d);
 }
 
 static void
@@ -195,7 +196,7 @@
     op->out = false;
     if (st != STORE_OK) {
         op->state = OP_RETRYING;
-        op->next_ms = daemon_now() + RETRY_MS;
+        op->next_ms = proc_now() + RETRY_MS;
         return;
     }
     other = find_entry(all, op, &own, &rev);
@@ -239,7 +240,7 @@
     case STORE_DOWN:
     case STORE_UNKNOWN:
         op->state = OP_RETRYING;
-        op->next_ms = daemon_now() + RETRY_MS;
+        op->next_ms = proc_now() + RETRY_MS;
         break;
     }
 }
@@ -439,7 +440,7 @@
     json_t *o = json_pack("{s:s, s:s, s:s, s:s, s:s?, s:s?, s:I}", "id",
         op->id, "who", header_or(r, "Dunlinweir-Who", "unknown"), "why",
         header_or(r, "Dunlinweir-Why", ""), "target", op->target, "before",
-        before, "after", after, "ms", (json_int_t)daemon_wall());
+        before, "after", after, "ms", (json_int_t)proc_wall());
     char *text;
 
     if (o == NULL) {
@@ -470,10 +471,10 @@
     char audit_key[TEXT_MAX];
     char *entry;
 
-    op->began_ms = daemon_now();
+    op->began_ms = proc_now();
     op->wait = web_query(r, "wait") != NULL;
     snprintf(op->id, sizeof(op->id), "%016" PRIx64,
-        mix64(d->node.self ^ daemon_wall(), ++d->next_request));
+        mix64(d->node.self ^ proc_wall(), ++d->next_request));
     str_copy(
         op->target, sizeof(op->target), str_of(key + strlen(VIEW_PREFIX)));
     snprintf(audit_key, sizeof(audit_key), VIEW_AUDIT "%s", op->id);
@@ -491,7 +492,7 @@
 static bool
 can_change(struct daemon *d, struct web_req *r)
 {
-    if (d->node.sync.down || !node_fresh(&d->node, daemon_now())) {
+    if (d->node.sync.down || !node_fresh(&d->node, proc_now())) {
         web_problem(r, 503, "store_down",
             "the platform's store cannot be reached or this entry's state "
             "is not current; nothing was changed",
@@ -757,7 +758,7 @@
     struct node *n = &d->node;
     const struct view_member *m;
     json_t *members = json_array();
-    uint64_t now = daemon_now();
+    uint64_t now = proc_now();
 
     for (m = n->view.members; m != NULL; m = m->hh.next) {
         json_array_append_new(members, member_json(d, m));
--- a/runner.c
+++ b/runner.c
@@ -486,13 +486,6 @@
     pump(r, now);
 }
 
-void
-rn_withdraw(struct runner *r, uint64_t now, bool withdrawn)
-{
-    r->withdrawn = withdrawn;
-    pump(r, now);
-}
-
 void
 rn_started(struct runner *r, uint64_t now, const struct rn_key *key,
     enum rn_start_result result, uint64_t clock_ms)
@@ -765,7 +758,7 @@
 rn_serving(const struct runner *r)
 {
     return r->have_room && r->looked && r->wild_ms == 0 && !r->silent &&
-           r->orphans == 0 && !r->draining && !r->withdrawn && !r->leaving;
+           r->orphans == 0 && !r->draining && !r->leaving;
 }
 
 bool
--- a/runner.h
+++ b/runner.h
@@ -171,7 +171,6 @@
     uint64_t begun_ms;
     bool have_room;
     bool draining;
-    bool withdrawn;
     uint64_t leaves_ms; /* the worker may be gone from then on; 0: stays */
     uint32_t millicores;
     uint32_t memory_mb;
@@ -226,7 +225,6 @@
     uint64_t left_ms);
 /* This agent is about to end: what waits goes back. */
 void rn_leave(struct runner *r, uint64_t now);
-void rn_withdraw(struct runner *r, uint64_t now, bool withdrawn);
 void rn_started(struct runner *r, uint64_t now, const struct rn_key *key,
     enum rn_start_result result, uint64_t clock_ms);
 void rn_stopped(
--- a/serve.c
+++ b/serve.c
@@ -5,12 +5,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
 #include <sys/stat.h>
-#include <time.h>
 
 #include "log.h"
 #include "num.h"
+#include "proc.h"
 
 #define TICK_S 0.02
 /* A pass of the loop that took longer is a pause of the machine's. */
@@ -27,29 +26,6 @@
 /* ms before the platform's own kill at which a stop ends at the latest. */
 #define LEAVE_MARGIN_MS 600U
 
-static uint64_t
-clock_in_ms(clockid_t id)
-{
-    struct timespec ts;
-
-    clock_gettime(id, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
-/* Counts the time that a suspended machine slept, as leases elsewhere run on
- * meanwhile. */
-uint64_t
-sv_now(void)
-{
-    return clock_in_ms(CLOCK_BOOTTIME);
-}
-
-uint64_t
-sv_wall(void)
-{
-    return clock_in_ms(CLOCK_REALTIME);
-}
-
 /* --- peers --- */
 
 struct sv_peer *
@@ -144,7 +120,7 @@
     }
     s->entering = false;
     s->entered = true;
-    s->check_ms = sv_now();
+    s->check_ms = proc_now();
     log_event(LOG_LEVEL_INFO, "entered", "lease=%" PRIu64, s->lease);
 }
 
@@ -170,7 +146,7 @@
         return;
     }
     s->lease = a->lease;
-    s->keep_ms = sv_now();
+    s->keep_ms = proc_now();
     put_entry(s);
 }
 
@@ -244,7 +220,7 @@
 {
     struct serve *s = ctx;
 
-    s->role->message(s, sv_now(), from, m);
+    s->role->message(s, proc_now(), from, m);
 }
 
 static void
@@ -252,7 +228,7 @@
 {
     struct serve *s = ctx;
 
-    s->role->refused(s, sv_now(), id);
+    s->role->refused(s, proc_now(), id);
 }
 
 static bool
@@ -294,7 +270,7 @@
 
     (void)loop;
     (void)revents;
-    s->role->flush(s, sv_now());
+    s->role->flush(s, proc_now());
     log_flush();
 }
 
@@ -303,7 +279,7 @@
 on_check(struct ev_loop *loop, ev_check *w, int revents)
 {
     struct serve *s = w->data;
-    uint64_t now = sv_now();
+    uint64_t now = proc_now();
 
     (void)loop;
     (void)revents;
@@ -326,7 +302,7 @@
         return;
     }
     s->leaving = true;
-    s->leave_ms = sv_now();
+    s->leave_ms = proc_now();
     log_event(
         LOG_LEVEL_INFO, "leaving", "grace_ms=%u", s->conf->platform.grace_ms);
     s->role->leave(s, s->leave_ms);
@@ -387,7 +363,7 @@
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
     struct serve *s = w->data;
-    uint64_t now = sv_now();
+    uint64_t now = proc_now();
 
     (void)loop;
     (void)revents;
@@ -397,21 +373,12 @@
     check_leaving(s, now);
 }
 
-static void
-watch_signal(struct serve *s, ev_signal *w, int signum,
-    void (*fn)(struct ev_loop *, ev_signal *, int))
-{
-    ev_signal_init(w, fn, signum);
-    w->data = s;
-    ev_signal_start(s->loop, w);
-}
-
 static void
 start_loop(struct serve *s)
 {
-    watch_signal(s, &s->term, SIGTERM, on_term);
-    watch_signal(s, &s->intr, SIGINT, on_term);
-    watch_signal(s, &s->hup, SIGHUP, on_hup);
+    proc_watch_signal(s->loop, &s->term, SIGTERM, on_term, s);
+    proc_watch_signal(s->loop, &s->intr, SIGINT, on_term, s);
+    proc_watch_signal(s->loop, &s->hup, SIGHUP, on_hup, s);
     ev_timer_init(&s->tick, on_tick, 0.0, TICK_S);
     s->tick.data = s;
     ev_timer_start(s->loop, &s->tick);
@@ -426,20 +393,31 @@
 
 /* --- metrics --- */
 
+void
+sv_add_rows(struct buf *b, const struct sv_row *rows, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        buf_addf(b, "%s %" PRIu64 "\n", rows[i].name, rows[i].value);
+    }
+}
+
 static void
 on_metrics(void *ctx, struct web_req *r)
 {
     struct serve *s = ctx;
     const struct kv_stats *kv = kv_stats(s->kv);
+    const struct sv_row rows[] = {
+        {"dw_uptime_ms", proc_now() - s->started_ms},
+        {"dw_pauses", s->pauses},
+        {"dw_store_reads", kv->reads},
+        {"dw_store_cheap_reads", kv->cheap},
+        {"dw_store_writes", kv->writes},
+        {"dw_store_failures", kv->failures},
+        {"dw_log_lines_lost", log_lost()},
+    };
     struct buf b = {0};
 
-    buf_addf(&b, "dw_uptime_ms %" PRIu64 "\ndw_pauses %" PRIu64 "\n",
-        sv_now() - s->started_ms, s->pauses);
-    buf_addf(&b,
-        "dw_store_reads %" PRIu64 "\ndw_store_cheap_reads %" PRIu64
-        "\ndw_store_writes %" PRIu64 "\ndw_store_failures %" PRIu64 "\n",
-        kv->reads, kv->cheap, kv->writes, kv->failures);
-    buf_addf(&b, "dw_log_lines_lost %lu\n", log_lost());
+    sv_add_rows(&b, rows, sizeof(rows) / sizeof(rows[0]));
     s->role->metrics(s, &b);
     web_reply(r, 200, "text/plain", buf_str(&b), 0);
     buf_free(&b);
@@ -471,19 +449,6 @@
 
 /* --- start and end --- */
 
-static uint64_t
-random_id(void)
-{
-    uint64_t id = 0;
-
-    while (id == 0) {
-        if (getrandom(&id, sizeof(id), 0) != (ssize_t)sizeof(id)) {
-            id = 0;
-        }
-    }
-    return id;
-}
-
 static int
 open_all(struct serve *s, struct err *e)
 {
@@ -531,10 +496,10 @@
     s->conf = c;
     s->conf_path = path;
     s->role = role;
-    s->id = random_id();
-    s->seed = random_id();
+    s->id = proc_random_id();
+    s->seed = proc_random_id();
     s->loop = ev_default_loop(0);
-    s->started_ms = sv_now();
+    s->started_ms = proc_now();
     if (open_all(s, &e) == 0) {
         log_event(LOG_LEVEL_INFO, "started",
             "role=%s name=%s id=%016" PRIx64 " domain=%s port=%u", role->name,
--- a/serve.h
+++ b/serve.h
@@ -59,6 +59,12 @@
     void (*metrics)(struct serve *s, struct buf *b);
 };
 
+/* A counter or gauge of the metrics address. */
+struct sv_row {
+    const char *name;
+    uint64_t value;
+};
+
 struct serve {
     struct ev_loop *loop;
     struct conf *conf;
@@ -96,8 +102,7 @@
 /* Run until told to leave; the exit code. */
 int sv_run(struct conf *c, const char *path, const struct sv_role *role);
 
-uint64_t sv_now(void);
-uint64_t sv_wall(void);
+void sv_add_rows(struct buf *b, const struct sv_row *rows, size_t n);
 struct sv_peer *sv_peer(struct serve *s, uint64_t id, bool add);
 /* Decode an entry of the store; false if it is none of ours. */
 bool sv_read_peer(struct sv_peer *out, const char *key, struct str value);
--- a/sess.c
+++ b/sess.c
@@ -64,7 +64,6 @@
     h->ack = s->in_seq;
     s->echoed_ms = s->heard_ms;
     s->sent_ms = now;
-    s->owes_ack = false;
 }
 
 void
@@ -133,7 +132,6 @@
     if (head->seq == 0) {
         return SESS_BEAT;
     }
-    s->owes_ack = true;
     if (head->seq != s->in_seq + 1) {
         return SESS_BEAT;
     }
--- a/sess.h
+++ b/sess.h
@@ -48,7 +48,6 @@
     uint64_t out_seq;
     uint64_t acked;
     uint64_t in_seq;
-    bool owes_ack;
     struct sess_item *head; /* not acknowledged, oldest first */
     struct sess_item **tail;
 };
--- a/store.c
+++ b/store.c
@@ -2,11 +2,11 @@
 
 #include <inttypes.h>
 #include <jansson.h>
-#include <nettle/base64.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "base64.h"
 #include "log.h"
 #include "view.h"
 
@@ -40,36 +40,6 @@
     void *ctx;
 };
 
-/* --- base64 --- */
-
-static void
-add_base64(struct buf *b, struct str s)
-{
-    char *out = dw_alloc(BASE64_ENCODE_RAW_LENGTH(s.n) + 1);
-
-    base64_encode_raw(out, s.n, (const uint8_t *)s.p);
-    buf_add(b, str_make(out, BASE64_ENCODE_RAW_LENGTH(s.n)));
-    free(out);
-}
-
-/* NULL if z is not base64; else bytes to free(3), NUL added. */
-static char *
-from_base64(const char *z, size_t *n)
-{
-    struct base64_decode_ctx ctx;
-    size_t len = strlen(z);
-    uint8_t *out = dw_alloc(BASE64_DECODE_LENGTH(len) + 1);
-
-    base64_decode_init(&ctx);
-    if (!base64_decode_update(&ctx, n, out, len, z) ||
-        !base64_decode_final(&ctx)) {
-        free(out);
-        return NULL;
-    }
-    out[*n] = '\0';
-    return (char *)out;
-}
-
 /* --- answers --- */
 
 /* The gateway writes 64-bit numbers as strings; some proxies as numbers. */
@@ -103,13 +73,13 @@
     if (key == NULL) {
         return false;
     }
-    kv->key.dw_bytes_val = from_base64(key, &n);
+    kv->key.dw_bytes_val = base64_read(key, &n);
     kv->key.dw_bytes_len = (u_int)n;
     if (kv->key.dw_bytes_val == NULL) {
         kv->key.dw_bytes_len = 0;
         return false;
     }
-    kv->value.dw_value_val = from_base64(value != NULL ? value : "", &n);
+    kv->value.dw_value_val = base64_read(value != NULL ? value : "", &n);
     kv->value.dw_value_len = kv->value.dw_value_val != NULL ? (u_int)n : 0;
     kv->mod = number(row, "mod_revision");
     return kv->value.dw_value_val != NULL;
@@ -246,7 +216,7 @@
 add_field(struct buf *b, const char *name, struct str value)
 {
     buf_addf(b, "\"%s\":\"", name);
-    add_base64(b, value);
+    base64_add(b, value);
     buf_add(b, STR("\""));
 }
 
