--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,8 @@
 		-lpopt -lnettle
 
 TESTS = unit-test work-test link-test lend-test path-test member-test matrix-test \
-	property-test fleet world serve-test part-test web-test log-test
+	property-test fleet world serve-test wire-test route-test sess-test runner-test \
+	coord-test news-test guess-test fleet-test web-test log-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/link.o $(B)/log.o $(B)/hist.o $(B)/web.o \
 	$(B)/platform/wire.o
--- /dev/null
+++ b/test/coord-test.cc
@@ -0,0 +1,302 @@
+/* An entry's jobs, step by step. */
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "coord.h"
+
+namespace {
+
+struct Callers {
+    std::vector<std::pair<void *, co_outcome>> answers;
+    std::vector<std::string> reasons;
+    std::vector<dw_msg *> sent;
+
+    ~Callers()
+    {
+        for (auto *m : sent) {
+            msg_free(m);
+        }
+    }
+};
+
+void
+co_sent(void *ctx, uint64_t, const dw_msg *m)
+{
+    static_cast<Callers *>(ctx)->sent.push_back(msg_clone(m));
+}
+
+void
+co_answered(
+    void *ctx, void *handle, co_outcome how, const char *reason, uint32_t)
+{
+    static_cast<Callers *>(ctx)->answers.push_back({handle, how});
+    static_cast<Callers *>(ctx)->reasons.push_back(reason);
+}
+
+void
+co_noted(void *, const co_job *, const char *)
+{
+}
+
+void
+co_noted_refusal(void *, const struct co_submit *, const char *, uint64_t)
+{
+}
+
+void
+co_noted_run(void *, const co_job *, uint32_t, const char *)
+{
+}
+
+void
+co_noted_agent(void *, const fl_agent *, const char *)
+{
+}
+
+const co_ops callers_ops = {co_sent, co_answered, co_noted, co_noted_refusal,
+    co_noted_run, co_noted_agent};
+
+/* An entry with one agent, 3, of 10 cores. */
+struct Entry {
+    coord c;
+    Callers callers;
+    uint64_t now = 1000;
+    uint64_t ends = 0;
+
+    Entry()
+    {
+        co_init(&c, &callers_ops, &callers, 1, "10.0.0.1", 1);
+        fl_add(&c.fleet, 3, "a", "kolding", "s")->member = true;
+        co_tick(&c, now);
+        report({});
+        co_tick(&c, now);
+        report({});
+    }
+    ~Entry()
+    {
+        co_free(&c);
+    }
+    fl_agent *
+    agent()
+    {
+        return fl_find(&c.fleet, 3);
+    }
+    void
+    report(std::vector<dw_run_end> list)
+    {
+        dw_report r = {};
+
+        r.head.session = agent()->sess.number;
+        r.head.clock_ms = now;
+        r.head.echo_ms = now;
+        r.head.ack = agent()->sess.out_seq;
+        r.head.seq = list.empty() ? 0 : ++ends;
+        r.room.serving = true;
+        r.room.left_ms = UINT32_MAX;
+        r.room.speed_permille = 1000;
+        r.room.pace_permille = 1000;
+        r.room.millicores = 10000;
+        r.room.memory_mb = 1000;
+        r.room.free_millicores = 10000;
+        r.room.free_memory_mb = 1000;
+        r.ends.ends_val = list.data();
+        r.ends.ends_len = (u_int)list.size();
+        co_report(&c, now, 3, &r);
+        co_flush(&c, now);
+    }
+    void
+    submit(uint64_t id, size_t count, void *handle, uint32_t left = 1500)
+    {
+        std::vector<co_task_spec> tasks(count, {1000, 10, 0, 100});
+        struct co_submit s = {};
+
+        s.id = id;
+        s.wall_ms = 50;
+        s.spec = STR("x");
+        s.service = "s";
+        s.attempts = 2;
+        s.objective_ms = 200;
+        s.use_ms = left;
+        s.left_ms = left;
+        s.tasks = tasks.data();
+        s.count = count;
+        co_submit(&c, now, &s, handle);
+        co_flush(&c, now);
+    }
+    uint64_t
+    run_of(uint64_t id)
+    {
+        co_job *j;
+
+        HASH_FIND(hh, c.jobs, &id, sizeof(id), j);
+        return j != nullptr ? j->tasks[0].run : 0;
+    }
+};
+
+int caller;
+
+} // namespace
+
+TEST(Coord, CompletedWhenEveryTaskIsDone)
+{
+    Entry e;
+
+    e.submit(5, 2, &caller);
+    e.report({{{5, 0, 51}, DW_END_DONE, 9}});
+    EXPECT_TRUE(e.callers.answers.empty());
+    e.report({{{5, 1, 51}, DW_END_DONE, 9}});
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_COMPLETED);
+}
+
+TEST(Coord, FailedOnlyAfterAsManyFailuresAsAllowed)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller);
+    e.report({{{5, 0, 51}, DW_END_FAILED, 9}});
+    EXPECT_TRUE(e.callers.answers.empty());
+    e.report({{{5, 0, e.run_of(5)}, DW_END_FAILED, 9}});
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_FAILED);
+}
+
+/* A caller is told "failed" though nothing failed: the entry woke from a
+ * freeze, or time ran out.  Neither is an outcome of the job. */
+TEST(Coord, TimeThatRanOutIsNoFailure)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller, 300);
+    e.now += 300;
+    co_tick(&e.c, e.now);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_GAVE_UP);
+}
+
+TEST(Coord, AfterAPauseEveryJobIsGivenUp)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller, 9000);
+    e.now += 2000;
+    co_tick(&e.c, e.now);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_GAVE_UP);
+}
+
+TEST(Coord, ASecondRequestAttachesAndStartsNothing)
+{
+    Entry e;
+    int other;
+
+    e.submit(5, 1, &caller);
+    e.submit(5, 1, &other);
+    EXPECT_EQ(e.c.stats.runs, 1u);
+    e.report({{{5, 0, 51}, DW_END_DONE, 9}});
+    EXPECT_EQ(e.callers.answers.size(), 2u);
+    e.submit(5, 1, &caller); /* seconds later */
+    EXPECT_EQ(e.c.stats.runs, 1u);
+    EXPECT_EQ(e.callers.answers.size(), 3u);
+}
+
+TEST(Coord, ACallerThatLeavesEndsItsJob)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller);
+    size_t sent = e.callers.sent.size();
+    co_leave(&e.c, e.now, &caller);
+    co_flush(&e.c, e.now);
+    ASSERT_EQ(e.callers.sent.size(), sent + 1);
+    EXPECT_EQ(e.callers.sent.back()->dw_msg_u.orders.stops.stops_len, 1u);
+    EXPECT_EQ(co_running(&e.c), 0u);
+}
+
+/* A task runs twice: its agent fell silent and the entry started it elsewhere
+ * while the silent one, or its worker, still had it. */
+TEST(Coord, ARunOfASilentAgentIsRepeatedOnlyWhenItIsOver)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller, 9000);
+    uint64_t first = e.run_of(5);
+    uint64_t over = sess_over_at(&e.agent()->sess) + RN_STOP_MS + RN_LAPSE_MS;
+
+    while (e.now + 20 < over) {
+        e.now += 20;
+        co_tick(&e.c, e.now);
+        if (e.agent()->sess.number != 0 && !e.agent()->live) {
+            e.report({}); /* back, but not clean */
+        }
+        EXPECT_EQ(e.run_of(5), first) << e.now;
+    }
+    e.now = over + 20;
+    co_tick(&e.c, e.now);
+    e.report({});
+    co_tick(&e.c, e.now);
+    co_flush(&e.c, e.now);
+    EXPECT_GT(e.run_of(5), first);
+}
+
+TEST(Coord, RefusedOnArrivalIsTrueAndNamesWhy)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller, 20);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_NOT_RUN);
+    EXPECT_EQ(e.callers.reasons[0], "too_late");
+    EXPECT_EQ(e.c.stats.runs, 0u);
+}
+
+/* Twice the work that the cores can do: served by the oldest objective alone
+ * every job is late; those that can still meet theirs go first. */
+TEST(Coord, AtSaturationJobsOnTimeGoBeforeLateOnes)
+{
+    Entry e;
+    int late;
+    int fresh;
+
+    fl_room(e.agent(), e.agent()->sess.out_seq, &e.agent()->room);
+    e.agent()->room.free_millicores = 0;
+    fl_room(e.agent(), e.agent()->sess.out_seq, &e.agent()->room);
+    e.submit(1, 1, &late);
+    e.now += 150; /* 100 ms of work, objective of 200: too late now */
+    e.agent()->sess.fresh_ms = e.now;
+    e.submit(2, 1, &fresh);
+    EXPECT_EQ(e.c.stats.runs, 0u);
+    e.agent()->room.free_millicores = 1000;
+    fl_room(e.agent(), e.agent()->sess.out_seq, &e.agent()->room);
+    co_flush(&e.c, e.now);
+    EXPECT_EQ(e.c.stats.runs, 1u);
+    EXPECT_EQ(e.run_of(2), 51u);
+    EXPECT_EQ(e.run_of(1), 50u);
+}
+
+/* A run on a worker that turned slow is begun again where there is room. */
+TEST(Coord, ARunOnASlowWorkerMoves)
+{
+    Entry e;
+    dw_run_end stopped;
+
+    e.submit(5, 1, &caller, 9000);
+    fl_agent *other = fl_add(&e.c.fleet, 4, "b", "aarhus", "s");
+    other->live = true;
+    other->member = true;
+    other->sess.number = 9;
+    other->sess.fresh_ms = e.now + 100;
+    other->room = e.agent()->room;
+    fl_room(other, 0, &other->room);
+    e.now += 60;
+    e.agent()->sess.fresh_ms = e.now;
+    e.agent()->room.pace_permille = 100;
+    co_tick(&e.c, e.now);
+    EXPECT_EQ(e.c.stats.moved, 1u);
+    stopped = {{5, 0, 51}, DW_END_STOPPED, 60};
+    e.report({stopped});
+    e.agent()->room.pace_permille = 100;
+    EXPECT_EQ(e.run_of(5), 52u);
+}
--- /dev/null
+++ b/test/wire-test.cc
@@ -0,0 +1,162 @@
+/* Messages of the platform: tables of cases. */
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "platform/wire.h"
+
+struct JobCase {
+    const char *text;
+    wire_status status;
+    const char *words;
+};
+
+#define STEP "{\"count\":2,\"cpu\":500,\"mem_mb\":64,\"est_runtime_ms\":90}"
+#define JOB(steps)                                                            \
+    "{\"task_spec\":\"x\",\"best_effort\":true,\"steps\":" steps "}"
+
+static const JobCase jobs[] = {
+    {JOB("[" STEP "]"), WIRE_OK, ""},
+    {JOB("[{\"count\":1}]"), WIRE_OK, ""},
+    {JOB("[{\"count\":1,\"gang\":false,\"requires\":\"\"}]"), WIRE_OK, ""},
+    {"", WIRE_BAD, "line"},
+    {"[]", WIRE_BAD, "object"},
+    {"{\"task_spec\":\"x\"", WIRE_BAD, "line 1"},
+    {"{\"best_effort\":true,\"steps\":[" STEP "]}", WIRE_BAD, "task_spec"},
+    {"{\"task_spec\":5,\"best_effort\":true,\"steps\":[]}", WIRE_BAD,
+        "task_spec"},
+    {JOB("[]"), WIRE_BAD, "steps"},
+    {JOB("5"), WIRE_BAD, "steps"},
+    {JOB("[5]"), WIRE_BAD, "steps"},
+    {JOB("[{}]"), WIRE_BAD, "count"},
+    {JOB("[{\"count\":0}]"), WIRE_BAD, "count"},
+    {JOB("[{\"count\":-1}]"), WIRE_BAD, "count"},
+    {JOB("[{\"count\":1.5}]"), WIRE_BAD, "count"},
+    {JOB("[{\"count\":99999999}]"), WIRE_BAD, "count"},
+    {JOB("[{\"count\":1,\"cpu\":\"a\"}]"), WIRE_BAD, "cpu"},
+    {JOB("[{\"count\":1,\"gang\":true}]"), WIRE_UNSUPPORTED, "gang"},
+    {JOB("[{\"count\":1,\"requires\":\"gpu\"}]"), WIRE_UNSUPPORTED,
+        "requires"},
+    {JOB("[{\"count\":1,\"long_running\":true}]"), WIRE_UNSUPPORTED,
+        "long_running"},
+    {JOB("[" STEP "," STEP "]"), WIRE_UNSUPPORTED, "several"},
+    {"{\"task_spec\":\"x\",\"steps\":[" STEP "]}", WIRE_UNSUPPORTED,
+        "best_effort"},
+};
+
+TEST(Wire, EachJobIsTakenOrNamesThePlace)
+{
+    for (auto &c : jobs) {
+        wire_job j;
+        err e = {""};
+
+        ASSERT_EQ(wire_read_job(&j, str_of(c.text), &e), c.status) << c.text;
+        EXPECT_NE(strstr(e.msg, c.words), nullptr) << c.text << ": " << e.msg;
+        if (c.status == WIRE_OK) {
+            wire_job_free(&j);
+        }
+    }
+}
+
+struct BeatCase {
+    const char *text;
+    bool ok;
+};
+
+static const BeatCase beats[] = {
+    {"{\"service\":\"s\",\"state\":\"ready\",\"seq_no\":4,\"born\":17,"
+     "\"free_capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpus\":0}}",
+        true},
+    {"{\"service\":\"s\",\"state\":\"draining\",\"remaining_ms\":900,"
+     "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        true},
+    {"{\"service\":\"s\",\"state\":\"asleep\","
+     "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        false},
+    {"{\"service\":7,\"state\":\"ready\","
+     "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        false},
+    {"{\"service\":\"s\",\"state\":\"ready\"}", false},
+    {"{\"service\":\"s\",\"state\":\"ready\","
+     "\"free_capacity\":{\"cpu\":\"1\",\"mem_mb\":1}}",
+        false},
+    {"\xff\xfe", false},
+    {"", false},
+};
+
+TEST(Wire, AnnouncementsOfOtherWritersNameNoWorker)
+{
+    for (auto &c : beats) {
+        wire_beat b;
+        err e = {""};
+
+        EXPECT_EQ(wire_read_beat(&b, str_of(c.text), &e) == WIRE_OK, c.ok)
+            << c.text;
+    }
+}
+
+TEST(Wire, ABadRouteIsLeftOutAndTheOthersHold)
+{
+    rt_table t;
+    size_t left_out;
+    err e = {""};
+    const char *text =
+        "{\"version\":7,\"routes\":["
+        "{\"name\":\"a\",\"hostname\":\"h\",\"prefix\":\"/a/\","
+        "\"service\":\"s\",\"slo_ms\":60,\"attempts\":2,\"stretch\":1.6},"
+        "{\"name\":\"b\",\"hostname\":5,\"prefix\":\"/b/\"},"
+        "{\"name\":\"c\",\"hostname\":\"h\",\"prefix\":\"/c/\","
+        "\"service\":\"s\"}],\"limits\":{\"max_body_bytes\":1000}}";
+
+    ASSERT_EQ(wire_read_config(&t, str_of(text), &left_out, &e), WIRE_OK);
+    EXPECT_EQ(t.version, 7u);
+    EXPECT_EQ(t.count, 2u);
+    EXPECT_EQ(left_out, 1u);
+    EXPECT_EQ(t.routes[0].stretch_milli, 1600u);
+    EXPECT_EQ(t.body_max, 1000u);
+    EXPECT_NE(strstr(e.msg, "routes[1]: hostname"), nullptr) << e.msg;
+    rt_free(&t);
+}
+
+TEST(Wire, ALookShowsRunsAndEnds)
+{
+    wire_look l;
+    err e = {""};
+    const char *text =
+        "{\"clock_ms\":9,\"born\":3,\"running\":["
+        "[\"5c0e7a21d94b36f8.0.0.17\",2,\"\",41],[\"odd\",1,\"\",0]],"
+        "\"finished\":[[58,\"5c0e7a21d94b36f8.0.0.9\",1,\"done\",\"\"],"
+        "[59,\"5c0e7a21d94b36f8.0.0.8\",1,\"vanished\",\"\"]]}";
+
+    ASSERT_EQ(wire_read_look(&l, str_of(text), &e), WIRE_OK);
+    ASSERT_EQ(l.look.running_count, 1u);
+    EXPECT_EQ(l.running[0].key.job, 0x5c0e7a21d94b36f8u);
+    EXPECT_EQ(l.running[0].key.index, 17u);
+    EXPECT_EQ(l.running[0].percent, 41u);
+    ASSERT_EQ(l.look.end_count, 2u);
+    EXPECT_EQ(l.ends[0].how, DW_END_DONE);
+    EXPECT_EQ(l.ends[1].number, 59u); /* still taken note of */
+    EXPECT_EQ(l.ends[1].key.job, 0u);
+    wire_look_free(&l);
+}
+
+static const struct {
+    const char *text;
+    bool ok;
+} ids[] = {
+    {"5c0e7a21d94b36f8", true},
+    {"5C0E7A21D94B36F8", false},
+    {"5c0e7a21d94b36f", false},
+    {"5c0e7a21d94b36f8/", false},
+    {"", false},
+};
+
+TEST(Wire, JobIds)
+{
+    for (auto &c : ids) {
+        uint64_t id;
+
+        EXPECT_EQ(wire_job_id(str_of(c.text), &id), c.ok) << c.text;
+    }
+}
