--- a/Makefile
+++ b/Makefile
@@ -12,10 +12,10 @@
 LDFLAGS = $(SAN)
 
 # Deciding modules: no I/O, no clock, no state of their own.
-DECIDE = str err act subkey contract view member sync place host job jobmove lend \
-	own front node route sess fleet coord runner agent news guess
+DECIDE = str err act subkey contract view member sync place host job jobadmit jobmove \
+	lend own ownmap front node route sess fleet coord runner agent news guess
 # What carries their actions out.
-IO = log hist proc base64 httpc store link web trail back carry api ops metric serve \
+IO = log hist proc base64 httpc store frame link web trail back carry api ops metric serve \
 	entryd agentd platform/wire platform/kv platform/follow
 COMMON = $(DECIDE) conf proto_xdr
 LIBS = -ltirpc -lev -lmicrohttpd -lcurl -lpopt -llog4c -ljansson -lxxhash \
@@ -57,7 +57,7 @@
 	property-test fleet world serve-test wire-test route-test sess-test runner-test \
 	coord-test news-test guess-test fleet-test web-test log-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
-$(B)/tests: $(TEST_O) $(COMMON_O) $(B)/link.o $(B)/log.o $(B)/hist.o $(B)/web.o \
+$(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/hist.o $(B)/web.o \
 	$(B)/platform/wire.o
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
--- a/job-int.h
+++ b/job-int.h
@@ -1,5 +1,5 @@
 /*
- * job-int - what job.c and jobmove.c share
+ * job-int - what job.c, jobadmit.c and jobmove.c share
  *
  * Internal to the job module; others include job.h.
  */
@@ -11,6 +11,8 @@
 
 /* The reason of a job that is known from start records only. */
 #define OWNER_LOST "owner_lost"
+/* How soon an entry asks again that was told the owner is not ready. */
+#define MOVED_RETRY_MS 50
 
 struct job *job_add(struct jobs *j, uint64_t now, const struct subkey *sk,
     uint32_t partition, uint32_t count);
@@ -24,5 +26,17 @@
 struct job_cust *job_customer(struct jobs *j, struct str name);
 void job_trim_kept(struct jobs *j);
 struct job_task *job_task_at(struct job *job, uint32_t index);
+dw_answer *job_send_answer(uint64_t to, uint64_t request, uint32_t partition,
+    dw_astate state, uint32_t retry_ms, const char *reason, struct acts *out);
+void job_answer(const struct job *job, uint64_t now, uint64_t to,
+    uint64_t request, struct acts *out);
+bool job_attach(
+    struct jobs *j, struct job *job, uint64_t entry, uint64_t request);
+bool job_below_guarantee(const struct jobs *j, const struct job_cust *c);
+void job_dispatch(struct jobs *j, uint64_t now, struct acts *out);
+void job_known(struct jobs *j, uint64_t now, struct job *job,
+    const dw_submit *s, uint64_t from, struct acts *out);
+struct job *job_find_unlapsed(
+    struct jobs *j, uint64_t now, struct str customer_name, struct str key);
 
 #endif
--- a/job.c
+++ b/job.c
@@ -9,8 +9,6 @@
 /* Tasks placed for one customer before the next has its turn. */
 #define QUANTUM 64
 #define VTIME_UNIT 1000000U
-/* How soon an entry asks again that was told the owner is not ready. */
-#define MOVED_RETRY_MS 50
 #define SCAN_MS 50
 #define RATE_WINDOW_MS 500
 
@@ -195,9 +193,9 @@
     }
 }
 
-static dw_answer *
-send_answer(uint64_t to, uint64_t request, uint32_t partition, dw_astate state,
-    uint32_t retry_ms, const char *reason, struct acts *out)
+dw_answer *
+job_send_answer(uint64_t to, uint64_t request, uint32_t partition,
+    dw_astate state, uint32_t retry_ms, const char *reason, struct acts *out)
 {
     dw_answer *a = &act_send(out, to, DW_ANSWER)->dw_msg_u.answer;
 
@@ -210,8 +208,8 @@
     return a;
 }
 
-static void
-answer_job(const struct job *job, uint64_t now, uint64_t to, uint64_t request,
+void
+job_answer(const struct job *job, uint64_t now, uint64_t to, uint64_t request,
     struct acts *out)
 {
     dw_astate state = job->state;
@@ -226,7 +224,8 @@
         state = DW_A_FAILED;
         reason = "answer_dropped";
     }
-    a = send_answer(to, request, job->partition, state, retry, reason, out);
+    a = job_send_answer(
+        to, request, job->partition, state, retry, reason, out);
     a->refund = state == DW_A_NOT_RUN || request != job->admit_request;
     if (state == DW_A_COMPLETE || state == DW_A_FAILED) {
         fill_outcomes(job, a);
@@ -240,15 +239,15 @@
     struct job_waiter *tmp;
 
     LL_FOREACH_SAFE (job->waiters, w, tmp) {
-        answer_job(job, now, w->entry, w->request, out);
+        job_answer(job, now, w->entry, w->request, out);
         LL_DELETE(job->waiters, w);
         free(w);
     }
 }
 
 /* False if this request waits already. */
-static bool
-attach(struct jobs *j, struct job *job, uint64_t entry, uint64_t request)
+bool
+job_attach(struct jobs *j, struct job *job, uint64_t entry, uint64_t request)
 {
     struct job_waiter *w;
 
@@ -467,8 +466,8 @@
            j->parts[job->partition].gate == JOB_OPEN;
 }
 
-static bool
-below_guarantee(const struct jobs *j, const struct job_cust *c)
+bool
+job_below_guarantee(const struct jobs *j, const struct job_cust *c)
 {
     const struct view_contract *vc = view_contract(j->view, str_of(c->name));
 
@@ -489,7 +488,7 @@
          i++) {
         struct job_task *t = &job->tasks[i];
         struct place_need need = {t->task.millicores, t->task.memory_mb,
-            below_guarantee(j, job->cust)};
+            job_below_guarantee(j, job->cust)};
         uint64_t host;
 
         if (t->outcome.state != DW_T_WAITING) {
@@ -524,8 +523,8 @@
 comes_before(
     const struct jobs *j, const struct job_cust *a, const struct job_cust *b)
 {
-    bool ga = below_guarantee(j, a);
-    bool gb = below_guarantee(j, b);
+    bool ga = job_below_guarantee(j, a);
+    bool gb = job_below_guarantee(j, b);
 
     if (ga != gb) {
         return ga;
@@ -562,8 +561,8 @@
     c->vtime += (uint64_t)n * VTIME_UNIT / w;
 }
 
-static void
-dispatch(struct jobs *j, uint64_t now, struct acts *out)
+void
+job_dispatch(struct jobs *j, uint64_t now, struct acts *out)
 {
     uint32_t picked[QUANTUM];
     struct job *job;
@@ -579,240 +578,6 @@
     }
 }
 
-/* --- admission --- */
-
-/* Record a refusal, so that a copy of the request on its way through
- * another entry gets the same answer and does not run. */
-static void
-refuse(struct jobs *j, uint64_t now, const struct subkey *sk,
-    const dw_submit *s, const char *reason, uint64_t from, struct acts *out)
-{
-    struct job *job = job_add(j, now, sk, s->partition, 0);
-    uint32_t ms =
-        s->refuse_ms > j->cfg.refuse_ms ? s->refuse_ms : j->cfg.refuse_ms;
-
-    job->state = DW_A_NOT_RUN;
-    job->body_hash = s->body_hash;
-    job->refused = true;
-    job->lapses_ms = now + ms;
-    job_set_reason(job, reason);
-    j->stats.refused++;
-    act_note(out, sk_customer(sk), sk_key(sk), "owner: refused: %s", reason);
-    answer_job(job, now, from, s->request, out);
-}
-
-static bool
-never_fits(const struct jobs *j, const dw_submit *s)
-{
-    for (u_int i = 0; i < s->tasks.tasks_len; i++) {
-        const dw_task *t = &s->tasks.tasks_val[i];
-        struct place_need need = {t->millicores, t->memory_mb, false};
-
-        if (place_never_fits(j->place, &need)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* The wait a new task would have, from what waits and how fast it drains. */
-static uint64_t
-expected_wait_ms(const struct jobs *j)
-{
-    if (j->waiting == 0 || j->rate_milli == 0) {
-        return 0;
-    }
-    return (uint64_t)j->waiting * 1000000 / j->rate_milli;
-}
-
-static bool
-has_guarantee(const struct jobs *j, const dw_bytes *name)
-{
-    struct str s = str_bytes(name);
-    struct job_cust *c;
-
-    HASH_FIND(hh, j->custs, s.p, s.n, c);
-    if (c == NULL) {
-        const struct view_contract *vc = view_contract(j->view, s);
-
-        return vc != NULL && vc->c.guaranteed > 0;
-    }
-    return below_guarantee(j, c);
-}
-
-/* An entry's reason, of those we know. */
-static const char *
-lookup_reason(const dw_submit *s)
-{
-    static const char *const reasons[] = {
-        LEND_OVER, LEND_SETTLING, JOB_TOO_OLD};
-
-    for (size_t i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++) {
-        if (str_is(str_bytes(&s->reason), reasons[i])) {
-            return reasons[i];
-        }
-    }
-    return LEND_OVER;
-}
-
-/* NULL if the job may be admitted, else why not. */
-static const char *
-objection(const struct jobs *j, const dw_submit *s)
-{
-    if (s->lookup) {
-        return lookup_reason(s);
-    }
-    if (never_fits(j, s)) {
-        return "never_fits";
-    }
-    if (j->waiting + s->tasks.tasks_len > j->cfg.waiting_max) {
-        return "overloaded";
-    }
-    /* What waits belongs to others: guaranteed slots do not queue for it. */
-    if (!j->cfg.no_early_refusal && !has_guarantee(j, &s->customer) &&
-        expected_wait_ms(j) > s->deadline_ms) {
-        return "deadline_cannot_be_met";
-    }
-    return NULL;
-}
-
-static void
-admit(struct jobs *j, uint64_t now, const struct subkey *sk,
-    const dw_submit *s, uint64_t from, struct acts *out)
-{
-    struct job *job = job_add(j, now, sk, s->partition, s->tasks.tasks_len);
-
-    job->state = DW_A_RUNNING;
-    job->body_hash = s->body_hash;
-    job->deadline_ms = now + s->deadline_ms;
-    job->width = s->width > 0 ? s->width : 1;
-    job->cust = job_customer(j, sk_customer(sk));
-    DL_APPEND(job->cust->jobs, job);
-    for (uint32_t i = 0; i < job->count; i++) {
-        job_copy_task(&job->tasks[i].task, &s->tasks.tasks_val[i]);
-        job->tasks[i].task.index = i;
-        job->tasks[i].since_ms = now;
-    }
-    job->waiting = job->count;
-    j->waiting += job->count;
-    j->stats.admitted++;
-    job->admit_request = s->request;
-    attach(j, job, from, s->request);
-    act_note(out, sk_customer(sk), sk_key(sk),
-        "owner: admitted %u tasks in partition %u, epoch %llu", job->count,
-        s->partition, (unsigned long long)j->parts[s->partition].epoch);
-    dispatch(j, now, out);
-}
-
-/* The partition changed hands and some records of its past may be lost: a
- * key that is not known may have run, unless it was made afterwards. */
-static bool
-may_have_run(const struct jobs *j, uint64_t now, const struct job_part *p,
-    struct str key)
-{
-    uint64_t made;
-
-    if (p->unsure_until <= now) {
-        return false;
-    }
-    return !sk_uuid7_ms(key, &made) ||
-           made <= p->unsure_wall_ms + j->cfg.skew_ms;
-}
-
-static void
-known(struct jobs *j, uint64_t now, struct job *job, const dw_submit *s,
-    uint64_t from, struct acts *out)
-{
-    if (!s->poll && s->body_hash != 0 && job->body_hash != 0 &&
-        s->body_hash != job->body_hash) {
-        send_answer(from, s->request, s->partition, DW_A_MISMATCH, 0,
-            "key_reused", out);
-        return;
-    }
-    if (job->state != DW_A_RUNNING) {
-        j->stats.attached++;
-        answer_job(job, now, from, s->request, out);
-        return;
-    }
-    /* An entry that asks again hears that its request is in hand. */
-    if (s->poll || !attach(j, job, from, s->request)) {
-        send_answer(from, s->request, s->partition, DW_A_RUNNING, 0, "", out);
-    }
-}
-
-static void
-unknown(struct jobs *j, uint64_t now, const struct subkey *sk,
-    const dw_submit *s, uint64_t from, struct acts *out)
-{
-    const struct job_part *p = &j->parts[s->partition];
-    const char *why;
-
-    if (may_have_run(j, now, p, sk_key(sk))) {
-        j->stats.unsure++;
-        send_answer(from, s->request, s->partition, DW_A_UNKNOWN,
-            (uint32_t)(p->unsure_until - now), "records_lost", out);
-        return;
-    }
-    if (s->poll) {
-        send_answer(
-            from, s->request, s->partition, DW_A_UNKNOWN, 0, "not_found", out);
-        return;
-    }
-    if (!s->lookup && s->age_ms > j->cfg.max_age_ms) {
-        /* Its refusal may have lapsed already; see refuse(). */
-        j->stats.moved_on++;
-        send_answer(from, s->request, s->partition, DW_A_MOVED, MOVED_RETRY_MS,
-            JOB_TOO_OLD, out);
-        return;
-    }
-    why = objection(j, s);
-    if (why != NULL) {
-        refuse(j, now, sk, s, why, from, out);
-        return;
-    }
-    admit(j, now, sk, s, from, out);
-}
-
-static struct job *
-find_unlapsed(
-    struct jobs *j, uint64_t now, struct str customer_name, struct str key)
-{
-    struct job *job = job_find(j, customer_name, key);
-
-    if (job != NULL && job->state != DW_A_RUNNING && job->lapses_ms <= now) {
-        job_free(j, job);
-        return NULL;
-    }
-    return job;
-}
-
-void
-jobs_submit(struct jobs *j, uint64_t now, uint64_t from, const dw_submit *s,
-    struct acts *out)
-{
-    struct str name = str_bytes(&s->customer);
-    struct str key = str_bytes(&s->key);
-    struct subkey sk;
-    struct job *job;
-
-    if (s->partition >= VIEW_PARTS || !sk_make(&sk, name, key)) {
-        return;
-    }
-    if (j->parts[s->partition].gate != JOB_OPEN || !j->may_admit) {
-        j->stats.moved_on++;
-        send_answer(from, s->request, s->partition, DW_A_MOVED, MOVED_RETRY_MS,
-            "not_ready", out);
-        return;
-    }
-    job = find_unlapsed(j, now, name, key);
-    if (job != NULL) {
-        known(j, now, job, s, from, out);
-    }
-    else {
-        unknown(j, now, &sk, s, from, out);
-    }
-}
-
 /* --- stopping --- */
 
 static void
@@ -887,26 +652,26 @@
 
     if (c->partition >= VIEW_PARTS ||
         j->parts[c->partition].gate != JOB_OPEN || !j->may_admit) {
-        send_answer(from, c->request, c->partition, DW_A_MOVED, MOVED_RETRY_MS,
-            "not_ready", out);
+        job_send_answer(from, c->request, c->partition, DW_A_MOVED,
+            MOVED_RETRY_MS, "not_ready", out);
         return;
     }
-    job = find_unlapsed(j, now, name, key);
+    job = job_find_unlapsed(j, now, name, key);
     if (job == NULL) {
-        send_answer(
+        job_send_answer(
             from, c->request, c->partition, DW_A_UNKNOWN, 0, "not_found", out);
         return;
     }
     if (job->state != DW_A_RUNNING) {
-        answer_job(job, now, from, c->request, out);
+        job_answer(job, now, from, c->request, out);
         return;
     }
-    attach(j, job, from, c->request);
+    job_attach(j, job, from, c->request);
     if (!job->cancelled) {
         job->cancelled = true;
         stop_job(j, now, job, "cancelled", true, out);
     }
-    dispatch(j, now, out);
+    job_dispatch(j, now, out);
 }
 
 /* --- replies and results --- */
@@ -959,7 +724,7 @@
         }
         maybe_end(j, now, job, out);
     }
-    dispatch(j, now, out);
+    job_dispatch(j, now, out);
 }
 
 static void
@@ -1047,7 +812,7 @@
     if (job != NULL && job->state == DW_A_RUNNING) {
         maybe_end(j, now, job, out);
     }
-    dispatch(j, now, out);
+    job_dispatch(j, now, out);
 }
 
 /* --- time and losses --- */
@@ -1096,7 +861,7 @@
 jobs_host_lost(struct jobs *j, uint64_t now, uint64_t host, struct acts *out)
 {
     each_running(j, now, lose_host, host, out);
-    dispatch(j, now, out);
+    job_dispatch(j, now, out);
 }
 
 static void
@@ -1235,5 +1000,5 @@
     measure_rate(j, now);
     each_running(j, now, scan_job, 0, out);
     forget(j, now);
-    dispatch(j, now, out);
+    job_dispatch(j, now, out);
 }
--- a/link.c
+++ b/link.c
@@ -9,15 +9,15 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <time.h>
 #include <unistd.h>
 #include <uthash.h>
 
+#include "frame.h"
 #include "log.h"
+#include "proc.h"
 
 #define DATAGRAM_MAX 1200U
 #define QUEUE_MAX (16U << 20)
-#define LAST_FRAGMENT 0x80000000U
 /* A stamp of the peer's clock older than this is renewed before sending. */
 #define ECHO_MS 1000U
 /* A message that could not be written for this long is dropped. */
@@ -32,15 +32,6 @@
 #define REFUSED_PAUSE_MS 200U
 #define TICK 0.1
 
-struct frame {
-    struct frame *next;
-    uint64_t made_ms;
-    size_t echo_at; /* where the stamp goes; 0 in a HELLO */
-    size_t n;
-    size_t done;
-    char bytes[];
-};
-
 enum conn_state { CONN_CLOSED, CONN_CONNECTING, CONN_HELLO, CONN_READY };
 
 /* What we know of, and have open to, one other process. */
@@ -92,15 +83,6 @@
     struct link_stats stats;
 };
 
-static uint64_t
-clock_ms(void)
-{
-    struct timespec ts;
-
-    clock_gettime(CLOCK_BOOTTIME, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
 const struct link_stats *
 link_stats(const struct link *l)
 {
@@ -113,130 +95,6 @@
     return l->backlog;
 }
 
-/* --- encoding --- */
-
-static bool
-may_be_datagram(dw_mtype type)
-{
-    return type == DW_PING || type == DW_PING_ACK || type == DW_PING_REQ ||
-           type == DW_PULL || type == DW_STATE;
-}
-
-static bool
-encode_call(XDR *x, uint32_t xid, uint32_t proc)
-{
-    struct rpc_msg call;
-
-    memset(&call, 0, sizeof(call));
-    call.rm_xid = xid;
-    call.rm_direction = CALL;
-    call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
-    call.rm_call.cb_prog = LINK_PROGRAM;
-    call.rm_call.cb_vers = LINK_VERSION;
-    call.rm_call.cb_proc = proc;
-    call.rm_call.cb_cred = _null_auth;
-    call.rm_call.cb_verf = _null_auth;
-    return xdr_callmsg(x, &call);
-}
-
-static void
-put_mark(char *at, size_t n)
-{
-    uint32_t mark = htonl((uint32_t)n | LAST_FRAGMENT);
-
-    memcpy(at, &mark, sizeof(mark));
-}
-
-/* Room for an RPC header before the body. */
-#define HEADER_MAX 64U
-
-static struct frame *
-new_frame(size_t body)
-{
-    struct frame *f = dw_alloc(sizeof(*f) + 4 + HEADER_MAX + body);
-
-    f->next = NULL;
-    f->made_ms = clock_ms();
-    f->echo_at = 0;
-    f->done = 0;
-    f->n = 0;
-    return f;
-}
-
-/* The echo stamp lies behind from, to and clock_ms. */
-#define ECHO_OFFSET 24U
-
-static struct frame *
-encode_message(struct link *l, uint64_t to, uint64_t now, const dw_msg *msg)
-{
-    dw_envelope env;
-    struct frame *f;
-    XDR x;
-    bool ok;
-
-    env.from = l->self;
-    env.to = to;
-    /* What arrives by datagram proves nothing of a connection, so a peer
-     * must not echo a clock it has from there. */
-    env.clock_ms = may_be_datagram(msg->type) ? 0 : now;
-    env.echo_ms = 0;
-    env.msg = *msg;
-    f = new_frame(xdr_sizeof((xdrproc_t)xdr_dw_envelope, &env));
-    xdrmem_create(&x, f->bytes + 4,
-        (u_int)(HEADER_MAX + xdr_sizeof((xdrproc_t)xdr_dw_envelope, &env)),
-        XDR_ENCODE);
-    ok = encode_call(&x, ++l->xid, (uint32_t)msg->type);
-    f->echo_at = 4 + xdr_getpos(&x) + ECHO_OFFSET;
-    ok = ok && xdr_dw_envelope(&x, &env);
-    f->n = 4 + xdr_getpos(&x);
-    xdr_destroy(&x);
-    if (!ok || f->n > LINK_RECORD_MAX) {
-        free(f);
-        return NULL;
-    }
-    put_mark(f->bytes, f->n - 4);
-    return f;
-}
-
-static struct frame *
-encode_hello(struct link *l, uint32_t xid)
-{
-    struct frame *f = new_frame(0);
-    XDR x;
-
-    xdrmem_create(&x, f->bytes + 4, HEADER_MAX, XDR_ENCODE);
-    encode_call(&x, xid, DW_HELLO);
-    f->n = 4 + xdr_getpos(&x);
-    xdr_destroy(&x);
-    put_mark(f->bytes, f->n - 4);
-    l->stats.hellos++;
-    return f;
-}
-
-static size_t
-encode_hello_reply(struct link *l, uint32_t xid, char *out, size_t cap)
-{
-    struct rpc_msg reply;
-    dw_hello hello = {l->self, clock_ms()};
-    size_t n;
-    XDR x;
-
-    memset(&reply, 0, sizeof(reply));
-    reply.rm_xid = xid;
-    reply.rm_direction = REPLY;
-    reply.rm_reply.rp_stat = MSG_ACCEPTED;
-    reply.acpted_rply.ar_verf = _null_auth;
-    reply.acpted_rply.ar_stat = SUCCESS;
-    reply.acpted_rply.ar_results.where = (caddr_t)&hello;
-    reply.acpted_rply.ar_results.proc = (xdrproc_t)xdr_dw_hello;
-    xdrmem_create(&x, out + 4, (u_int)(cap - 4), XDR_ENCODE);
-    xdr_replymsg(&x, &reply);
-    n = xdr_getpos(&x);
-    xdr_destroy(&x);
-    put_mark(out, n);
-    return n + 4;
-}
-
 /* --- peers --- */
 
 static void on_peer_io(struct ev_loop *loop, ev_io *w, int revents);
@@ -354,7 +212,8 @@
     }
     p->hello_ms = now;
     p->hello_xid = ++p->link->xid;
-    f = encode_hello(p->link, p->hello_xid);
+    f = frame_hello(proc_now(), p->hello_xid);
+    p->link->stats.hellos++;
     if (first) {
         push_front(p, f);
     }
@@ -407,7 +266,7 @@
     for (;;) {
         struct frame *f;
         ssize_t n;
-        uint64_t now = clock_ms();
+        uint64_t now = proc_now();
 
         drop_old(p, now);
         if (p->head == NULL || !prepare_head(p, now)) {
@@ -566,8 +425,8 @@
     }
     memcpy(&mark, b->p + *at, sizeof(mark));
     mark = ntohl(mark);
-    n = mark & ~LAST_FRAGMENT;
-    if ((mark & LAST_FRAGMENT) == 0 || n > LINK_RECORD_MAX) {
+    n = mark & ~FRAME_LAST;
+    if ((mark & FRAME_LAST) == 0 || n > LINK_RECORD_MAX) {
         *bad = true;
         return false;
     }
@@ -613,7 +472,7 @@
 on_peer_io(struct ev_loop *loop, ev_io *w, int revents)
 {
     struct peer *p = w->data;
-    uint64_t now = clock_ms();
+    uint64_t now = proc_now();
     struct str record;
     size_t at = 0;
     bool bad = false;
@@ -681,7 +540,7 @@
 static void
 deliver(struct link *l, dw_envelope *env, bool stream)
 {
-    uint64_t now = clock_ms();
+    uint64_t now = proc_now();
 
     if (env->to != l->self) {
         l->stats.dropped_other++;
@@ -756,7 +615,8 @@
 reply_hello(struct inbound *in, uint32_t xid)
 {
     char out[128];
-    size_t n = encode_hello_reply(in->link, xid, out, sizeof(out));
+    size_t n =
+        frame_hello_reply(in->link->self, proc_now(), xid, out, sizeof(out));
 
     /* A peer that does not read its replies is replaced by itself. */
     if (send(in->fd, out, n, MSG_NOSIGNAL) == (ssize_t)n) {
@@ -887,8 +747,8 @@
 void
 link_send(struct link *l, uint64_t to, const dw_msg *msg)
 {
-    uint64_t now = clock_ms();
-    struct frame *f = encode_message(l, to, now, msg);
+    uint64_t now = proc_now();
+    struct frame *f = frame_message(l->self, to, now, ++l->xid, msg);
 
     if (f == NULL) {
         l->stats.dropped_other++;
@@ -897,7 +757,7 @@
         return;
     }
     count_sent(l, msg->type, f->n);
-    if (may_be_datagram(msg->type) && f->n <= DATAGRAM_MAX) {
+    if (frame_may_be_datagram(msg->type) && f->n <= DATAGRAM_MAX) {
         send_datagram(l, to, f);
         free(f);
         return;
@@ -954,7 +814,7 @@
 on_tick(struct ev_loop *loop, ev_timer *w, int revents)
 {
     struct link *l = w->data;
-    uint64_t now = clock_ms();
+    uint64_t now = proc_now();
     struct peer *p;
     struct peer *tmp;
 
--- /dev/null
+++ b/ownmap.c
@@ -0,0 +1,290 @@
+#include "own-int.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Between two looks for dead owners. */
+#define CHECK_MS 50
+/* A member silent for longer does not speak for its domain. */
+#define HEARD_MS 3000
+
+static bool
+steady(const struct own *o, uint64_t now, const struct view_member *m)
+{
+    for (size_t i = 0; i < o->known_count; i++) {
+        if (o->known[i] == m->id) {
+            return now - o->seen_ms[i] >= o->cfg.steady_ms;
+        }
+    }
+    return false;
+}
+
+bool
+own_eligible(const struct own *o, const struct view_member *m)
+{
+    if (m->role != VIEW_AGENT || m->leaving ||
+        !view_domain_in(o->view, m->domain)) {
+        return false;
+    }
+    if (m->id == o->self) {
+        return !o->leaving;
+    }
+    return mbr_state(o->mbr, m->id) != DW_M_DEAD;
+}
+
+/* The eligible member with the highest score for a partition. */
+static uint64_t
+best_for(const struct own *o, const struct view_member **ms, size_t n,
+    uint32_t partition)
+{
+    const struct view_member *best = NULL;
+    uint64_t best_score = 0;
+
+    (void)o;
+    for (size_t i = 0; i < n; i++) {
+        uint64_t s = mix64(ms[i]->name_hash, partition);
+
+        if (best == NULL || s > best_score) {
+            best = ms[i];
+            best_score = s;
+        }
+    }
+    return best != NULL ? best->id : 0;
+}
+
+static size_t
+eligible_list(const struct own *o, uint64_t now, bool only_steady,
+    const struct view_member ***out)
+{
+    const struct view_member **ms =
+        dw_zero(HASH_COUNT(o->view->members) + 1, sizeof(*ms));
+    const struct view_member *m;
+    size_t n = 0;
+
+    for (m = o->view->members; m != NULL; m = m->hh.next) {
+        if (own_eligible(o, m) && (!only_steady || steady(o, now, m))) {
+            ms[n++] = m;
+        }
+    }
+    *out = ms;
+    return n;
+}
+
+/* Recompute who should own what; that is rare, as it looks at every member
+ * for every partition. */
+void
+own_refresh_targets(struct own *o, uint64_t now)
+{
+    const struct view_member **ms;
+    size_t all;
+    size_t n;
+
+    if (o->target_ms != 0 && o->target_rev == o->view->rev &&
+        o->target_version == o->mbr->version &&
+        (!o->target_again || now - o->target_ms < TARGET_MS)) {
+        return;
+    }
+    all = eligible_list(o, now, false, &ms);
+    free(ms);
+    n = eligible_list(o, now, true, &ms);
+    o->target_again = n != all;
+    for (uint32_t p = 0; p < VIEW_PARTS; p++) {
+        o->want[p] = best_for(o, ms, n, p);
+    }
+    free(ms);
+    o->target_rev = o->view->rev;
+    o->target_version = o->mbr->version;
+    o->target_ms = now;
+}
+
+/* --- writing the map --- */
+
+/* By a message of its own, not just not held dead yet: a process cut off
+ * finds out about one peer after the other. */
+static bool
+heard_lately(const struct own *o, uint64_t now, uint64_t id)
+{
+    const struct mbr_peer *p = mbr_peer(o->mbr, id);
+
+    return id == o->self ||
+           (p != NULL && p->heard_ms != 0 && now - p->heard_ms < HEARD_MS);
+}
+
+static bool
+hears_majority(const struct own *o, uint64_t now)
+{
+    const char *names[SYNC_DOMAINS_MAX];
+    size_t total = view_domains(o->view, names, SYNC_DOMAINS_MAX);
+    size_t heard = 0;
+
+    for (size_t i = 0; i < total; i++) {
+        const struct view_member *m;
+
+        for (m = o->view->members; m != NULL; m = m->hh.next) {
+            if (strcmp(m->domain, names[i]) == 0 &&
+                heard_lately(o, now, m->id)) {
+                heard++;
+                break;
+            }
+        }
+    }
+    return heard >= total / 2 + 1;
+}
+
+struct txn *
+own_begin_map_txn(struct own *o, struct acts *out)
+{
+    struct txn *t = act_txn(out, OWN_TXN_MAP);
+
+    txn_compare(t, VIEW_MAP, o->view->have_map ? o->view->map_mod : 0);
+    o->txn_out = true;
+    return t;
+}
+
+/* Losses as the map tells them; `also` is lost by this very write. */
+void
+own_put_map(const struct own *o, uint64_t now, struct txn *t,
+    const struct view_part *parts, uint64_t epoch, const uint64_t *also,
+    size_t also_count)
+{
+    struct view_loss losses[VIEW_LOSSES];
+    struct buf b = {0};
+    size_t n = 0;
+
+    for (size_t i = 0; i < also_count && n < VIEW_LOSSES; i++) {
+        losses[n].id = also[i];
+        losses[n++].age_ms = 0;
+    }
+    for (size_t i = 0; i < o->loss_count && n < VIEW_LOSSES; i++) {
+        losses[n].id = o->losses[i].id;
+        losses[n++].age_ms = (uint32_t)(now - o->losses[i].ms);
+    }
+    view_format_map(parts, epoch, losses, n, &b);
+    txn_put(t, VIEW_MAP, b.p);
+    buf_free(&b);
+}
+
+void
+own_member_key(char *out, size_t cap, uint64_t id)
+{
+    struct buf b = {0};
+
+    buf_addf(&b, VIEW_MEMBER "%016" PRIx64, id);
+    str_copy(out, cap, buf_str(&b));
+    buf_free(&b);
+}
+
+/* Returns how many agents among them, and lists these. */
+static size_t
+delete_dead(struct own *o, struct txn *t, uint64_t *agents)
+{
+    const struct view_member *m;
+    char key[128];
+    size_t n = 0;
+
+    for (m = o->view->members; m != NULL; m = m->hh.next) {
+        if (mbr_state(o->mbr, m->id) == DW_M_DEAD) {
+            own_member_key(key, sizeof(key), m->id);
+            txn_compare(t, key, m->mod);
+            txn_put(t, key, NULL);
+            if (m->role == VIEW_AGENT && n < VIEW_LOSSES) {
+                agents[n++] = m->id;
+            }
+        }
+    }
+    return n;
+}
+
+static bool
+any_dead(const struct own *o)
+{
+    const struct view_member *m;
+
+    for (m = o->view->members; m != NULL; m = m->hh.next) {
+        if (mbr_state(o->mbr, m->id) == DW_M_DEAD) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The owner is not a member or is held dead. */
+static bool
+orphaned(const struct own *o, uint64_t owner)
+{
+    return view_member(o->view, owner) == NULL ||
+           mbr_state(o->mbr, owner) == DW_M_DEAD;
+}
+
+static bool
+needs_plan(const struct own *o)
+{
+    return !o->view->have_map || o->orphans || any_dead(o);
+}
+
+static bool
+is_lowest(const struct own *o, const struct view_member **ms, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (ms[i]->id < o->self) {
+            return false;
+        }
+    }
+    return n > 0;
+}
+
+static void
+plan(struct own *o, uint64_t now, const struct view_member **ms, size_t n,
+    struct acts *out)
+{
+    struct view_part parts[VIEW_PARTS];
+    uint64_t dead[VIEW_LOSSES];
+    size_t dead_count;
+    uint64_t epoch = o->view->have_map ? o->view->map_epoch + 1 : 1;
+    struct txn *t = own_begin_map_txn(o, out);
+
+    memcpy(parts, o->view->parts, sizeof(parts));
+    for (uint32_t p = 0; p < VIEW_PARTS; p++) {
+        if (o->view->have_map && !orphaned(o, parts[p].owner)) {
+            continue;
+        }
+        parts[p].owner = best_for(o, ms, n, p);
+        parts[p].epoch = epoch;
+        parts[p].nonce = 0;
+    }
+    dead_count = delete_dead(o, t, dead);
+    for (size_t i = 0; i < dead_count; i++) {
+        act_event(out, "what=remove_dead agent=%016" PRIx64, dead[i]);
+    }
+    own_put_map(o, now, t, parts, epoch, dead, dead_count);
+    o->stats.plans++;
+}
+
+/*
+ * A process cut off from most others would hold all of them dead while it
+ * still reaches the store.  It hears no majority of failure domains then,
+ * and leaves the map to those who do.
+ */
+void
+own_maybe_plan(struct own *o, uint64_t now, struct acts *out)
+{
+    const struct view_member **ms;
+    size_t n;
+
+    if (o->txn_out || now - o->planned_ms < o->cfg.plan_ms ||
+        now - o->checked_ms < CHECK_MS) {
+        return;
+    }
+    o->checked_ms = now;
+    if (view_member(o->view, o->self) == NULL || !needs_plan(o) ||
+        (o->view->have_map && !hears_majority(o, now))) {
+        return;
+    }
+    o->planned_ms = now;
+    n = eligible_list(o, now, false, &ms);
+    if (is_lowest(o, ms, n)) {
+        plan(o, now, ms, n, out);
+    }
+    free(ms);
+}
