An entry keeps sessions with a part of a large fleet

Weighed: smaller beats (headers and envelope are most of one), longer beats (a lost agent would be noticed later), sessions with the entry's own zone only (a zone's loss or withdrawal would leave its entries nothing). Fleets of up to 64 agents are kept whole, as before.

--- a/coord.c
+++ b/coord.c
@@ -30,12 +30,12 @@
 
 void
 co_init(struct coord *c, const struct co_ops *ops, void *ctx, uint64_t seed,
-    const char *address, uint16_t port)
+    const char *domain, const char *address, uint16_t port)
 {
     *c = (struct coord){0};
     c->ops = ops;
     c->ctx = ctx;
-    fl_init(&c->fleet, seed);
+    fl_init(&c->fleet, seed, domain);
     str_copy(c->address, sizeof(c->address), str_of(address));
     c->port = port;
 }
@@ -754,6 +754,12 @@
     if (a->live && !sess_live(&a->sess, now)) {
         session_over(c, now, a);
     }
+    if (!a->chosen && (!a->live || fl_idle(a))) {
+        if (a->sess.number != 0) {
+            fl_close(a);
+        }
+        return;
+    }
     if (!a->live &&
         (a->sess.number == 0 || now - a->opened_ms > FL_STALE_MS)) {
         fl_open(&c->fleet, now, a);
@@ -832,6 +838,7 @@
     struct co_job *j_tmp;
 
     c->ticked_ms = now;
+    fl_choose(&c->fleet, now);
     fl_learn(&c->fleet, now);
     /* Other entries see the same room. */
     c->move_room = fl_free_room(&c->fleet, now) / MOVE_SHARE;
--- a/coord.h
+++ b/coord.h
@@ -161,7 +161,7 @@
 };
 
 void co_init(struct coord *c, const struct co_ops *ops, void *ctx,
-    uint64_t seed, const char *address, uint16_t port);
+    uint64_t seed, const char *domain, const char *address, uint16_t port);
 void co_free(struct coord *c);
 
 /* A caller's request.  The answer comes by ops->answer, perhaps at once. */
--- a/entryd.c
+++ b/entryd.c
@@ -638,8 +638,8 @@
     e->accepting = true;
     e->news.answers = true;
     e->answers_tail = &e->answers;
-    co_init(&e->coord, &co_ops, e, s->seed, s->conf->node.me.addr,
-        s->conf->node.me.port);
+    co_init(&e->coord, &co_ops, e, s->seed, s->conf->node.me.domain,
+        s->conf->node.me.addr, s->conf->node.me.port);
     if (open_web(e, &e->callers, p->callers, on_caller, on_caller_gone, err) !=
             0 ||
         open_web(e, &e->ready, p->readiness, on_ready, on_ready_gone, err) !=
--- a/fleet.c
+++ b/fleet.c
@@ -28,11 +28,13 @@
 #define SICK_MAX_MS 4000U
 
 void
-fl_init(struct fleet *f, uint64_t seed)
+fl_init(struct fleet *f, uint64_t seed, const char *domain)
 {
-    f->agents = NULL;
+    *f = (struct fleet){0};
     f->seed = seed;
+    f->salt = seed;
     f->speed = 1000;
+    str_copy(f->domain, sizeof(f->domain), str_of(domain));
 }
 
 struct fl_agent *
@@ -119,6 +121,109 @@
     }
 }
 
+/* --- whom to keep sessions with --- */
+
+/* Not worth a session while there are others. */
+static bool
+on_standby(const struct fl_agent *a, uint64_t now)
+{
+    return a->withdrawn || a->room.draining ||
+           (!a->live && a->wanted_ms != 0 &&
+               now - a->wanted_ms > FL_UNANSWERED_MS);
+}
+
+struct candidate {
+    struct fl_agent *agent;
+    bool standby;
+    uint64_t score;
+};
+
+/* By service, those on standby last, else by chance that stays the same. */
+static int
+by_rank(const void *a, const void *b)
+{
+    const struct candidate *x = a;
+    const struct candidate *y = b;
+    int order = strcmp(x->agent->service, y->agent->service);
+
+    if (order != 0) {
+        return order;
+    }
+    if (x->standby != y->standby) {
+        return x->standby ? 1 : -1;
+    }
+    return (x->score > y->score) - (x->score < y->score);
+}
+
+/* Of one service, best first. */
+static void
+choose_some(const struct fleet *f, uint64_t now, struct candidate *c, size_t n)
+{
+    size_t chosen = 0;
+
+    for (size_t i = 0; i < n; i++) {
+        bool near = strcmp(c[i].agent->domain, f->domain) == 0;
+
+        c[i].agent->chosen = near && !c[i].standby && chosen < FL_NEAR_MAX;
+        chosen += c[i].agent->chosen;
+    }
+    for (size_t i = 0; i < n && chosen < FL_CHOSEN_MAX; i++) {
+        chosen += !c[i].agent->chosen;
+        c[i].agent->chosen = true;
+    }
+    for (size_t i = 0; i < n; i++) {
+        struct fl_agent *a = c[i].agent;
+
+        if (now - a->wanted_ms > FL_TRY_AGAIN_MS || a->live) {
+            a->wanted_ms = 0;
+        }
+        if (a->chosen && a->wanted_ms == 0) {
+            a->wanted_ms = now;
+        }
+    }
+}
+
+void
+fl_choose(struct fleet *f, uint64_t now)
+{
+    size_t count = HASH_COUNT(f->agents);
+    struct candidate *c;
+    struct fl_agent *a;
+    size_t n = 0;
+    size_t from = 0;
+
+    if (count <= FL_CHOSEN_MAX) {
+        for (a = f->agents; a != NULL; a = a->hh.next) {
+            a->chosen = true;
+        }
+        return;
+    }
+    if (f->chose_ms != 0 && now - f->chose_ms < FL_CHOOSE_MS) {
+        return;
+    }
+    f->chose_ms = now;
+    c = dw_zero(count, sizeof(*c));
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        c[n++] =
+            (struct candidate){a, on_standby(a, now), mix64(f->salt, a->id)};
+    }
+    qsort(c, n, sizeof(*c), by_rank);
+    for (size_t i = 1; i <= n; i++) {
+        if (i == n ||
+            strcmp(c[i].agent->service, c[from].agent->service) != 0) {
+            choose_some(f, now, c + from, i - from);
+            from = i;
+        }
+    }
+    free(c);
+}
+
+bool
+fl_idle(const struct fl_agent *a)
+{
+    return a->out == 0 && a->batch == NULL && a->sess.head == NULL;
+}
+
 void
 fl_open(struct fleet *f, uint64_t now, struct fl_agent *a)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -25,6 +25,22 @@
 /* ms that an opening session is waited for before it gets a new number. */
 #define FL_STALE_MS 1000U
 
+/*
+ * Agents of one service that an entry keeps sessions with.  Sessions between
+ * all pairs would grow with the square of the fleet: at 300 machines beats
+ * alone took 0.8 MB/s of an entry and half of its processor.  A choice among
+ * 64 is about as good as one among all, and half of them near, as far as
+ * there are any, keep most bytes within the failure domain.
+ */
+#define FL_CHOSEN_MAX 64U
+#define FL_NEAR_MAX 32U
+/* ms between choices. */
+#define FL_CHOOSE_MS 200U
+/* ms without an answer after which another agent is chosen in its place, and
+ * ms after which it is tried again. */
+#define FL_UNANSWERED_MS 2000U
+#define FL_TRY_AGAIN_MS 12000U
+
 /* Orders sent that the agent's last report did not cover. */
 struct fl_pending {
     struct fl_pending *next;
@@ -42,6 +58,8 @@
     bool member;               /* entered in the platform's store */
     bool live;                 /* the session is open */
     bool withdrawn;
+    bool chosen;        /* this entry keeps a session with it */
+    uint64_t wanted_ms; /* since when it has been chosen or tried in vain */
     struct sess sess;
     uint64_t opened_ms; /* when the session's number was given */
     uint64_t tried_ms;
@@ -65,6 +83,9 @@
 struct fleet {
     struct fl_agent *agents;
     uint64_t seed;
+    uint64_t salt;            /* makes each entry's choice of agents its own */
+    char domain[FL_NAME_MAX]; /* the entry's own */
+    uint64_t chose_ms;
     uint32_t fail_permille; /* mean of usable workers */
     uint32_t speed;         /* median of usable workers, permille */
 };
@@ -81,13 +102,15 @@
     uint64_t avoid;     /* an agent where it failed before; 0: none */
 };
 
-void fl_init(struct fleet *f, uint64_t seed);
+void fl_init(struct fleet *f, uint64_t seed, const char *domain);
 void fl_free(struct fleet *f);
 struct fl_agent *fl_find(struct fleet *f, uint64_t id);
 struct fl_agent *fl_add(struct fleet *f, uint64_t id, const char *name,
     const char *domain, const char *service);
 void fl_remove(struct fleet *f, struct fl_agent *a);
 void fl_withdraw(struct fleet *f, const char *const *domains, size_t n);
+/* Choose the agents to keep sessions with. */
+void fl_choose(struct fleet *f, uint64_t now);
 /* Begin a session; beats go out until it is answered. */
 void fl_open(struct fleet *f, uint64_t now, struct fl_agent *a);
 void fl_close(struct fl_agent *a);
@@ -108,6 +131,8 @@
 /* Queries. */
 /* Its present speed is far below what workers usually have. */
 bool fl_slow(const struct fleet *f, const struct fl_agent *a);
+/* Nothing of this entry is on its way there or back. */
+bool fl_idle(const struct fl_agent *a);
 bool fl_usable(const struct fl_agent *a, uint64_t now);
 /* Cores of all usable workers, and those free. */
 int64_t fl_capacity(const struct fleet *f, uint64_t now);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -67,7 +67,7 @@
 
     Entry()
     {
-        co_init(&c, &callers_ops, &callers, 1, "10.0.0.1", 1);
+        co_init(&c, &callers_ops, &callers, 1, "kolding", "10.0.0.1", 1);
         fl_add(&c.fleet, 3, "a", "kolding", "s")->member = true;
         co_tick(&c, now);
         report({});
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -14,7 +14,7 @@
 
     Fleet3()
     {
-        fl_init(&f, 1);
+        fl_init(&f, 1, "kolding");
         for (uint64_t id = 1; id <= 3; id++) {
             fl_agent *a = fl_add(&f, id, "a", "kolding", "s");
 
@@ -139,3 +139,157 @@
     }
     EXPECT_EQ(t.pick(100, 0), 0u);
 }
+
+/* --- whom to keep sessions with --- */
+
+namespace {
+
+/* An entry in kolding; agents spread over four domains. */
+struct Many {
+    static constexpr size_t DOMAINS = 4;
+    fleet f;
+    uint64_t now = 1000;
+
+    explicit Many(size_t agents, uint64_t seed = 1)
+    {
+        static const char *const domains[] = {
+            "kolding", "aarhus", "herning", "vejle"};
+
+        fl_init(&f, seed, "kolding");
+        for (size_t i = 1; i <= agents; i++) {
+            fl_agent *a = fl_add(&f, i, "a", domains[i % DOMAINS], "s");
+
+            a->member = true;
+        }
+        fl_choose(&f, now);
+    }
+    ~Many()
+    {
+        fl_free(&f);
+    }
+    size_t
+    chosen(const char *domain = nullptr)
+    {
+        size_t n = 0;
+
+        for (fl_agent *a = f.agents; a != nullptr;
+             a = static_cast<fl_agent *>(a->hh.next)) {
+            n += a->chosen &&
+                 (domain == nullptr || strcmp(a->domain, domain) == 0);
+        }
+        return n;
+    }
+    void
+    answer_all()
+    {
+        for (fl_agent *a = f.agents; a != nullptr;
+             a = static_cast<fl_agent *>(a->hh.next)) {
+            a->live = a->chosen;
+        }
+    }
+    void
+    pass(uint64_t ms)
+    {
+        now += ms;
+        fl_choose(&f, now);
+    }
+};
+
+} // namespace
+
+TEST(Many, ASmallFleetIsKeptWhole)
+{
+    Many m(FL_CHOSEN_MAX);
+
+    EXPECT_EQ(m.chosen(), FL_CHOSEN_MAX);
+}
+
+/* Sessions between all pairs took half of an entry's processor at 300. */
+TEST(Many, ALargeFleetIsKeptInPartHalfOfItNear)
+{
+    Many m(300);
+
+    EXPECT_EQ(m.chosen(), FL_CHOSEN_MAX);
+    EXPECT_GE(m.chosen("kolding"), FL_NEAR_MAX);
+    EXPECT_LT(m.chosen("kolding"), FL_CHOSEN_MAX);
+    m.answer_all();
+    m.pass(10000);
+    EXPECT_EQ(m.chosen(), FL_CHOSEN_MAX);
+}
+
+/* Agents must not be left out by all entries, nor chosen by all. */
+TEST(Many, EntriesChooseDifferently)
+{
+    std::vector<size_t> times(301);
+    size_t most = 0;
+    size_t none = 0;
+
+    for (uint64_t seed = 1; seed <= 43; seed++) {
+        Many m(300, seed * 7919);
+
+        for (size_t i = 1; i <= 300; i++) {
+            times[i] += fl_find(&m.f, i)->chosen;
+        }
+    }
+    for (size_t i = 1; i <= 300; i++) {
+        if (i % Many::DOMAINS != 0) { /* kolding's entries choose near */
+            most = std::max(most, times[i]);
+            none += times[i] == 0;
+        }
+    }
+    EXPECT_LE(most, 20u);
+    EXPECT_LE(none, 3u);
+}
+
+/* The entry's own domain goes out of service: others take its part, and it is
+ * chosen again when it is back. */
+TEST(Many, AWithdrawnDomainGivesItsPartToOthers)
+{
+    Many m(300);
+    const char *out[] = {"kolding"};
+
+    m.answer_all();
+    fl_withdraw(&m.f, out, 1);
+    m.pass(FL_CHOOSE_MS);
+    EXPECT_EQ(m.chosen("kolding"), 0u);
+    EXPECT_EQ(m.chosen(), FL_CHOSEN_MAX);
+    fl_withdraw(&m.f, nullptr, 0);
+    m.pass(FL_CHOOSE_MS);
+    EXPECT_GE(m.chosen("kolding"), FL_NEAR_MAX);
+}
+
+/* A cut leaves the entry with agents that do not answer: it would serve with
+ * the rest alone, though it reaches others. */
+TEST(Many, AgentsThatDoNotAnswerAreReplacedAndTriedAgain)
+{
+    Many m(300);
+    fl_agent *dead = nullptr;
+
+    m.answer_all();
+    for (fl_agent *a = m.f.agents; a != nullptr;
+         a = static_cast<fl_agent *>(a->hh.next)) {
+        if (a->chosen) {
+            dead = a;
+        }
+    }
+    dead->live = false;
+    m.pass(FL_UNANSWERED_MS);
+    m.pass(FL_CHOOSE_MS);
+    EXPECT_FALSE(dead->chosen);
+    EXPECT_EQ(m.chosen(), FL_CHOSEN_MAX);
+    m.pass(FL_TRY_AGAIN_MS);
+    m.pass(FL_CHOOSE_MS);
+    EXPECT_TRUE(dead->chosen);
+}
+
+TEST(Many, EachServiceHasItsOwnPart)
+{
+    Many m(200);
+
+    for (size_t i = 1; i <= 200; i++) {
+        str_copy(fl_find(&m.f, i)->service, FL_NAME_MAX,
+            str_of(i <= 100 ? "s" : "t"));
+    }
+    m.pass(FL_CHOOSE_MS);
+    EXPECT_EQ(m.chosen(), 2 * FL_CHOSEN_MAX);
+}
--- a/test/world.cc
+++ b/test/world.cc
@@ -446,7 +446,7 @@
     e->up = true;
     e->frozen_until = 0;
     e->unread.clear();
-    co_init(&e->c, &entry_ops, e, rng(), "10.0.0.1", 1);
+    co_init(&e->c, &entry_ops, e, rng(), "d0", "10.0.0.1", 1);
     for (auto &a : agents) {
         if (a->up) {
             fl_add(&e->c.fleet, a->id, "agent", "domain", "s")->member = true;
