--- a/fleet.c
+++ b/fleet.c
@@ -166,13 +166,13 @@
 static size_t
 choose_from(struct candidate *c, size_t n, uint32_t rank, size_t most)
 {
+    size_t at = n > 0 ? rank * most % n : 0;
     size_t chosen = 0;
 
     for (size_t k = 0; k < n && chosen < most; k++) {
-        struct fl_agent *a = c[(rank * most + k) % n].agent;
-
-        chosen += !a->chosen;
-        a->chosen = true;
+        chosen += !c[at].agent->chosen;
+        c[at].agent->chosen = true;
+        at = at + 1 < n ? at + 1 : 0;
     }
     return chosen;
 }
