--- a/coord.c
+++ b/coord.c
@@ -313,10 +313,13 @@
             s->tasks[i].memory_mb, s->tasks[i].gpus, s->tasks[i].est_ms, 0,
             false, false, 0};
 
-        if (fl_never_fits(&c->fleet, now, &need) &&
-            !fl_widen(&c->fleet, now)) {
+        if (!fl_never_fits(&c->fleet, now, &need)) {
+            continue;
+        }
+        if (!fl_widen(&c->fleet, now)) {
             return "never_fits";
         }
+        c->stats.widened++;
     }
     return NULL;
 }
@@ -756,6 +759,9 @@
         session_over(c, now, a);
     }
     if (!a->chosen && (!a->live || fl_idle(a))) {
+        if (a->live) {
+            c->ops->note_agent(c->ctx, a, "agent_left_out");
+        }
         if (a->sess.number != 0) {
             fl_close(a);
         }
--- a/coord.h
+++ b/coord.h
@@ -141,6 +141,7 @@
     uint64_t bounced; /* sent to an agent that had no room after all */
     uint64_t retried; /* after a failure */
     uint64_t moved;   /* stopped on a slow worker */
+    uint64_t widened; /* jobs that none of the chosen agents could hold */
 };
 
 struct coord {
--- a/entryd.c
+++ b/entryd.c
@@ -143,11 +143,13 @@
 static void
 note_agent(void *ctx, const struct fl_agent *a, const char *what)
 {
+    bool lost =
+        strcmp(what, "agent_silent") == 0 || strcmp(what, "agent_dead") == 0;
+
     (void)ctx;
-    log_event(
-        strcmp(what, "agent_live") == 0 ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
-        what, "agent=%s id=%016" PRIx64 " heard_ms=%" PRIu64 " runs=%u",
-        a->name, a->id, proc_now() - a->sess.heard_ms, a->out);
+    log_event(lost ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, what,
+        "agent=%s id=%016" PRIx64 " heard_ms=%" PRIu64 " runs=%u", a->name,
+        a->id, proc_now() - a->sess.heard_ms, a->out);
 }
 
 static const struct co_ops co_ops = {
@@ -813,6 +815,7 @@
         {"dw_runs_bounced", st->bounced},
         {"dw_runs_retried", st->retried},
         {"dw_runs_moved", st->moved},
+        {"dw_choice_widened", st->widened},
         {"dw_config_version", e->routes.version},
     };
 
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -300,3 +300,30 @@
     e.agent()->room.pace_permille = 100;
     EXPECT_EQ(e.run_of(5), 52u);
 }
+
+/* The one worker that holds a large task is not among the chosen: the task
+ * waits until all have been asked, and only then is refused. */
+TEST(Coord, NeverFitsIsSaidWhenAllWereAsked)
+{
+    Entry e;
+
+    for (uint64_t id = 10; id < 60; id++) {
+        fl_add(&e.c.fleet, id, "b", "aarhus", "s")->member = true;
+    }
+    e.now += FL_CHOOSE_MS;
+    e.agent()->sess.fresh_ms = e.now;
+    co_tick(&e.c, e.now);
+    ASSERT_TRUE(e.agent()->chosen);
+    e.agent()->room.millicores = 500;
+    e.agent()->free_millicores = 500;
+    e.submit(7, 1, &caller);
+    EXPECT_TRUE(e.callers.answers.empty());
+    EXPECT_EQ(e.c.stats.widened, 1u);
+    e.now += FL_CHOOSE_MS;
+    e.agent()->sess.fresh_ms = e.now;
+    co_tick(&e.c, e.now);
+    e.submit(8, 1, &caller);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_NOT_RUN);
+    EXPECT_EQ(e.callers.reasons[0], "never_fits");
+}
