coord estimates the times of a job itself

The estimate decides on admission, order and placing, so it belongs to the deciding modules; so far entryd made it and tests gave made-up times. A submission carries what was declared and the route's figures. No change of behaviour.

--- a/coord.c
+++ b/coord.c
@@ -295,11 +295,13 @@
 
 /* Why a job is turned away on arrival; NULL if it is taken. */
 static const char *
-refusal(struct coord *c, uint64_t now, const struct co_submit *s)
+refusal(struct coord *c, uint64_t now, const struct co_submit *s,
+    const struct gs_guess *g)
 {
     int64_t capacity = fl_capacity(&c->fleet, now);
 
-    if (longest(s) * LEAST_PERCENT / 100 >= num_min(s->left_ms, s->use_ms)) {
+    if ((uint64_t)g->run_ms * LEAST_PERCENT / 100 >=
+        num_min(s->left_ms, g->use_ms)) {
         return "too_late";
     }
     if (capacity <= 0 && now - c->capable_ms > HOLD_MS) {
@@ -310,8 +312,8 @@
     }
     for (size_t i = 0; i < s->count; i++) {
         struct fl_need need = {s->service, s->tasks[i].millicores,
-            s->tasks[i].memory_mb, s->tasks[i].gpus, s->tasks[i].est_ms, 0,
-            false, false, 0};
+            s->tasks[i].memory_mb, s->tasks[i].gpus, g->run_ms, 0, false,
+            false, 0};
 
         if (!fl_never_fits(&c->fleet, now, &need)) {
             continue;
@@ -325,7 +327,8 @@
 }
 
 static void
-admit(struct coord *c, uint64_t now, const struct co_submit *s, void *handle)
+admit(struct coord *c, uint64_t now, const struct co_submit *s,
+    const struct gs_guess *g, void *handle)
 {
     struct co_job *j = dw_zero(1, sizeof(*j));
 
@@ -336,16 +339,18 @@
     j->priority = s->priority;
     j->attempts = (uint32_t)num_max(s->attempts, 1);
     j->come_ms = now;
-    j->objective_ms = now + s->objective_ms;
-    j->use_ms = now + s->use_ms;
+    j->objective_ms = now + g->objective_ms;
+    j->use_ms = now + g->use_ms;
     j->deadline_ms = now + s->left_ms;
-    j->longest_ms = longest(s);
+    j->longest_ms = g->run_ms;
     j->count = (uint32_t)s->count;
     j->tasks = dw_zero(s->count, sizeof(*j->tasks));
     attach(j, handle);
     HASH_ADD(hh, c->jobs, id, sizeof(j->id), j);
     for (uint32_t i = 0; i < j->count; i++) {
         j->tasks[i].spec = s->tasks[i];
+        /* One time for all tasks of a job: they are much alike. */
+        j->tasks[i].spec.est_ms = g->run_ms;
         j->tasks[i].run = s->wall_ms;
         j->tasks[i].state = CO_DONE;
         set_state(c, j, &j->tasks[i], CO_WAITING);
@@ -358,6 +363,7 @@
 {
     struct co_job *j = find_job(c, s->id);
     struct co_ended *e = NULL;
+    struct gs_guess g;
     const char *why;
 
     c->stats.submitted++;
@@ -372,14 +378,15 @@
         c->ops->answer(c->ctx, handle, e->how, "ended", 0);
         return;
     }
-    why = refusal(c, now, s);
+    g = gs_times(&s->route, longest(s), s->left_ms);
+    why = refusal(c, now, s, &g);
     if (why != NULL) {
         c->stats.not_run++;
-        c->ops->note_refusal(c->ctx, s, why, co_waiting_ms(c, now));
+        c->ops->note_refusal(c->ctx, s, &g, why, co_waiting_ms(c, now));
         c->ops->answer(c->ctx, handle, CO_NOT_RUN, why, RETRY_MS);
         return;
     }
-    admit(c, now, s, handle);
+    admit(c, now, s, &g, handle);
 }
 
 static bool
--- a/coord.h
+++ b/coord.h
@@ -14,6 +14,7 @@
 #include <uthash.h>
 
 #include "fleet.h"
+#include "guess.h"
 #include "proto.h"
 #include "runner.h"
 #include "str.h"
@@ -54,11 +55,10 @@
     struct str spec;
     const char *service; /* whose workers may run it */
     uint32_t priority;
-    uint32_t attempts;     /* runs of a task that may fail */
-    uint32_t objective_ms; /* from now; later it is worth less */
-    uint32_t use_ms;       /* from now; an answer later is of no use */
-    uint32_t left_ms;      /* until the caller leaves */
-    const struct co_task_spec *tasks;
+    uint32_t attempts; /* runs of a task that may fail */
+    struct gs_route route;
+    uint32_t left_ms;                 /* until the caller leaves */
+    const struct co_task_spec *tasks; /* run times as declared */
     size_t count;
 };
 
@@ -121,8 +121,8 @@
         const char *reason, uint32_t retry_ms);
     /* Lines for whoever asks later what became of a job or a run. */
     void (*note)(void *ctx, const struct co_job *job, const char *text);
-    void (*note_refusal)(void *ctx, const struct co_submit *s, const char *why,
-        uint64_t waiting_ms);
+    void (*note_refusal)(void *ctx, const struct co_submit *s,
+        const struct gs_guess *g, const char *why, uint64_t waiting_ms);
     void (*note_run)(
         void *ctx, const struct co_job *job, uint32_t index, const char *what);
     void (*note_agent)(void *ctx, const struct fl_agent *a, const char *what);
--- a/entryd.c
+++ b/entryd.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #include "coord.h"
-#include "guess.h"
 #include "hist.h"
 #include "log.h"
 #include "news.h"
@@ -111,8 +110,8 @@
 }
 
 static void
-note_refusal(
-    void *ctx, const struct co_submit *s, const char *why, uint64_t waiting_ms)
+note_refusal(void *ctx, const struct co_submit *s, const struct gs_guess *g,
+    const char *why, uint64_t waiting_ms)
 {
     struct entry *e = ctx;
     uint64_t now = proc_now();
@@ -120,9 +119,8 @@
     log_event(LOG_LEVEL_WARN, "job_refused",
         "job=%016" PRIx64 " why=%s tasks=%zu run_ms=%u left_ms=%u"
         " use_ms=%u waiting_ms=%" PRIu64 " capacity=%" PRId64 " free=%" PRId64,
-        s->id, why, s->count, s->count > 0 ? s->tasks[0].est_ms : 0,
-        s->left_ms, s->use_ms, waiting_ms, fl_capacity(&e->coord.fleet, now),
-        fl_free_room(&e->coord.fleet, now));
+        s->id, why, s->count, g->run_ms, s->left_ms, g->use_ms, waiting_ms,
+        fl_capacity(&e->coord.fleet, now), fl_free_room(&e->coord.fleet, now));
 }
 
 static void
@@ -224,23 +222,6 @@
     return end == z || ms < 0 || ms > 86400000.0 ? LEFT_MS : (uint32_t)ms;
 }
 
-/* One time for all tasks of a job: they are much alike. */
-static void
-guess_times(struct co_submit *s, const struct rt_route *route,
-    struct wire_job *job, uint32_t left)
-{
-    struct gs_route r = {
-        route->stretch_milli, route->slo_ms, route->timeout_ms};
-    struct gs_guess g = gs_times(&r, job->longest_ms, left);
-
-    for (size_t i = 0; i < job->count; i++) {
-        job->tasks[i].est_ms = g.run_ms;
-    }
-    s->objective_ms = g.objective_ms;
-    s->use_ms = g.use_ms;
-    s->left_ms = left;
-}
-
 /* The caller's connection stands for the job. */
 static void
 submit(struct entry *e, uint64_t now, struct web_req *r,
@@ -269,7 +250,9 @@
     s.service = route->service;
     s.priority = route->priority;
     s.attempts = route->attempts;
-    guess_times(&s, route, &job, left_ms(r));
+    s.route = (struct gs_route){
+        route->stretch_milli, route->slo_ms, route->timeout_ms};
+    s.left_ms = left_ms(r);
     s.tasks = job.tasks;
     s.count = job.count;
     web_set_ctx(r, (void *)(uintptr_t)1);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -41,7 +41,8 @@
 }
 
 void
-co_noted_refusal(void *, const struct co_submit *, const char *, uint64_t)
+co_noted_refusal(void *, const struct co_submit *, const struct gs_guess *,
+    const char *, uint64_t)
 {
 }
 
@@ -117,8 +118,7 @@
         s.spec = STR("x");
         s.service = "s";
         s.attempts = 2;
-        s.objective_ms = 200;
-        s.use_ms = left;
+        s.route = {1000, 100, 0}; /* an objective of 200 ms */
         s.left_ms = left;
         s.tasks = tasks.data();
         s.count = count;
--- a/test/world.cc
+++ b/test/world.cc
@@ -273,7 +273,8 @@
 }
 
 void
-entry_note_refusal(void *, const struct co_submit *, const char *, uint64_t)
+entry_note_refusal(void *, const struct co_submit *, const struct gs_guess *,
+    const char *, uint64_t)
 {
 }
 
@@ -861,8 +862,7 @@
             s.spec = STR("spec");
             s.service = "s";
             s.attempts = 3;
-            s.objective_ms = 200;
-            s.use_ms = (uint32_t)(c->deadline - now);
+            s.route = {1000, 100, 0};
             s.left_ms = (uint32_t)(c->deadline - now);
             s.tasks = specs.data();
             s.count = specs.size();
