dwsim: decisions under load on drawn deployments, in virtual time

Random numbers and distributions come from GSL (weighed: own generator; the C library's has no distributions).

--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,9 @@
 CLI_O = $(COMMON_O) $(B)/explain.o $(B)/dunlinweir.o
 LOAD_O = $(COMMON_O) $(B)/log.o $(B)/httpc.o $(B)/dwload.o $(B)/dwtrace.o \
 	$(B)/dwfleet.o $(B)/dwreport.o
-PROGRAMS = $(B)/dunlinweird $(B)/dunlinweir $(B)/dwload
+SIM_PARTS = $(B)/sim.o $(B)/simwork.o $(B)/simcall.o $(B)/simdraw.o
+SIM_O = $(COMMON_O) $(SIM_PARTS)
+PROGRAMS = $(B)/dunlinweird $(B)/dunlinweir $(B)/dwload $(B)/dwsim
 STANDINS = $(B)/fake-store $(B)/fake-backend $(B)/soak
 
 all: $(PROGRAMS) $(STANDINS)
@@ -40,6 +42,9 @@
 $(B)/dwload: $(LOAD_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS)
 
+$(B)/dwsim: $(SIM_O) $(B)/log.o $(B)/dwsim.o
+	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lgsl -lgslcblas
+
 $(B)/fake-store: $(B)/test/fake-store.o $(B)/str.o
 	$(CC) $(LDFLAGS) -o $@ $^ -lmicrohttpd -ljansson -lnettle -lxxhash \
 		-lpthread
@@ -56,11 +61,11 @@
 TESTS = unit-test work-test link-test lend-test path-test member-test matrix-test \
 	property-test fleet world serve-test wire-test route-test sess-test runner-test agent-test \
 	coord-test news-test guess-test fleet-test kv-test \
-	web-test log-test
+	web-test log-test sim-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/hist.o $(B)/web.o \
-	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o
-	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lrapidcheck -lgtest -lgtest_main \
+	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(SIM_PARTS)
+	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lgsl -lgslcblas -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
 
 $(B)/capacity: $(B)/test/capacity.o $(B)/test/fleet.o $(COMMON_O)
@@ -127,6 +132,12 @@
 test-asan:
 	$(MAKE) -s B=build-asan SAN='$(SANITIZE)' OPT='-O1 -g' test-unit test-path
 
+# Policies on drawn deployments; reports in out/load and out/dark.
+experiment-load: $(B)/dwsim
+	$(B)/dwsim -j 8 -o out/load experiments/load.toml
+	$(B)/dwsim -j 8 -o out/dark experiments/dark.toml
+	gnuplot out/load/plot.gp out/dark/plot.gp
+
 # Experiments; reports in out/.
 experiment-%: all
 	@mkdir -p out/$*
--- /dev/null
+++ b/dwsim.c
@@ -0,0 +1,762 @@
+/* dwsim: decisions under load, on many drawn deployments. */
+#include <errno.h>
+#include <math.h>
+#include <popt.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "conf.h"
+#include "num.h"
+#include "sim.h"
+
+#define JOBS_MAX 64
+#define DAYS_MAX 100000
+#define PATH_CAP 512
+#define CSV_HEAD                                                              \
+    "seed,worth,in_time,late,refused,lost,held_in_vain,refused_at_once,"      \
+    "runs,bounced,moved,messages,run_error,broken"
+
+struct experiment {
+    struct sim_ranges ranges;
+    uint64_t days;
+    uint64_t seed;
+};
+
+/* One day, as kept for the tables. */
+struct day {
+    uint64_t seed;
+    double worth;
+    double in_time; /* of the requests that were asked */
+    double late;
+    double refused;
+    double lost;
+    uint64_t held_in_vain;
+    uint64_t refused_at_once;
+    uint64_t runs;
+    uint64_t bounced;
+    uint64_t moved;
+    uint64_t messages;
+    double run_error;
+    uint64_t broken;
+};
+
+/* --- experiment files --- */
+
+enum key_kind { KEY_U32, KEY_U64, KEY_REAL, KEY_BOOL };
+
+struct key {
+    const char *name;
+    size_t offset;
+    enum key_kind kind;
+    double least;
+    double most;
+};
+
+#define RANGE(field) offsetof(struct experiment, ranges.field)
+
+static const struct key keys[] = {
+    {"days", offsetof(struct experiment, days), KEY_U64, 1, DAYS_MAX},
+    {"seed", offsetof(struct experiment, seed), KEY_U64, 0, 1e9},
+    {"length_ms", RANGE(length_ms), KEY_U32, 14000, 600000},
+    {"machines.workers_min", RANGE(workers_min), KEY_U32, 1, SIM_WORKERS_MAX},
+    {"machines.workers_max", RANGE(workers_max), KEY_U32, 1, SIM_WORKERS_MAX},
+    {"machines.entries_max", RANGE(entries_max), KEY_U32, 1, 4},
+    {"load.least", RANGE(load_min), KEY_REAL, 0.01, 3},
+    {"load.most", RANGE(load_max), KEY_REAL, 0.01, 3},
+    {"load.burst_most", RANGE(burst_max), KEY_REAL, 1.2, 10},
+    {"troubles.least", RANGE(troubles_min), KEY_U32, 0, 5},
+    {"troubles.most", RANGE(troubles_max), KEY_U32, 0, 5},
+    {"patience.of_work", RANGE(patience[SIM_PATIENCE_OF_WORK]), KEY_BOOL, 0,
+        1},
+    {"patience.fixed", RANGE(patience[SIM_PATIENCE_FIXED]), KEY_BOOL, 0, 1},
+    {"patience.loose", RANGE(patience[SIM_PATIENCE_LOOSE]), KEY_BOOL, 0, 1},
+};
+
+#define KEY_COUNT (sizeof(keys) / sizeof(keys[0]))
+#define TROUBLE_PREFIX "trouble."
+
+static enum conf_status
+bad(const struct toml_value *v, struct err *e, const char *want)
+{
+    err_set(e, "line %u: key '%s': want %s", v->line, v->key, want);
+    return CONF_BAD_VALUE;
+}
+
+static enum conf_status
+set_trouble(struct experiment *x, const struct toml_value *v, struct err *e)
+{
+    const char *name = v->key + sizeof(TROUBLE_PREFIX) - 1;
+
+    for (size_t i = 0; i < SIM_TROUBLE_KINDS; i++) {
+        if (strcmp(sim_trouble_names[i], name) != 0) {
+            continue;
+        }
+        if (v->kind != TOML_TEXT ||
+            (strcmp(v->text, "always") != 0 && strcmp(v->text, "drawn") != 0 &&
+                strcmp(v->text, "never") != 0)) {
+            return bad(v, e, "\"always\", \"drawn\" or \"never\"");
+        }
+        x->ranges.every[i] = strcmp(v->text, "always") == 0;
+        x->ranges.trouble[i] = strcmp(v->text, "drawn") == 0;
+        return CONF_OK;
+    }
+    return bad(v, e, "a kind of trouble; see dwsim(1)");
+}
+
+static void
+set_key(struct experiment *x, const struct key *k, double value)
+{
+    char *at = (char *)x + k->offset;
+
+    switch (k->kind) {
+    case KEY_U32:
+        *(uint32_t *)at = (uint32_t)value;
+        break;
+    case KEY_U64:
+        *(uint64_t *)at = (uint64_t)value;
+        break;
+    case KEY_REAL:
+        *(double *)at = value;
+        break;
+    case KEY_BOOL:
+        *(bool *)at = value != 0;
+        break;
+    }
+}
+
+static bool
+has_kind(const struct key *k, const struct toml_value *v)
+{
+    if (k->kind == KEY_BOOL) {
+        return v->kind == TOML_BOOL;
+    }
+    return v->kind == TOML_NUMBER ||
+           (k->kind == KEY_REAL && v->kind == TOML_REAL);
+}
+
+static enum conf_status
+set_value(void *ctx, const struct toml_value *v, struct err *e)
+{
+    static const char *const wants[] = {[KEY_U32] = "a whole number",
+        [KEY_U64] = "a whole number",
+        [KEY_REAL] = "a number",
+        [KEY_BOOL] = "true or false"};
+    struct experiment *x = ctx;
+    double value = v->kind == TOML_REAL ? v->real : (double)v->number;
+    char want[120];
+
+    if (strncmp(v->key, TROUBLE_PREFIX, sizeof(TROUBLE_PREFIX) - 1) == 0) {
+        return set_trouble(x, v, e);
+    }
+    for (size_t i = 0; i < KEY_COUNT; i++) {
+        const struct key *k = &keys[i];
+
+        if (strcmp(k->name, v->key) != 0) {
+            continue;
+        }
+        if (!has_kind(k, v)) {
+            return bad(v, e, wants[k->kind]);
+        }
+        if (value < k->least || value > k->most) {
+            snprintf(want, sizeof(want), "%s from %g to %g", wants[k->kind],
+                k->least, k->most);
+            return bad(v, e, want);
+        }
+        set_key(x, k, value);
+        return CONF_OK;
+    }
+    return bad(v, e, "a known key; see dwsim(1)");
+}
+
+static bool
+any(const bool *list, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (list[i]) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+check(const struct experiment *x, const char *path, struct err *e)
+{
+    const struct sim_ranges *r = &x->ranges;
+
+    if (r->workers_min > r->workers_max) {
+        err_set(e, "%s: machines.workers_min is above workers_max", path);
+        return false;
+    }
+    if (r->load_min > r->load_max) {
+        err_set(e, "%s: load.least is above load.most", path);
+        return false;
+    }
+    if (r->troubles_min > r->troubles_max) {
+        err_set(e, "%s: troubles.least is above troubles.most", path);
+        return false;
+    }
+    if (!any(r->patience, SIM_PATIENCE_COUNT)) {
+        err_set(e, "%s: [patience]: want one of them true", path);
+        return false;
+    }
+    if (r->troubles_max > 0 && !any(r->trouble, SIM_TROUBLE_KINDS)) {
+        err_set(e,
+            "%s: [trouble]: want one of them \"drawn\", or "
+            "troubles.most = 0",
+            path);
+        return false;
+    }
+    return true;
+}
+
+static bool
+read_experiment(struct experiment *x, const char *path, struct err *e)
+{
+    *x = (struct experiment){0};
+    sim_ranges_init(&x->ranges);
+    x->days = 100;
+    x->seed = 1;
+    if (toml_each(path, set_value, x, e) != CONF_OK) {
+        err_prefix(e, "%s", path);
+        return false;
+    }
+    return check(x, path, e);
+}
+
+/* --- days --- */
+
+static struct day
+day_of(uint64_t seed, const struct sim_result *r)
+{
+    double asked = (double)num_max(r->whole.asked, 1);
+    struct day d = {.seed = seed,
+        .worth = r->worth,
+        .in_time = (double)r->whole.in_time / asked,
+        .late = (double)r->whole.late / asked,
+        .refused = (double)r->whole.refused / asked,
+        .lost = (double)r->whole.lost / asked,
+        .held_in_vain = r->held_in_vain,
+        .refused_at_once = r->refused_at_once,
+        .runs = r->runs,
+        .bounced = r->bounced,
+        .moved = r->moved,
+        .messages = r->messages,
+        .run_error = r->run_error};
+
+    for (size_t i = 0; i < r->broken.n; i++) {
+        d.broken += r->broken.p[i] == '\n';
+    }
+    return d;
+}
+
+static void
+play_some(const struct experiment *x, uint64_t first, uint64_t step, FILE *out)
+{
+    for (uint64_t i = first; i < x->days; i += step) {
+        struct sim_deployment *d = dw_zero(1, sizeof(*d));
+        struct sim_result r;
+        struct day day;
+
+        sim_draw(d, x->seed + i, &x->ranges);
+        sim_play(d, &r);
+        day = day_of(d->seed, &r);
+        if (day.broken > 0) {
+            fprintf(stderr, "seed %llu:\n%s", (unsigned long long)d->seed,
+                r.broken.p);
+        }
+        fwrite(&day, sizeof(day), 1, out);
+        sim_result_free(&r);
+        free(d);
+    }
+    fflush(out);
+}
+
+/* Play all days, so many at a time; false if a process could not. */
+static bool
+play_all(const struct experiment *x, int jobs, struct day *days)
+{
+    FILE *parts[JOBS_MAX] = {NULL};
+    pid_t children[JOBS_MAX] = {0};
+    bool ok = true;
+
+    for (int k = 0; k < jobs; k++) {
+        parts[k] = tmpfile();
+        children[k] = parts[k] != NULL ? fork() : -1;
+        if (children[k] == 0) {
+            play_some(x, (uint64_t)k, (uint64_t)jobs, parts[k]);
+            _exit(0);
+        }
+        ok &= children[k] > 0;
+    }
+    for (int k = 0; k < jobs; k++) {
+        struct day day;
+        int status;
+
+        if (children[k] > 0) {
+            ok &= waitpid(children[k], &status, 0) > 0 && status == 0;
+        }
+        if (parts[k] == NULL) {
+            continue;
+        }
+        rewind(parts[k]);
+        while (fread(&day, sizeof(day), 1, parts[k]) == 1) {
+            days[day.seed - x->seed] = day;
+        }
+        fclose(parts[k]);
+    }
+    return ok;
+}
+
+/* --- tables --- */
+
+struct mean {
+    double n;
+    double sum;
+    double squares;
+};
+
+static void
+mean_add(struct mean *m, double v)
+{
+    m->n++;
+    m->sum += v;
+    m->squares += v * v;
+}
+
+static double
+mean_of(const struct mean *m)
+{
+    return m->n > 0 ? m->sum / m->n : 0;
+}
+
+static double
+mean_error(const struct mean *m)
+{
+    double mean = mean_of(m);
+
+    return m->n > 1
+               ? sqrt(fmax(m->squares / m->n - mean * mean, 0) / (m->n - 1))
+               : 0;
+}
+
+static void
+print_csv(FILE *out, const struct day *d, uint64_t n)
+{
+    fprintf(out, "%s\n", CSV_HEAD);
+    for (uint64_t i = 0; i < n; i++) {
+        fprintf(out,
+            "%llu,%.6f,%.6f,%.6f,%.6f,%.6f,%llu,%llu,%llu,%llu,%llu,%llu,"
+            "%.6f,%llu\n",
+            (unsigned long long)d[i].seed, d[i].worth, d[i].in_time, d[i].late,
+            d[i].refused, d[i].lost, (unsigned long long)d[i].held_in_vain,
+            (unsigned long long)d[i].refused_at_once,
+            (unsigned long long)d[i].runs, (unsigned long long)d[i].bounced,
+            (unsigned long long)d[i].moved, (unsigned long long)d[i].messages,
+            d[i].run_error, (unsigned long long)d[i].broken);
+    }
+}
+
+static bool
+read_csv(const char *path, struct day **out, size_t *n, struct err *e)
+{
+    FILE *f = fopen(path, "r");
+    char line[1024];
+    size_t number = 0;
+    bool ok = false;
+
+    *out = NULL;
+    *n = 0;
+    if (f == NULL) {
+        err_set(e, "%s: %s", path, strerror(errno));
+        return false;
+    }
+    while (fgets(line, sizeof(line), f) != NULL) {
+        struct day d = {0};
+
+        number++;
+        line[strcspn(line, "\n")] = '\0';
+        if (number == 1) {
+            if (strcmp(line, CSV_HEAD) != 0) {
+                err_set(e, "%s:1: not a table of dwsim's days", path);
+                goto out;
+            }
+            continue;
+        }
+        if (sscanf(line,
+                "%lu,%lf,%lf,%lf,%lf,%lf,%lu,%lu,%lu,%lu,%lu,%lu,%lf,%lu",
+                &d.seed, &d.worth, &d.in_time, &d.late, &d.refused, &d.lost,
+                &d.held_in_vain, &d.refused_at_once, &d.runs, &d.bounced,
+                &d.moved, &d.messages, &d.run_error, &d.broken) != 14) {
+            err_set(e, "%s:%zu: want 14 numbers", path, number);
+            goto out;
+        }
+        *out = dw_grow(*out, (*n + 1) * sizeof(**out));
+        (*out)[(*n)++] = d;
+    }
+    ok = true;
+out:
+    fclose(f);
+    return ok;
+}
+
+struct column {
+    const char *name;
+    double (*of)(const struct day *d);
+};
+
+static double
+worth_of(const struct day *d)
+{
+    return d->worth;
+}
+
+static double
+in_time_of(const struct day *d)
+{
+    return d->in_time;
+}
+
+static double
+late_of(const struct day *d)
+{
+    return d->late;
+}
+
+static double
+refused_of(const struct day *d)
+{
+    return d->refused;
+}
+
+static double
+lost_of(const struct day *d)
+{
+    return d->lost;
+}
+
+static double
+held_of(const struct day *d)
+{
+    double all = (double)(d->held_in_vain + d->refused_at_once);
+
+    return all > 0 ? (double)d->held_in_vain / all : 0;
+}
+
+static double
+bounced_of(const struct day *d)
+{
+    return (double)d->bounced / (double)num_max(d->runs, 1);
+}
+
+static double
+moved_of(const struct day *d)
+{
+    return (double)d->moved / (double)num_max(d->runs, 1);
+}
+
+static double
+messages_of(const struct day *d)
+{
+    return (double)d->messages / (double)num_max(d->runs, 1);
+}
+
+static double
+run_error_of(const struct day *d)
+{
+    return d->run_error;
+}
+
+static const struct column *
+columns_of(size_t *n)
+{
+    static const struct column columns[] = {
+        {"worth", worth_of},
+        {"in time", in_time_of},
+        {"late", late_of},
+        {"refused", refused_of},
+        {"lost", lost_of},
+        {"held in vain, of refused", held_of},
+        {"sent back, of runs", bounced_of},
+        {"moved, of runs", moved_of},
+        {"messages a run", messages_of},
+        {"error of run times, ln", run_error_of},
+    };
+
+    *n = sizeof(columns) / sizeof(columns[0]);
+    return columns;
+}
+
+static void
+print_table(const struct day *days, uint64_t n)
+{
+    size_t count;
+    const struct column *columns = columns_of(&count);
+
+    printf("%llu days\n%-26s %9s %9s\n", (unsigned long long)n, "", "mean",
+        "error");
+    for (size_t c = 0; c < count; c++) {
+        struct mean m = {0};
+
+        for (uint64_t i = 0; i < n; i++) {
+            mean_add(&m, columns[c].of(&days[i]));
+        }
+        printf("%-26s %9.4f %9.4f\n", columns[c].name, mean_of(&m),
+            mean_error(&m));
+    }
+}
+
+/* The same seeds, played by two builds or settings. */
+static int
+compare(const char *before_path, const char *after_path)
+{
+    struct err e = {""};
+    struct day *before = NULL;
+    struct day *after = NULL;
+    size_t before_n;
+    size_t after_n;
+    size_t count;
+    const struct column *columns = columns_of(&count);
+    int rc = 2;
+
+    if (!read_csv(before_path, &before, &before_n, &e) ||
+        !read_csv(after_path, &after, &after_n, &e)) {
+        fprintf(stderr, "dwsim: %s\n", e.msg);
+        goto out;
+    }
+    printf("%-26s %9s %9s %10s %9s\n", "", "before", "after", "difference",
+        "error");
+    for (size_t c = 0; c < count; c++) {
+        struct mean m[3] = {{0}};
+        size_t k = 0;
+
+        for (size_t i = 0; i < before_n; i++) {
+            while (k < after_n && after[k].seed < before[i].seed) {
+                k++;
+            }
+            if (k < after_n && after[k].seed == before[i].seed) {
+                double b = columns[c].of(&before[i]);
+                double a = columns[c].of(&after[k]);
+
+                mean_add(&m[0], b);
+                mean_add(&m[1], a);
+                mean_add(&m[2], a - b);
+            }
+        }
+        if (c == 0 && m[0].n == 0) {
+            fprintf(stderr, "dwsim: no seed is in both tables\n");
+            goto out;
+        }
+        printf("%-26s %9.4f %9.4f %+10.4f %9.4f\n", columns[c].name,
+            mean_of(&m[0]), mean_of(&m[1]), mean_of(&m[2]), mean_error(&m[2]));
+    }
+    rc = 0;
+out:
+    free(before);
+    free(after);
+    return rc;
+}
+
+/* --- one day in full --- */
+
+static void
+print_sum(const char *name, size_t number, const struct sim_sum *s)
+{
+    printf("%s %-6zu %7llu %7llu %6llu %7llu %6llu %7.3f\n", name, number,
+        (unsigned long long)s->asked, (unsigned long long)s->in_time,
+        (unsigned long long)s->late, (unsigned long long)s->refused,
+        (unsigned long long)s->lost, s->owed > 0 ? s->earned / s->owed : 1.0);
+}
+
+static void
+print_deployment(const struct sim_deployment *d)
+{
+    printf("seed %llu: %u domains, %u entries, %u workers, %.0f requests/s\n",
+        (unsigned long long)d->seed, d->domains, d->entries, d->workers,
+        d->per_s);
+    for (uint32_t i = 0; i < d->kinds; i++) {
+        const struct sim_kind *k = &d->kind[i];
+
+        printf("kind %u: %.1f/s, %.1f tasks of %.0f ms on %.1f cores, "
+               "objective %.1f times and %u ms, declared %.2f (%.2f)\n",
+            i, d->per_s * k->share, k->width, k->run_ms, k->millicores / 1e3,
+            k->stretch_milli / 1e3, k->slo_ms, k->declared, k->declared_sigma);
+    }
+    for (uint32_t i = 0; i < d->troubles; i++) {
+        const struct sim_trouble *t = &d->trouble[i];
+
+        printf("trouble: %s from %.1f s for %.1f s, share %.2f, x %.1f%s\n",
+            sim_trouble_names[t->kind], t->at_ms / 1e3, t->for_ms / 1e3,
+            t->share, t->x, t->all ? ", all kinds" : "");
+    }
+}
+
+static int
+show_day(const struct experiment *x, uint64_t seed)
+{
+    struct sim_deployment *d = dw_zero(1, sizeof(*d));
+    struct sim_result r;
+
+    sim_draw(d, seed, &x->ranges);
+    sim_play(d, &r);
+    print_deployment(d);
+    printf("worth %.4f, held in vain %llu, refused at once %llu, runs %llu, "
+           "sent back %llu\n",
+        r.worth, (unsigned long long)r.held_in_vain,
+        (unsigned long long)r.refused_at_once, (unsigned long long)r.runs,
+        (unsigned long long)r.bounced);
+    printf("%13s %7s %7s %6s %7s %6s %7s\n", "", "asked", "in time", "late",
+        "refused", "lost", "worth");
+    for (size_t i = 0; i < r.windows; i++) {
+        print_sum("from s", i * SIM_WINDOW_MS / 1000, &r.window[i]);
+    }
+    for (uint32_t k = 0; k < d->kinds; k++) {
+        print_sum("kind  ", k, &r.kind[k]);
+    }
+    fputs(r.broken.n > 0 ? r.broken.p : "", stdout);
+    sim_result_free(&r);
+    free(d);
+    return 0;
+}
+
+/* --- reports --- */
+
+static void
+make_folders(const char *dir)
+{
+    char path[PATH_CAP];
+
+    str_copy(path, sizeof(path), str_of(dir));
+    for (char *p = strchr(path + 1, '/'); p != NULL; p = strchr(p + 1, '/')) {
+        *p = '\0';
+        mkdir(path, 0777);
+        *p = '/';
+    }
+    mkdir(path, 0777);
+}
+
+static bool
+write_reports(const char *dir, const struct day *days, uint64_t n)
+{
+    char path[PATH_CAP];
+    FILE *f;
+
+    make_folders(dir);
+    snprintf(path, sizeof(path), "%s/days.csv", dir);
+    f = fopen(path, "w");
+    if (f == NULL) {
+        fprintf(stderr, "dwsim: %s: %s\n", path, strerror(errno));
+        return false;
+    }
+    print_csv(f, days, n);
+    fclose(f);
+    snprintf(path, sizeof(path), "%s/plot.gp", dir);
+    f = fopen(path, "w");
+    if (f == NULL) {
+        fprintf(stderr, "dwsim: %s: %s\n", path, strerror(errno));
+        return false;
+    }
+    fprintf(f,
+        "set terminal svg size 900,500\nset output '%s/days.svg'\n"
+        "set datafile separator ','\nset key autotitle columnhead\n"
+        "set xlabel 'refused and lost'\nset ylabel 'worth'\n"
+        "plot '%s/days.csv' using ($5+$6):2 with points title 'a day each'\n",
+        dir, dir);
+    fclose(f);
+    return true;
+}
+
+static int
+experiment(const struct experiment *x, const char *dir, int jobs)
+{
+    struct day *days = dw_zero(x->days, sizeof(*days));
+    struct timespec begin;
+    struct timespec end;
+    double seconds;
+    uint64_t broken = 0;
+    int rc = 1;
+
+    clock_gettime(CLOCK_MONOTONIC, &begin);
+    if (!play_all(x, jobs, days)) {
+        fprintf(stderr, "dwsim: not all days could be played\n");
+        goto out;
+    }
+    clock_gettime(CLOCK_MONOTONIC, &end);
+    seconds = (double)(end.tv_sec - begin.tv_sec) +
+              (double)(end.tv_nsec - begin.tv_nsec) / 1e9;
+    print_table(days, x->days);
+    printf("%.0f days a minute\n", 60.0 * (double)x->days / seconds);
+    for (uint64_t i = 0; i < x->days; i++) {
+        broken += days[i].broken;
+    }
+    printf("broken promises: %llu\n", (unsigned long long)broken);
+    rc = write_reports(dir, days, x->days) && broken == 0 ? 0 : 1;
+out:
+    free(days);
+    return rc;
+}
+
+int
+main(int argc, const char **argv)
+{
+    const char *dir = NULL;
+    int jobs = 1;
+    long long days = 0;
+    long long seed = -1;
+    long long show = -1;
+    int comparing = 0;
+    struct poptOption options[] = {{"output", 'o', POPT_ARG_STRING, &dir, 0,
+                                       "folder of the reports", "DIR"},
+        {"jobs", 'j', POPT_ARG_INT, &jobs, 0, "days played at a time", "N"},
+        {"days", 'n', POPT_ARG_LONGLONG, &days, 0, "in place of the file's",
+            "N"},
+        {"seed", 's', POPT_ARG_LONGLONG, &seed, 0,
+            "of the first day, in place of the file's", "N"},
+        {"show", 0, POPT_ARG_LONGLONG, &show, 0, "one day in full", "SEED"},
+        {"compare", 0, POPT_ARG_NONE, &comparing, 0,
+            "two tables of days, seed by seed", NULL},
+        POPT_AUTOHELP POPT_TABLEEND};
+    poptContext ctx = poptGetContext("dwsim", argc, argv, options, 0);
+    struct experiment x;
+    struct err e = {""};
+    const char *path;
+    const char *other;
+    int rc = poptGetNextOpt(ctx);
+
+    poptSetOtherOptionHelp(ctx, "EXPERIMENT.toml | --compare OLD.csv NEW.csv");
+    if (rc < -1) {
+        fprintf(stderr, "dwsim: %s: %s\n", poptBadOption(ctx, 0),
+            poptStrerror(rc));
+        rc = 2;
+        goto out;
+    }
+    path = poptGetArg(ctx);
+    other = poptGetArg(ctx);
+    rc = 2;
+    if (path == NULL || (comparing != 0) != (other != NULL) || jobs < 1 ||
+        jobs > JOBS_MAX || days < 0 || days > DAYS_MAX) {
+        poptPrintUsage(ctx, stderr, 0);
+        goto out;
+    }
+    if (comparing) {
+        rc = compare(path, other);
+        goto out;
+    }
+    if (!read_experiment(&x, path, &e)) {
+        fprintf(stderr, "dwsim: %s\n", e.msg);
+        goto out;
+    }
+    x.days = days > 0 ? (uint64_t)days : x.days;
+    x.seed = seed >= 0 ? (uint64_t)seed : x.seed;
+    rc = show >= 0 ? show_day(&x, (uint64_t)show)
+                   : experiment(&x, dir != NULL ? dir : "out/dwsim", jobs);
+out:
+    poptFreeContext(ctx);
+    return rc;
+}
--- a/regress/run.sh
+++ b/regress/run.sh
@@ -12,6 +12,15 @@
         echo "FAIL $f"
     fi
 done
+# A bad experiment is refused with file, line and key.
+for f in regress/experiments/*.toml; do
+    if "$bin"/dwsim "$f" 2>&1 | diff - "${f%.toml}.out"; then
+        passed=$((passed + 1))
+    else
+        failed=$((failed + 1))
+        echo "FAIL $f"
+    fi
+done
 # Lines of one job out of many logs, in the order of their times.
 for f in regress/explain/*.log; do
     if "$bin"/dunlinweir explain 5c0e7a21d94b36f8 < "$f" 2>&1 |
