Agents show scarce room to the entry whose jobs can still be in time

Each core that comes free goes to whoever hears of it first, and that is the nearest entry.

Ruled out: waiting at agents (measured before: worse, as a run is tied to one worker); keeping part of the cores from late jobs at each entry (measured before: no difference, as entries do not know of one another's jobs).

Change: entries tell agents what they could not place (millicores in time and late, smallest task); while that is more than the room, an agent shows room first to the one with most waiting work that can be in time. Room that is shown and not used for 20 ms is shown to others. Room is only a hint, as before: promises rest on sessions and the runner's account.

--- a/agent.c
+++ b/agent.c
@@ -58,12 +58,108 @@
     end->ran_ms = ran_ms;
 }
 
+/* --- whom the room is for --- */
+
+/* It was shown room that it wanted and has not used it: its tasks may not fit
+ * or be gone. */
+static bool
+is_idle(const struct ag_entry *e, uint64_t now)
+{
+    return e->shown_ms != 0 && now - e->shown_ms > AG_SHOWN_MS;
+}
+
+/* Whether x is to have room before e, and how much. */
+static uint64_t
+claim_before(const struct ag_entry *x, const struct ag_entry *e, uint64_t now,
+    int64_t free_millicores)
+{
+    bool first;
+
+    if (x == e || !x->open || is_idle(x, now) ||
+        free_millicores < (int64_t)x->want.least) {
+        return 0;
+    }
+    if (x->want.urgent > 0) {
+        first = x->want.urgent > e->want.urgent ||
+                (x->want.urgent == e->want.urgent && x->id < e->id);
+        return first ? x->want.urgent : 0;
+    }
+    first = e->want.urgent == 0 &&
+            (x->want.late > e->want.late ||
+                (x->want.late == e->want.late && x->id < e->id));
+    return first ? x->want.late : 0;
+}
+
+/* What of the free cores entry e may use. */
+static int64_t
+share_of(const struct agent *a, const struct ag_entry *e, uint64_t now,
+    int64_t free_millicores)
+{
+    const struct ag_entry *x;
+    uint64_t before = 0;
+
+    for (x = a->entries; x != NULL; x = x->hh.next) {
+        before += claim_before(x, e, now, free_millicores);
+    }
+    if (free_millicores <= 0 || before == 0) {
+        return free_millicores;
+    }
+    return (int64_t)num_minus((uint64_t)free_millicores, before);
+}
+
+static bool
+wants(const struct ag_entry *e)
+{
+    return e->want.urgent > 0 || e->want.late > 0;
+}
+
+static int64_t
+free_now(const struct agent *a, uint64_t now)
+{
+    dw_room room;
+
+    rn_tell_room(&a->runner, now, &room);
+    return room.serving ? room.free_millicores : 0;
+}
+
+/* It wants room, and there now is some for it that it has not been told of. */
+static bool
+must_hear(const struct agent *a, const struct ag_entry *e, uint64_t now,
+    int64_t free_millicores)
+{
+    int64_t share;
+
+    if (!wants(e) || free_millicores < (int64_t)e->want.least) {
+        return false;
+    }
+    share = share_of(a, e, now, free_millicores);
+    return share >= (int64_t)e->want.least && share > e->told_millicores;
+}
+
+static void
+note_shown(struct ag_entry *e, uint64_t now, int64_t free_millicores)
+{
+    bool enough =
+        wants(e) && free_millicores >= (int64_t)num_max(e->want.least, 1);
+
+    if (!enough) {
+        e->shown_ms = 0;
+    }
+    else if (e->shown_ms == 0 || free_millicores > e->told_millicores) {
+        e->shown_ms = now;
+    }
+    e->told_millicores = free_millicores;
+}
+
 static void
 fill_report(struct agent *a, uint64_t now, struct ag_entry *e, dw_report *r)
 {
     r->clean =
         a->runner.clean && rn_leftover(&a->runner, e->id, e->sess.number) == 0;
     rn_tell_room(&a->runner, now, &r->room);
+    r->room.free_millicores =
+        (int)share_of(a, e, now, r->room.free_millicores);
+    note_shown(e, now, r->room.free_millicores);
     if (a->leaving) {
         r->room.serving = false;
     }
@@ -160,6 +256,9 @@
     }
     sess_begin(&e->sess, head->session);
     e->newest = head->session;
+    e->want = (dw_want){0, 0, 0};
+    e->told_millicores = 0;
+    e->shown_ms = 0;
     e->begun_ms = now;
     e->open = true;
     a->open_count++;
@@ -186,11 +285,19 @@
 ag_orders(struct agent *a, uint64_t now, uint64_t from, const dw_orders *o)
 {
     struct ag_entry *e = find_entry(a, from, true);
+    enum sess_verdict v;
 
     if (o->head.session > e->newest) {
         begin_session(a, now, e, &o->head);
     }
-    if (sess_take(&e->sess, now, &o->head) == SESS_TAKE) {
+    v = sess_take(&e->sess, now, &o->head);
+    if (v != SESS_DROP) {
+        e->want = o->want;
+    }
+    if (v == SESS_TAKE) {
+        if (o->groups.groups_len > 0) {
+            e->shown_ms = 0;
+        }
         take_orders(a, now, e, o);
         a->runner.room_changed_ms = now;
     }
@@ -254,6 +361,7 @@
 ag_flush(struct agent *a, uint64_t now)
 {
     uint32_t pause = AG_ROOM_MS_PER_ENTRY * a->open_count;
+    int64_t free_millicores = free_now(a, now);
     struct ag_entry *e;
 
     for (e = a->entries; e != NULL; e = e->hh.next) {
@@ -263,8 +371,9 @@
         if (e->batch != NULL) {
             send_batch(a, now, e);
         }
-        else if (a->runner.room_changed_ms >= e->sess.sent_ms &&
-                 now - e->sess.sent_ms >= pause) {
+        else if (must_hear(a, e, now, free_millicores) ||
+                 (a->runner.room_changed_ms >= e->sess.sent_ms &&
+                     now - e->sess.sent_ms >= pause)) {
             send_beat(a, now, e);
         }
     }
--- a/agent.h
+++ b/agent.h
@@ -4,6 +4,13 @@
  * Each entry has one session here.  When it falls silent or its process is
  * dead, its runs are stopped; ends go back by the session that ordered them.
  * Every report tells the room on the worker.
+ *
+ * When there is more work than cores, each core that comes free would go to
+ * the entry that hears of it first, which is the nearest: its late jobs before
+ * those that could still be in time elsewhere.  So entries tell what they
+ * could not place, and while that is more than the room, an agent shows room
+ * to one that wants it: first for jobs that can be in time, and to the one
+ * with most of them, which evens out their queues.
  */
 #ifndef AGENT_H
 #define AGENT_H
@@ -27,6 +34,10 @@
  * session are too old to be taken long before. */
 #define AG_FORGET_MS 60000U
 
+/* ms after which room that an entry wanted, was shown and did not use is
+ * shown to others again; a round trip takes 2 to 6. */
+#define AG_SHOWN_MS 20U
+
 /* One entry, as the agent sees it. */
 struct ag_entry {
     uint64_t id;
@@ -35,6 +46,10 @@
     bool open;
     uint64_t begun_ms;
     uint64_t ended_ms;
+    dw_want want;
+    int64_t told_millicores; /* free, as told last */
+    uint64_t
+        shown_ms;  /* since when it has room that it wants; 0: it has not */
     dw_msg *batch; /* ends collected since the last flush */
     UT_hash_handle hh;
 };
--- a/coord.c
+++ b/coord.c
@@ -27,6 +27,10 @@
 #define LEAST_PERCENT 75U
 /* Waiting work beyond this many ms of the whole fleet is turned away. */
 #define BACKLOG_MS 900U
+/* ms between telling an agent that something begins or ceases to wait, and of
+ * how much it is. */
+#define WANT_SOON_MS 2U
+#define WANT_MS 10U
 
 void
 co_init(struct coord *c, const struct co_ops *ops, void *ctx, uint64_t seed,
@@ -40,6 +44,28 @@
     c->port = port;
 }
 
+/* In what order jobs are placed while not all can be. */
+enum turn {
+    TURN_BEGUN, /* parts of it hold cores already */
+    TURN_ON_TIME,
+    TURN_LATE, /* its objective cannot be met any more */
+    TURN_COUNT
+};
+
+/*
+ * With more work than cores, the order of objectives alone makes every job
+ * late: the oldest, which have missed theirs, go before those that could
+ * still meet it.
+ */
+static enum turn
+turn_of(const struct co_job *j, uint64_t now)
+{
+    if (j->begun) {
+        return TURN_BEGUN;
+    }
+    return now + j->longest_ms <= j->objective_ms ? TURN_ON_TIME : TURN_LATE;
+}
+
 /* --- the queue of jobs with waiting tasks --- */
 
 static int
@@ -157,6 +183,67 @@
     run->wait_ms = AGENT_WAIT_MS;
 }
 
+/* --- what waits, told to agents --- */
+
+static void
+add_want(dw_want *w, const struct co_job *j, bool urgent)
+{
+    for (uint32_t i = 0; i < j->count; i++) {
+        const struct co_task *t = &j->tasks[i];
+
+        if (t->state != CO_WAITING) {
+            continue;
+        }
+        w->least = w->least == 0
+                       ? t->spec.millicores
+                       : (uint32_t)num_min(w->least, t->spec.millicores);
+        if (urgent) {
+            w->urgent += t->spec.millicores;
+        }
+        else {
+            w->late += t->spec.millicores;
+        }
+    }
+}
+
+static dw_want
+want_of(const struct coord *c, uint64_t now, const char *service)
+{
+    dw_want w = {0, 0, 0};
+    const struct co_job *j;
+
+    for (j = c->queue; j != NULL; j = j->next) {
+        if (strcmp(j->service, service) == 0) {
+            add_want(&w, j, turn_of(j, now) != TURN_LATE);
+        }
+    }
+    return w;
+}
+
+/* Twice as much or half. */
+static bool
+is_far(uint32_t a, uint32_t b)
+{
+    return a > 2 * (uint64_t)b || b > 2 * (uint64_t)a;
+}
+
+/* Agents must hear soon of what begins or ceases to wait, and now and then of
+ * how much it is. */
+static bool
+must_tell(const struct fl_agent *a, uint64_t now, const dw_want *w)
+{
+    if (!a->live) {
+        return false;
+    }
+    if ((a->want.urgent == 0) != (w->urgent == 0) ||
+        (a->want.late == 0) != (w->late == 0)) {
+        return now - a->want_ms >= WANT_SOON_MS;
+    }
+    return now - a->want_ms >= WANT_MS &&
+           (is_far(a->want.urgent, w->urgent) ||
+               is_far(a->want.late, w->late) || a->want.least != w->least);
+}
+
 static void
 send_beat(struct coord *c, uint64_t now, struct fl_agent *a)
 {
@@ -167,6 +254,7 @@
     m.dw_msg_u.orders.address.dw_bytes_val = c->address;
     m.dw_msg_u.orders.address.dw_bytes_len = (u_int)strlen(c->address);
     m.dw_msg_u.orders.port = c->port;
+    m.dw_msg_u.orders.want = a->want;
     sess_stamp(&a->sess, now, &m);
     c->ops->send(c->ctx, a->id, &m);
 }
@@ -177,6 +265,7 @@
     dw_msg *m = a->batch;
 
     a->batch = NULL;
+    m->dw_msg_u.orders.want = a->want;
     sess_keep(&a->sess, now, m);
     c->ops->send(c->ctx, a->id, m);
     fl_sent(a, a->sess.out_seq);
@@ -677,28 +766,6 @@
     return true;
 }
 
-/* In what order jobs are placed while not all can be. */
-enum turn {
-    TURN_BEGUN, /* parts of it hold cores already */
-    TURN_ON_TIME,
-    TURN_LATE, /* its objective cannot be met any more */
-    TURN_COUNT
-};
-
-/*
- * With more work than cores, the order of objectives alone makes every job
- * late: the oldest, which have missed theirs, go before those that could
- * still meet it.
- */
-static enum turn
-turn_of(const struct co_job *j, uint64_t now)
-{
-    if (j->begun) {
-        return TURN_BEGUN;
-    }
-    return now + j->longest_ms <= j->objective_ms ? TURN_ON_TIME : TURN_LATE;
-}
-
 static void
 place_all(struct coord *c, uint64_t now)
 {
@@ -720,14 +787,31 @@
 co_flush(struct coord *c, uint64_t now)
 {
     struct fl_agent *a;
+    const char *service = NULL;
+    dw_want w = {0, 0, 0};
 
     if (c->queue != NULL) {
         place_all(c, now);
     }
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
+        bool tell;
+
+        /* Agents of one service mostly stand together. */
+        if (service == NULL || strcmp(service, a->service) != 0) {
+            service = a->service;
+            w = want_of(c, now, service);
+        }
+        tell = must_tell(a, now, &w);
+        if (tell || a->batch != NULL) {
+            a->want = w;
+            a->want_ms = now;
+        }
         if (a->batch != NULL) {
             send_batch(c, now, a);
         }
+        else if (tell) {
+            send_beat(c, now, a);
+        }
     }
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -76,7 +76,9 @@
     uint32_t fail_permille; /* of runs that ended there lately */
     uint64_t sick_until_ms;
     uint32_t sick_ms;
-    dw_msg *batch; /* orders collected since the last flush */
+    dw_want want;     /* what could not be placed there, as told last */
+    uint64_t want_ms; /* when */
+    dw_msg *batch;    /* orders collected since the last flush */
     uint64_t batch_millicores;
     uint64_t batch_memory_mb;
     uint64_t batch_gpus;
--- a/proto.h
+++ b/proto.h
@@ -483,8 +483,16 @@
 };
 typedef struct dw_run_ref dw_run_ref;
 
+struct dw_want {
+	u_int urgent;
+	u_int late;
+	u_int least;
+};
+typedef struct dw_want dw_want;
+
 struct dw_orders {
 	dw_head head;
+	dw_want want;
 	dw_bytes address;
 	u_int port;
 	struct {
@@ -646,6 +654,7 @@
 extern  bool_t xdr_dw_run (XDR *, dw_run*);
 extern  bool_t xdr_dw_run_group (XDR *, dw_run_group*);
 extern  bool_t xdr_dw_run_ref (XDR *, dw_run_ref*);
+extern  bool_t xdr_dw_want (XDR *, dw_want*);
 extern  bool_t xdr_dw_orders (XDR *, dw_orders*);
 extern  bool_t xdr_dw_end (XDR *, dw_end*);
 extern  bool_t xdr_dw_run_end (XDR *, dw_run_end*);
@@ -700,6 +709,7 @@
 extern bool_t xdr_dw_run ();
 extern bool_t xdr_dw_run_group ();
 extern bool_t xdr_dw_run_ref ();
+extern bool_t xdr_dw_want ();
 extern bool_t xdr_dw_orders ();
 extern bool_t xdr_dw_end ();
 extern bool_t xdr_dw_run_end ();
--- a/proto.x
+++ b/proto.x
@@ -385,9 +385,20 @@
     unsigned hyper run;
 };
 
+/*
+ * What an entry could not place for want of room: millicores of tasks that can
+ * still meet their objective, of those that cannot, and of the smallest.
+ */
+struct dw_want {
+    unsigned int urgent;
+    unsigned int late;
+    unsigned int least;
+};
+
 /* Entry to agent: runs to start and runs to stop. */
 struct dw_orders {
     dw_head head;
+    dw_want want;
     dw_bytes address;
     unsigned int port;
     dw_run_group groups<DW_MAX_ITEMS>;
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1276,6 +1276,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_want (XDR *xdrs, dw_want *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->urgent))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->late))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->least))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_orders (XDR *xdrs, dw_orders *objp)
 {
@@ -1283,6 +1297,8 @@
 
 	 if (!xdr_dw_head (xdrs, &objp->head))
 		 return FALSE;
+	 if (!xdr_dw_want (xdrs, &objp->want))
+		 return FALSE;
 	 if (!xdr_dw_bytes (xdrs, &objp->address))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->port))
