--- a/guess.c
+++ b/guess.c
@@ -25,6 +25,8 @@
 /* Standard deviations beyond which a job is not one of those that a line was
  * drawn through. */
 #define ODD_SIGMAS 3.0
+/* The same for the time left, where the deadline is odd already. */
+#define SHORT_SIGMAS 1.0
 /* ms by which the time left differs on the way here, whatever the caller
  * meant. */
 #define WAY_MS 30.0
@@ -228,14 +230,20 @@
 static double
 elapsed(const struct gs_model *m, const struct gs_seen *seen)
 {
+    double sigmas = ODD_SIGMAS;
     double missing;
 
-    if (m == NULL || m->jobs < LEAST_JOBS ||
-        (gs_best(m) == GS_BY_PATIENCE && !is_odd(m, seen))) {
+    if (m == NULL || m->jobs < LEAST_JOBS) {
         return 0;
     }
+    if (gs_best(m) == GS_BY_PATIENCE) {
+        if (!is_odd(m, seen)) {
+            return 0;
+        }
+        sigmas = SHORT_SIGMAS;
+    }
     missing = value_at(&m->left, seen->declared_ms) - seen->left_ms;
-    return missing > ODD_SIGMAS * MEDIAN_TO_SIGMA * m->left_spread_ms + WAY_MS
+    return missing > sigmas * MEDIAN_TO_SIGMA * m->left_spread_ms + WAY_MS
                ? missing
                : 0;
 }
