Jobs that can wait leave a twentieth of the cores to tighter ones

Change: an entry learns how much of the work has less time to spare than a job (slack.c); a job waits until up to 5 % of the cores are free, in proportion, and late jobs always. Jobs under way go on. Hawk's idea of cores for short tasks, without a fixed part of the machines.

The test fails without it (checked with 0).

--- a/coord.c
+++ b/coord.c
@@ -27,6 +27,9 @@
 #define LEAST_PERCENT 75U
 /* Waiting work beyond this many ms of the whole fleet is turned away. */
 #define BACKLOG_MS 900U
+/* The part of the cores that a job leaves free if all other work is tighter
+ * than it: some short jobs' tasks, as they come at a time. */
+#define ROOM_LEFT 0.05
 /* ms between telling an agent that something begins or ceases to wait, and of
  * how much it is. */
 #define WANT_SOON_MS 2U
@@ -206,14 +209,32 @@
     }
 }
 
+/* It waits until more cores are free, as tighter jobs are likely to come. */
+static bool
+leaves_room(struct coord *c, uint64_t now, const struct co_job *j,
+    int64_t free_millicores)
+{
+    enum turn turn = turn_of(j, now);
+    double tighter;
+
+    if (turn == TURN_BEGUN) {
+        return false;
+    }
+    tighter = turn == TURN_LATE ? 1 : sl_tighter(&c->mix, j->slack_ms);
+    return (double)free_millicores <
+           tighter * ROOM_LEFT * (double)fl_capacity(&c->fleet, now);
+}
+
 static dw_want
-want_of(const struct coord *c, uint64_t now, const char *service)
+want_of(struct coord *c, uint64_t now, const char *service)
 {
     dw_want w = {0, 0, 0};
+    int64_t free_millicores = fl_free_room(&c->fleet, now);
     const struct co_job *j;
 
     for (j = c->queue; j != NULL; j = j->next) {
-        if (strcmp(j->service, service) == 0) {
+        if (strcmp(j->service, service) == 0 &&
+            !leaves_room(c, now, j, free_millicores)) {
             add_want(&w, j, turn_of(j, now) != TURN_LATE);
         }
     }
@@ -415,6 +436,21 @@
     return NULL;
 }
 
+static void
+note_slack(
+    struct coord *c, uint64_t now, struct co_job *j, const struct gs_guess *g)
+{
+    double work = 0;
+
+    j->slack_ms = (uint32_t)num_minus(g->objective_ms, g->run_ms);
+    for (uint32_t i = 0; i < j->count; i++) {
+        work += (double)task_work(&j->tasks[i]);
+    }
+    if (j->slack_ms > 0) {
+        sl_note(&c->mix, now, j->slack_ms, work);
+    }
+}
+
 static struct co_job *
 admit(struct coord *c, uint64_t now, const struct co_submit *s,
     const struct gs_guess *g, void *handle)
@@ -480,6 +516,7 @@
         return;
     }
     j = admit(c, now, s, &g, handle);
+    note_slack(c, now, j, &g);
     j->model = model;
     j->seen = seen;
 }
@@ -769,16 +806,21 @@
 static void
 place_all(struct coord *c, uint64_t now)
 {
+    int64_t free_millicores = fl_free_room(&c->fleet, now);
     struct co_job *j;
     struct co_job *tmp;
     uint32_t misses = 0;
 
     for (int turn = 0; turn < TURN_COUNT; turn++) {
         DL_FOREACH_SAFE (c->queue, j, tmp) {
-            if (turn_of(j, now) == (enum turn)turn && !place_job(c, now, j) &&
-                ++misses >= MISSES_MAX) {
+            if (turn_of(j, now) != (enum turn)turn ||
+                leaves_room(c, now, j, free_millicores)) {
+                continue;
+            }
+            if (!place_job(c, now, j) && ++misses >= MISSES_MAX) {
                 return;
             }
+            free_millicores = fl_free_room(&c->fleet, now);
         }
     }
 }
--- a/coord.h
+++ b/coord.h
@@ -17,6 +17,7 @@
 #include "guess.h"
 #include "proto.h"
 #include "runner.h"
+#include "slack.h"
 #include "str.h"
 
 #ifdef __cplusplus
@@ -98,9 +99,10 @@
     uint64_t longest_ms;    /* estimate of its longest task */
     struct gs_model *model; /* of its route; NULL: none */
     struct gs_seen seen;
-    uint32_t took_ms; /* its longest task so far, at usual speed */
-    bool odd;         /* a run was on a slow worker: it tells nothing */
-    bool begun;       /* an order of it went out */
+    uint32_t slack_ms; /* that it could wait when it came */
+    uint32_t took_ms;  /* its longest task so far, at usual speed */
+    bool odd;          /* a run was on a slow worker: it tells nothing */
+    bool begun;        /* an order of it went out */
     bool queued;
     struct co_task *tasks;
     uint32_t count;
@@ -157,6 +159,7 @@
     struct co_job *queue;
     struct co_ended *ended;
     struct gs_table times; /* what jobs of each route take */
+    struct sl_mix mix;     /* what waits how long */
     int64_t move_room;     /* millicores that may be moved this tick */
     uint64_t waiting_work; /* estimated millicores x ms of waiting tasks */
     uint64_t ticked_ms;
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -107,10 +107,20 @@
         co_report(&c, now, 3, &r);
         co_flush(&c, now);
     }
+    /* The agent's worker has so many cores free, as told last. */
     void
-    submit(uint64_t id, size_t count, void *handle, uint32_t left = 1500)
+    room(int millicores)
     {
-        std::vector<co_task_spec> tasks(count, {1000, 10, 0, 100});
+        dw_room r = agent()->room;
+
+        r.free_millicores = millicores;
+        fl_room(agent(), agent()->sess.out_seq, &r);
+    }
+    void
+    submit(uint64_t id, size_t count, void *handle, uint32_t left = 1500,
+        uint32_t run_ms = 100, uint32_t stretch = 1000)
+    {
+        std::vector<co_task_spec> tasks(count, {1000, 10, 0, run_ms});
         struct co_submit s = {};
 
         s.id = id;
@@ -119,7 +129,7 @@
         s.service = "s";
         s.attempts = 2;
         s.route_name = "r";
-        s.route = {1000, 100}; /* an objective of 200 ms */
+        s.route = {stretch, 100}; /* an objective of 200 ms */
         s.left_ms = left;
         s.tasks = tasks.data();
         s.count = count;
@@ -328,3 +338,28 @@
     EXPECT_EQ(e.callers.answers[0].second, CO_NOT_RUN);
     EXPECT_EQ(e.callers.reasons[0], "never_fits");
 }
+
+/* Long tasks that find free cores hold them for long; short jobs, which
+ * cannot wait, then find none.  While much of the work is short, a long job
+ * that can wait leaves some cores free, and takes them when more are. */
+TEST(Coord, AJobThatCanWaitLeavesRoomForTighterOnes)
+{
+    Entry e;
+    int others;
+    int longer;
+
+    e.agent()->room.millicores = 100000;
+    for (uint64_t id = 10; id < 40; id++) {
+        e.room(10000);
+        e.submit(id, 1, &others); /* can wait 100 ms */
+    }
+    uint64_t runs = e.c.stats.runs;
+    e.room(2000);
+    e.submit(99, 1, &longer, 9000, 800, 2000); /* can wait 900 ms */
+    EXPECT_EQ(e.c.stats.runs, runs);
+    e.submit(100, 1, &others);
+    EXPECT_EQ(e.c.stats.runs, runs + 1);
+    e.room(10000);
+    co_flush(&e.c, e.now);
+    EXPECT_EQ(e.c.stats.runs, runs + 2);
+}
