What will not get its turn in time is refused at once, and told times apart

On return from a loss of power jobs were refused as overload while the first worker was there.

Change: turn.c holds what an entry decides while there is more work than cores (order, room left, refusing, what agents are told), split off coord.c. The wait is told from the work ahead, the tighter work that comes meanwhile (for as long as it has come), the cores that the entry's runs hold or see free, and workers in the store that fell silent less than a second ago. Retry-After is from when what waits has gone, each caller another time. The limit of 900 ms of backlog is gone.

--- a/coord.c
+++ b/coord.c
@@ -4,7 +4,9 @@
 #include <string.h>
 #include <utlist.h>
 
+#include "coord-int.h"
 #include "num.h"
+#include "turn.h"
 
 /* ms that an order may wait at the agent for cores that another entry's run
  * still holds. */
@@ -21,20 +23,6 @@
  * fleet that comes back from a loss of power is there within half a second,
  * and a late answer is worth more than a refusal. */
 #define HOLD_MS 800U
-#define RETRY_MS 1000U
-/* The fastest workers take this part of the usual time.  A job whose tasks
- * could not end in time even there is hopeless. */
-#define LEAST_PERCENT 75U
-/* Waiting work beyond this many ms of the whole fleet is turned away. */
-#define BACKLOG_MS 900U
-/* The part of the cores that a job leaves free if all other work is tighter
- * than it: some short jobs' tasks, as they come at a time. */
-#define ROOM_LEFT 0.05
-/* ms between telling an agent that something begins or ceases to wait, and of
- * how much it is. */
-#define WANT_SOON_MS 2U
-#define WANT_MS 10U
-
 void
 co_init(struct coord *c, const struct co_ops *ops, void *ctx, uint64_t seed,
     const char *domain, const char *address, uint16_t port)
@@ -47,28 +35,6 @@
     c->port = port;
 }
 
-/* In what order jobs are placed while not all can be. */
-enum turn {
-    TURN_BEGUN, /* parts of it hold cores already */
-    TURN_ON_TIME,
-    TURN_LATE, /* its objective cannot be met any more */
-    TURN_COUNT
-};
-
-/*
- * With more work than cores, the order of objectives alone makes every job
- * late: the oldest, which have missed theirs, go before those that could
- * still meet it.
- */
-static enum turn
-turn_of(const struct co_job *j, uint64_t now)
-{
-    if (j->begun) {
-        return TURN_BEGUN;
-    }
-    return now + j->longest_ms <= j->objective_ms ? TURN_ON_TIME : TURN_LATE;
-}
-
 /* --- the queue of jobs with waiting tasks --- */
 
 static int
@@ -77,12 +43,6 @@
     return a->objective_ms < b->objective_ms ? -1 : 1;
 }
 
-static uint64_t
-task_work(const struct co_task *t)
-{
-    return (uint64_t)t->spec.millicores * t->spec.est_ms;
-}
-
 static void
 enqueue(struct coord *c, struct co_job *j)
 {
@@ -107,12 +67,18 @@
 {
     if (t->state == CO_WAITING) {
         j->waiting--;
-        c->waiting_work -= task_work(t);
+        c->waiting_work -= co_task_work(t);
+    }
+    else if (t->state == CO_OUT) {
+        c->out_millicores -= t->spec.millicores;
     }
     t->state = state;
+    if (state == CO_OUT) {
+        c->out_millicores += t->spec.millicores;
+    }
     if (state == CO_WAITING) {
         j->waiting++;
-        c->waiting_work += task_work(t);
+        c->waiting_work += co_task_work(t);
         enqueue(c, j);
     }
     else if (j->waiting == 0) {
@@ -186,85 +152,6 @@
     run->wait_ms = AGENT_WAIT_MS;
 }
 
-/* --- what waits, told to agents --- */
-
-static void
-add_want(dw_want *w, const struct co_job *j, bool urgent)
-{
-    for (uint32_t i = 0; i < j->count; i++) {
-        const struct co_task *t = &j->tasks[i];
-
-        if (t->state != CO_WAITING) {
-            continue;
-        }
-        w->least = w->least == 0
-                       ? t->spec.millicores
-                       : (uint32_t)num_min(w->least, t->spec.millicores);
-        if (urgent) {
-            w->urgent += t->spec.millicores;
-        }
-        else {
-            w->late += t->spec.millicores;
-        }
-    }
-}
-
-/* It waits until more cores are free, as tighter jobs are likely to come. */
-static bool
-leaves_room(struct coord *c, uint64_t now, const struct co_job *j,
-    int64_t free_millicores)
-{
-    enum turn turn = turn_of(j, now);
-    double tighter;
-
-    if (turn == TURN_BEGUN) {
-        return false;
-    }
-    tighter = turn == TURN_LATE ? 1 : sl_tighter(&c->mix, j->slack_ms);
-    return (double)free_millicores <
-           tighter * ROOM_LEFT * (double)fl_capacity(&c->fleet, now);
-}
-
-static dw_want
-want_of(struct coord *c, uint64_t now, const char *service)
-{
-    dw_want w = {0, 0, 0};
-    int64_t free_millicores = fl_free_room(&c->fleet, now);
-    const struct co_job *j;
-
-    for (j = c->queue; j != NULL; j = j->next) {
-        if (strcmp(j->service, service) == 0 &&
-            !leaves_room(c, now, j, free_millicores)) {
-            add_want(&w, j, turn_of(j, now) != TURN_LATE);
-        }
-    }
-    return w;
-}
-
-/* Twice as much or half. */
-static bool
-is_far(uint32_t a, uint32_t b)
-{
-    return a > 2 * (uint64_t)b || b > 2 * (uint64_t)a;
-}
-
-/* Agents must hear soon of what begins or ceases to wait, and now and then of
- * how much it is. */
-static bool
-must_tell(const struct fl_agent *a, uint64_t now, const dw_want *w)
-{
-    if (!a->live) {
-        return false;
-    }
-    if ((a->want.urgent == 0) != (w->urgent == 0) ||
-        (a->want.late == 0) != (w->late == 0)) {
-        return now - a->want_ms >= WANT_SOON_MS;
-    }
-    return now - a->want_ms >= WANT_MS &&
-           (is_far(a->want.urgent, w->urgent) ||
-               is_far(a->want.late, w->late) || a->want.least != w->least);
-}
-
 static void
 send_beat(struct coord *c, uint64_t now, struct fl_agent *a)
 {
@@ -347,15 +234,17 @@
         [CO_GAVE_UP] = &c->stats.gave_up,
         [CO_NOT_RUN] = &c->stats.not_run,
     };
+    uint32_t retry_ms;
 
     ++*counts[how];
+    retry_ms = how == CO_NOT_RUN ? tn_retry_ms(c, now) : 0;
     stop_runs(c, j);
     c->ops->note(c->ctx, j, reason);
     while (j->waiters != NULL) {
         struct co_waiter *w = j->waiters;
 
         j->waiters = w->next;
-        c->ops->answer(c->ctx, w->handle, how, reason, RETRY_MS);
+        c->ops->answer(c->ctx, w->handle, how, reason, retry_ms);
         free(w);
     }
     if (how == CO_COMPLETED) {
@@ -365,8 +254,8 @@
 }
 
 /* Time is up.  It must not be called failed: no task of it has. */
-static void
-give_up(struct coord *c, uint64_t now, struct co_job *j, const char *reason)
+void
+co_give_up(struct coord *c, uint64_t now, struct co_job *j, const char *reason)
 {
     end_job(c, now, j, j->begun ? CO_GAVE_UP : CO_NOT_RUN, reason);
 }
@@ -410,16 +299,13 @@
 {
     int64_t capacity = fl_capacity(&c->fleet, now);
 
-    if ((uint64_t)g->run_ms * LEAST_PERCENT / 100 >=
+    if ((uint64_t)g->run_ms * CO_LEAST_PERCENT / 100 >=
         num_min(s->left_ms, g->use_ms)) {
         return "too_late";
     }
     if (capacity <= 0 && now - c->capable_ms > HOLD_MS) {
         return "no_workers";
     }
-    if (capacity > 0 && c->waiting_work > (uint64_t)capacity * BACKLOG_MS) {
-        return "overload";
-    }
     for (size_t i = 0; i < s->count; i++) {
         struct fl_need need = {s->service, s->tasks[i].millicores,
             s->tasks[i].memory_mb, s->tasks[i].gpus, g->run_ms, 0, false,
@@ -436,21 +322,6 @@
     return NULL;
 }
 
-static void
-note_slack(
-    struct coord *c, uint64_t now, struct co_job *j, const struct gs_guess *g)
-{
-    double work = 0;
-
-    j->slack_ms = (uint32_t)num_minus(g->objective_ms, g->run_ms);
-    for (uint32_t i = 0; i < j->count; i++) {
-        work += (double)task_work(&j->tasks[i]);
-    }
-    if (j->slack_ms > 0) {
-        sl_note(&c->mix, now, j->slack_ms, work);
-    }
-}
-
 static struct co_job *
 admit(struct coord *c, uint64_t now, const struct co_submit *s,
     const struct gs_guess *g, void *handle)
@@ -512,13 +383,14 @@
     if (why != NULL) {
         c->stats.not_run++;
         c->ops->note_refusal(c->ctx, s, &g, why, co_waiting_ms(c, now));
-        c->ops->answer(c->ctx, handle, CO_NOT_RUN, why, RETRY_MS);
+        c->ops->answer(c->ctx, handle, CO_NOT_RUN, why, tn_retry_ms(c, now));
         return;
     }
     j = admit(c, now, s, &g, handle);
-    note_slack(c, now, j, &g);
+    tn_note_job(c, now, j, &g);
     j->model = model;
     j->seen = seen;
+    tn_shed(c, now);
 }
 
 static bool
@@ -550,7 +422,7 @@
     }
     if (j != NULL && j->waiters == NULL) {
         c->stats.gone++;
-        give_up(c, now, j, "caller_gone");
+        co_give_up(c, now, j, "caller_gone");
     }
 }
 
@@ -813,8 +685,8 @@
 
     for (int turn = 0; turn < TURN_COUNT; turn++) {
         DL_FOREACH_SAFE (c->queue, j, tmp) {
-            if (turn_of(j, now) != (enum turn)turn ||
-                leaves_room(c, now, j, free_millicores)) {
+            if (tn_of(j, now) != (enum turn)turn ||
+                tn_leaves_room(c, now, j, free_millicores)) {
                 continue;
             }
             if (!place_job(c, now, j) && ++misses >= MISSES_MAX) {
@@ -841,9 +713,9 @@
         /* Agents of one service mostly stand together. */
         if (service == NULL || strcmp(service, a->service) != 0) {
             service = a->service;
-            w = want_of(c, now, service);
+            w = tn_want(c, now, service);
         }
-        tell = must_tell(a, now, &w);
+        tell = tn_must_tell(a, now, &w);
         if (tell || a->batch != NULL) {
             a->want = w;
             a->want_ms = now;
@@ -915,6 +787,12 @@
     if (a->live && !sess_live(&a->sess, now)) {
         session_over(c, now, a);
     }
+    if (a->live) {
+        a->silent_ms = 0;
+    }
+    else if (a->silent_ms == 0) {
+        a->silent_ms = now;
+    }
     if (!a->chosen && (!a->live || fl_idle(a))) {
         if (a->live) {
             c->ops->note_agent(c->ctx, a, "agent_left_out");
@@ -953,14 +831,14 @@
 static bool
 tend_job(struct coord *c, uint64_t now, struct co_job *j)
 {
-    uint64_t least = j->longest_ms * LEAST_PERCENT / 100;
+    uint64_t least = j->longest_ms * CO_LEAST_PERCENT / 100;
 
     if (now >= j->deadline_ms) {
-        give_up(c, now, j, "deadline");
+        co_give_up(c, now, j, "deadline");
         return false;
     }
     if (!j->begun && now + least >= num_min(j->deadline_ms, j->use_ms)) {
-        give_up(c, now, j, "too_late");
+        co_give_up(c, now, j, "too_late");
         return false;
     }
     for (uint32_t i = 0; i < j->count; i++) {
@@ -1016,9 +894,10 @@
             fl_remove(&c->fleet, a);
         }
     }
+    tn_shed(c, now);
     HASH_ITER (hh, c->jobs, j, j_tmp) {
         if (paused) {
-            give_up(c, now, j, "paused");
+            co_give_up(c, now, j, "paused");
         }
         else if (tend_job(c, now, j)) {
             move_runs(c, now, j);
--- a/coord.h
+++ b/coord.h
@@ -158,10 +158,13 @@
     struct co_job *jobs;
     struct co_job *queue;
     struct co_ended *ended;
-    struct gs_table times; /* what jobs of each route take */
-    struct sl_mix mix;     /* what waits how long */
-    int64_t move_room;     /* millicores that may be moved this tick */
-    uint64_t waiting_work; /* estimated millicores x ms of waiting tasks */
+    struct gs_table times;   /* what jobs of each route take */
+    struct sl_mix mix;       /* what waits how long */
+    int64_t move_room;       /* millicores that may be moved this tick */
+    uint64_t waiting_work;   /* estimated millicores x ms of waiting tasks */
+    uint64_t out_millicores; /* of runs under way */
+    double inflow;           /* millicores x ms a ms that come in time */
+    uint64_t inflow_ms;      /* until when old work has been faded */
     uint64_t ticked_ms;
     uint64_t
         capable_ms;   /* when there last was a worker; at first, the start */
--- a/fleet.c
+++ b/fleet.c
@@ -548,6 +548,27 @@
     return sum;
 }
 
+int64_t
+fl_expected(const struct fleet *f, uint64_t now)
+{
+    const struct fl_agent *a;
+    int64_t sum = 0;
+    int64_t usable = 0;
+    int64_t coming = 0;
+
+    for (a = f->agents; a != NULL; a = a->hh.next) {
+        if (fl_usable(a, now)) {
+            sum += a->room.millicores;
+            usable++;
+        }
+        else if (a->chosen && a->member && !a->withdrawn && !a->live &&
+                 a->silent_ms != 0 && now - a->silent_ms < FL_RETURN_MS) {
+            coming++;
+        }
+    }
+    return usable > 0 ? sum + sum / usable * coming : 0;
+}
+
 int64_t
 fl_free_room(const struct fleet *f, uint64_t now)
 {
--- a/fleet.h
+++ b/fleet.h
@@ -37,6 +37,9 @@
 #define FL_NEAR_MAX 12U
 /* ms for which all are kept once a task has come that none of these holds. */
 #define FL_WIDE_MS 60000U
+/* ms after which an agent whose session is not open is not expected back: a
+ * fleet that lost power is there within half a second. */
+#define FL_RETURN_MS 1000U
 /* ms between choices. */
 #define FL_CHOOSE_MS 200U
 /* ms without an answer after which another agent is chosen in its place, and
@@ -65,6 +68,7 @@
     uint64_t wanted_ms; /* since when it has been chosen or tried in vain */
     struct sess sess;
     uint64_t opened_ms; /* when the session's number was given */
+    uint64_t silent_ms; /* since when the session is not open; 0: it is */
     uint64_t tried_ms;
     dw_room room;
     struct fl_pending *pending;
@@ -152,6 +156,9 @@
 /* Cores of all usable workers, and those free. */
 int64_t fl_capacity(const struct fleet *f, uint64_t now);
 int64_t fl_free_room(const struct fleet *f, uint64_t now);
+/* Cores of usable workers, and of those that may be back soon, as large as the
+ * others; 0 if none is usable. */
+int64_t fl_expected(const struct fleet *f, uint64_t now);
 /* No usable worker could hold it, were it empty; false if none is known. */
 bool fl_never_fits(
     const struct fleet *f, uint64_t now, const struct fl_need *need);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -1,6 +1,7 @@
 /* An entry's jobs, step by step. */
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 struct Callers {
     std::vector<std::pair<void *, co_outcome>> answers;
     std::vector<std::string> reasons;
+    std::set<uint32_t> retries; /* ms, as told */
     std::vector<dw_msg *> sent;
 
     ~Callers()
@@ -28,11 +30,14 @@
 }
 
 void
-co_answered(
-    void *ctx, void *handle, co_outcome how, const char *reason, uint32_t)
+co_answered(void *ctx, void *handle, co_outcome how, const char *reason,
+    uint32_t retry_ms)
 {
     static_cast<Callers *>(ctx)->answers.push_back({handle, how});
     static_cast<Callers *>(ctx)->reasons.push_back(reason);
+    if (how == CO_NOT_RUN) {
+        static_cast<Callers *>(ctx)->retries.insert(retry_ms);
+    }
 }
 
 void
@@ -363,3 +368,61 @@
     co_flush(&e.c, e.now);
     EXPECT_EQ(e.c.stats.runs, runs + 2);
 }
+
+/* More comes than the cores can do.  The last in line would wait until their
+ * time has run out and be refused then, with their callers waiting in vain:
+ * they are refused when they come, the others are kept. */
+TEST(Coord, WhatWillNotGetItsTurnIsRefusedAtOnce)
+{
+    Entry e;
+
+    e.submit(1, 10, &caller); /* all ten cores, for 100 ms */
+    e.room(0);
+    for (uint64_t id = 100; id < 300; id++) {
+        e.submit(id, 1, &caller); /* 1500 ms are left: 150 of them fit */
+    }
+    EXPECT_GT(co_pending(&e.c), 130u);
+    EXPECT_LT(co_pending(&e.c), 160u);
+    ASSERT_EQ(e.callers.answers.size(), 200 - co_pending(&e.c));
+    for (size_t i = 0; i < e.callers.answers.size(); i++) {
+        EXPECT_EQ(e.callers.answers[i].second, CO_NOT_RUN);
+        EXPECT_EQ(e.callers.reasons[i], "no_turn");
+    }
+}
+
+/* Callers that were refused in one moment come back in one moment, and are
+ * refused again, if all are told the same time. */
+TEST(Coord, RefusedCallersAreToldTimesApart)
+{
+    Entry e;
+
+    e.submit(1, 10, &caller);
+    e.room(0);
+    for (uint64_t id = 100; id < 300; id++) {
+        e.submit(id, 1, &caller);
+    }
+    ASSERT_GT(e.callers.answers.size(), 40u);
+    EXPECT_GT(e.callers.retries.size(), 20u);
+    EXPECT_GE(*e.callers.retries.begin(), 500u);
+    EXPECT_GT(*e.callers.retries.rbegin(),
+        *e.callers.retries.begin() + *e.callers.retries.begin() / 2);
+}
+
+/* The fleet comes back from the dark: one worker of eleven has answered, the
+ * others stand in the store.  Work that the one could not do alone is kept. */
+TEST(Coord, WorkersOnTheirWayBackAreCountedOn)
+{
+    Entry e;
+
+    for (uint64_t id = 10; id < 20; id++) {
+        fl_add(&e.c.fleet, id, "b", "aarhus", "s")->member = true;
+    }
+    co_tick(&e.c, e.now);
+    e.submit(1, 10, &caller);
+    e.room(0);
+    for (uint64_t id = 100; id < 300; id++) {
+        e.submit(id, 1, &caller);
+    }
+    EXPECT_EQ(co_pending(&e.c), 200u);
+    EXPECT_TRUE(e.callers.answers.empty());
+}
