Comments without figures; one key for a task in the simulation's worker

The analyzer took the pair of numbers for uninitialised; jobs are 2^20 apart, so one number tells a task.

--- a/fleet.h
+++ b/fleet.h
@@ -27,11 +27,9 @@
 
 /*
  * Agents of one service that an entry keeps sessions with.  Sessions between
- * all pairs would grow with the square of the fleet: at 300 machines beats
- * alone took 0.8 MB/s of an entry and half of its processor.  And entries that
- * all see the same free cores send one another's runs back: with 11 entries
- * and 62 agents, 24 of them served bursts better than all (worth of a day 0.82
- * to 0.79) or 16 (0.80).  Half of them near keep most bytes within the domain.
+ * all pairs would grow with the square of the fleet, and entries that all see
+ * the same free cores send one another's runs back.  Half of them near keep
+ * most bytes within the domain.
  */
 #define FL_CHOSEN_MAX 24U
 #define FL_NEAR_MAX 12U
--- a/runner.c
+++ b/runner.c
@@ -316,9 +316,7 @@
 /*
  * Entries that saw the same free cores send more than there is room for.
  * Those runs are better off elsewhere at once than waiting here for cores
- * that come free in some 20 ms: on a fleet of 62 at saturation, tasks of
- * 60 ms in aim were 82 % with a wait of 40 ms, 89 % with two runs waiting,
- * 93 % with none.  One that only waits for its own predecessor stays.
+ * that come free later.  One that only waits for its own predecessor stays.
  */
 void
 rn_order(struct runner *r, uint64_t now, uint64_t entry, uint64_t session,
--- a/runner.h
+++ b/runner.h
@@ -26,8 +26,8 @@
 /* ms the worker's lease is renewed ahead; several times RN_LOOK_MS. */
 #define RN_LEASE_MS 300U
 /* ms that a look waits for an end, which is how often the lease is renewed
- * at least.  Ends are learned by looks only: with one in twenty looks lost,
- * longer ones held answers back by 180 ms. */
+ * at least.  Ends are learned by looks only: while one in some is lost,
+ * longer ones hold answers back. */
 #define RN_LOOK_MS 40U
 /* ms beyond that until a look counts as lost; answers take 1 to 5. */
 #define RN_LOOK_MARGIN_MS 15U
--- a/sim-int.h
+++ b/sim-int.h
@@ -36,7 +36,7 @@
 
 /* The highest run of a task that was stopped or ended on a worker. */
 struct sim_past {
-    uint64_t task[2]; /* job and index */
+    uint64_t task;
     uint64_t run;
     UT_hash_handle hh;
 };
--- a/simwork.c
+++ b/simwork.c
@@ -61,13 +61,13 @@
 static struct sim_past *
 past_of(struct sim_worker *w, const struct rn_key *key, bool add)
 {
-    uint64_t task[2] = {key->job, key->index};
+    uint64_t task = key->job | key->index; /* jobs are 2^20 apart */
     struct sim_past *p;
 
-    HASH_FIND(hh, w->past, task, sizeof(task), p);
+    HASH_FIND(hh, w->past, &task, sizeof(task), p);
     if (p == NULL && add) {
         p = dw_zero(1, sizeof(*p));
-        memcpy(p->task, task, sizeof(task));
+        p->task = task;
         HASH_ADD(hh, w->past, task, sizeof(p->task), p);
     }
     return p;
