--- a/simwork.c
+++ b/simwork.c
@@ -441,7 +441,9 @@
     }
     c->ends = dw_zero(w->end_count + 1, sizeof(*c->ends));
     c->end_count = w->end_count;
-    memcpy(c->ends, w->ends, w->end_count * sizeof(*c->ends));
+    for (size_t i = 0; i < w->end_count; i++) {
+        c->ends[i] = w->ends[i];
+    }
     c->clock_ms = sim_worker_clock(s, w);
     c->born_ms = w->born_ms;
     sim_at(s, s->d->call_us, look_done, c);
