turn: the fleet's cores are counted once a pass, not once a job

Each flush asked for the capacity of the whole fleet for every waiting job, twice, and walked the agents for their free room with an empty queue as well: work on the entry's hot path. Both are asked once a pass now.

--- a/coord.c
+++ b/coord.c
@@ -679,6 +679,7 @@
 place_all(struct coord *c, uint64_t now)
 {
     int64_t free_millicores = fl_free_room(&c->fleet, now);
+    int64_t capacity = fl_capacity(&c->fleet, now);
     struct co_job *j;
     struct co_job *tmp;
     uint32_t misses = 0;
@@ -686,7 +687,7 @@
     for (int turn = 0; turn < TURN_COUNT; turn++) {
         DL_FOREACH_SAFE (c->queue, j, tmp) {
             if (tn_of(j, now) != (enum turn)turn ||
-                tn_leaves_room(c, now, j, free_millicores)) {
+                tn_leaves_room(c, now, j, free_millicores, capacity)) {
                 continue;
             }
             if (!place_job(c, now, j) && ++misses >= MISSES_MAX) {
--- a/turn.c
+++ b/turn.c
@@ -42,8 +42,8 @@
 /* --- room for what will come --- */
 
 bool
-tn_leaves_room(struct coord *c, uint64_t now, const struct co_job *j,
-    int64_t free_millicores)
+tn_leaves_room(const struct coord *c, uint64_t now, const struct co_job *j,
+    int64_t free_millicores, int64_t capacity)
 {
     enum turn turn = tn_of(j, now);
     double tighter;
@@ -52,8 +52,7 @@
         return false;
     }
     tighter = turn == TURN_LATE ? 1 : sl_tighter(&c->mix, j->slack_ms);
-    return (double)free_millicores <
-           tighter * ROOM_LEFT * (double)fl_capacity(&c->fleet, now);
+    return (double)free_millicores < tighter * ROOM_LEFT * (double)capacity;
 }
 
 static double
@@ -221,12 +220,18 @@
 tn_want(struct coord *c, uint64_t now, const char *service)
 {
     dw_want w = {0, 0, 0};
-    int64_t free_millicores = fl_free_room(&c->fleet, now);
+    int64_t free_millicores;
+    int64_t capacity;
     const struct co_job *j;
 
+    if (c->queue == NULL) {
+        return w;
+    }
+    free_millicores = fl_free_room(&c->fleet, now);
+    capacity = fl_capacity(&c->fleet, now);
     for (j = c->queue; j != NULL; j = j->next) {
         if (strcmp(j->service, service) == 0 &&
-            !tn_leaves_room(c, now, j, free_millicores)) {
+            !tn_leaves_room(c, now, j, free_millicores, capacity)) {
             add_want(&w, j, tn_of(j, now) != TURN_LATE);
         }
     }
--- a/turn.h
+++ b/turn.h
@@ -32,9 +32,9 @@
 enum turn tn_of(const struct co_job *j, uint64_t now);
 
 /* It waits until more cores are free, as tighter jobs are likely to come;
- * free_millicores are those of the fleet. */
-bool tn_leaves_room(struct coord *c, uint64_t now, const struct co_job *j,
-    int64_t free_millicores);
+ * free_millicores and capacity are those of the fleet. */
+bool tn_leaves_room(const struct coord *c, uint64_t now,
+    const struct co_job *j, int64_t free_millicores, int64_t capacity);
 
 /* A job was admitted with this guess: what comes, and how long it can wait. */
 void tn_note_job(
