dwsim: hundreds of workers, tens of entries, large tasks, worth by a goal

Cause: deployments of 160 workers and 35 entries in five domains could not be drawn (limits 512, 16 and 4), nor tasks of a sixth of a worker, nor a goal in which the share served at all counts in nines.

Change: limits 1,000, 64 and 5; domains_max, entries_min, requests_most, task_millicores_least and _most, [goal] in experiment files.

--- a/dwsim.c
+++ b/dwsim.c
@@ -66,10 +66,21 @@
     {"length_ms", RANGE(length_ms), KEY_U32, 14000, 600000},
     {"machines.workers_min", RANGE(workers_min), KEY_U32, 1, SIM_WORKERS_MAX},
     {"machines.workers_max", RANGE(workers_max), KEY_U32, 1, SIM_WORKERS_MAX},
-    {"machines.entries_max", RANGE(entries_max), KEY_U32, 1, 4},
+    {"machines.domains_max", RANGE(domains_max), KEY_U32, 2, SIM_DOMAINS_MAX},
+    {"machines.entries_min", RANGE(entries_min), KEY_U32, 1, 12},
+    {"machines.entries_max", RANGE(entries_max), KEY_U32, 1, 12},
     {"load.least", RANGE(load_min), KEY_REAL, 0.01, 3},
     {"load.most", RANGE(load_max), KEY_REAL, 0.01, 3},
     {"load.burst_most", RANGE(burst_max), KEY_REAL, 1.2, 10},
+    {"load.requests_most", RANGE(per_s_max), KEY_REAL, 1, 10000},
+    {"load.task_millicores_least", RANGE(task_millicores_min), KEY_U32, 1,
+        16000},
+    {"load.task_millicores_most", RANGE(task_millicores_max), KEY_U32, 1,
+        16000},
+    {"goal.whole", RANGE(goal.whole), KEY_REAL, 0, 1},
+    {"goal.windows", RANGE(goal.windows), KEY_REAL, 0, 1},
+    {"goal.kind", RANGE(goal.kind), KEY_REAL, 0, 1},
+    {"goal.served_nines", RANGE(goal.served_nines), KEY_REAL, 0, 1},
     {"troubles.least", RANGE(troubles_min), KEY_U32, 0, 5},
     {"troubles.most", RANGE(troubles_max), KEY_U32, 0, 5},
     {"patience.of_work", RANGE(patience[SIM_PATIENCE_OF_WORK]), KEY_BOOL, 0,
@@ -185,22 +196,45 @@
     return false;
 }
 
+/* A pair of keys of which the first may not be above the second. */
+struct pair {
+    const char *least;
+    const char *most;
+};
+
+static const struct pair pairs[] = {
+    {"machines.workers_min", "machines.workers_max"},
+    {"machines.entries_min", "machines.entries_max"},
+    {"load.least", "load.most"},
+    {"load.task_millicores_least", "load.task_millicores_most"},
+    {"troubles.least", "troubles.most"},
+};
+
+static double
+value_of(const struct experiment *x, const char *name)
+{
+    for (size_t i = 0; i < KEY_COUNT; i++) {
+        const char *at = (const char *)x + keys[i].offset;
+
+        if (strcmp(keys[i].name, name) == 0) {
+            return keys[i].kind == KEY_U32 ? *(const uint32_t *)at
+                                           : *(const double *)at;
+        }
+    }
+    return 0;
+}
+
 static bool
 check(const struct experiment *x, const char *path, struct err *e)
 {
     const struct sim_ranges *r = &x->ranges;
 
-    if (r->workers_min > r->workers_max) {
-        err_set(e, "%s: machines.workers_min is above workers_max", path);
-        return false;
-    }
-    if (r->load_min > r->load_max) {
-        err_set(e, "%s: load.least is above load.most", path);
-        return false;
-    }
-    if (r->troubles_min > r->troubles_max) {
-        err_set(e, "%s: troubles.least is above troubles.most", path);
-        return false;
+    for (size_t i = 0; i < sizeof(pairs) / sizeof(pairs[0]); i++) {
+        if (value_of(x, pairs[i].least) > value_of(x, pairs[i].most)) {
+            err_set(
+                e, "%s: %s is above %s", path, pairs[i].least, pairs[i].most);
+            return false;
+        }
     }
     if (!any(r->patience, SIM_PATIENCE_COUNT)) {
         err_set(e, "%s: [patience]: want one of them true", path);
--- a/sim.h
+++ b/sim.h
@@ -22,9 +22,9 @@
 extern "C" {
 #endif
 
-#define SIM_DOMAINS_MAX 4U
-#define SIM_ENTRIES_MAX 16U
-#define SIM_WORKERS_MAX 512U
+#define SIM_DOMAINS_MAX 5U
+#define SIM_ENTRIES_MAX 64U
+#define SIM_WORKERS_MAX 1000U
 #define SIM_KINDS_MAX 4U
 #define SIM_TROUBLES_MAX 8U
 #define SIM_WINDOW_MS 2000U
@@ -83,8 +83,17 @@
     bool all;        /* kinds of request */
 };
 
+/* What a day's worth consists of. */
+struct sim_goal {
+    double whole;        /* weight of the whole day's part */
+    double windows;      /* of the two worst windows */
+    double kind;         /* of the worst kind of request */
+    double served_nines; /* of the share served, late or not, by nines */
+};
+
 struct sim_deployment {
     uint64_t seed;
+    struct sim_goal goal;
     uint32_t length_ms;
     uint32_t domains;
     uint32_t entries;
@@ -125,7 +134,7 @@
     struct sim_sum kind[SIM_KINDS_MAX];
     struct sim_sum *window; /* free(3) it */
     size_t windows;
-    double worth;          /* of whole day, worst windows and worst kind */
+    double worth;          /* by the goal */
     uint64_t held_in_vain; /* refused after a quarter of the objective */
     uint64_t refused_at_once;
     uint64_t runs;
@@ -149,17 +158,23 @@
 /* Bounds within which deployments are drawn. */
 struct sim_ranges {
     uint32_t length_ms;
+    uint32_t domains_max;
     uint32_t workers_min;
     uint32_t workers_max;
-    uint32_t entries_max; /* of a domain */
-    double load_min;      /* requested cores over all cores */
+    uint32_t entries_min; /* of a domain */
+    uint32_t entries_max;
+    double load_min; /* requested cores over all cores */
     double load_max;
+    double per_s_max; /* requests; beyond it run times are longer */
+    uint32_t task_millicores_min;
+    uint32_t task_millicores_max;
     double burst_max; /* times the usual requests */
     uint32_t troubles_min;
     uint32_t troubles_max;
     bool trouble[SIM_TROUBLE_KINDS];   /* may be drawn */
     bool patience[SIM_PATIENCE_COUNT]; /* may be drawn */
     bool every[SIM_TROUBLE_KINDS];     /* is part of each day */
+    struct sim_goal goal;
 };
 
 void sim_ranges_init(struct sim_ranges *r);
--- a/simcall.c
+++ b/simcall.c
@@ -465,15 +465,25 @@
     return (worst + second) / 2;
 }
 
-/* What the whole day, its worst windows and the worst kind weigh. */
-#define DAY_WEIGHT 0.35
-#define WINDOWS_WEIGHT 0.5
-#define KIND_WEIGHT 0.15
+/* The share that is not served counts as this at least. */
+#define NINES_BEST 0.001
+
+/* The share that is served, counted in nines: 1 for NINES_BEST or less that
+ * is not, 0 for all. */
+static double
+served_nines(const struct sim_sum *s)
+{
+    double not_served =
+        (double)(s->refused + s->lost) / (double)num_max(s->asked, 1);
+
+    return log(fmax(not_served, NINES_BEST)) / log(NINES_BEST);
+}
 
 void
 sim_count(struct sim *s)
 {
     struct sim_result *r = s->out;
+    const struct sim_goal *goal = &s->d->goal;
     double worst_kind = 1;
     struct sim_job *j;
 
@@ -489,8 +499,9 @@
     for (uint32_t k = 0; k < s->d->kinds; k++) {
         worst_kind = fmin(worst_kind, part(&r->kind[k]));
     }
-    r->worth = DAY_WEIGHT * part(&r->whole) +
-               WINDOWS_WEIGHT * worst_windows(r) + KIND_WEIGHT * worst_kind;
+    r->worth = goal->whole * part(&r->whole) +
+               goal->windows * worst_windows(r) + goal->kind * worst_kind +
+               goal->served_nines * served_nines(&r->whole);
     if (r->estimates > 0) {
         r->run_error = s->error_sum / (double)r->estimates;
     }
--- a/simdraw.c
+++ b/simdraw.c
@@ -17,11 +17,17 @@
 {
     *r = (struct sim_ranges){0};
     r->length_ms = 30000;
+    r->domains_max = 4;
     r->workers_min = 6;
     r->workers_max = 16;
+    r->entries_min = 1;
     r->entries_max = 2;
     r->load_min = 0.3;
     r->load_max = 0.9;
+    r->per_s_max = 500;
+    r->task_millicores_min = 500;
+    r->task_millicores_max = 8000;
+    r->goal = (struct sim_goal){0.35, 0.5, 0.15, 0};
     r->burst_max = 1.8;
     r->troubles_min = 1;
     r->troubles_max = 3;
@@ -70,8 +76,9 @@
     uint32_t cores = (uint32_t)scale_between(rng, 16, 96);
     double uneven_share = between(rng, 0, 1);
 
-    d->domains = whole_between(rng, 2, SIM_DOMAINS_MAX);
-    d->entries = d->domains * whole_between(rng, 1, r->entries_max);
+    d->domains = whole_between(rng, 2, r->domains_max);
+    d->entries =
+        d->domains * whole_between(rng, r->entries_min, r->entries_max);
     d->entries = (uint32_t)num_min(d->entries, SIM_ENTRIES_MAX);
     d->workers = whole_between(rng, r->workers_min, r->workers_max);
     for (uint32_t i = 0; i < d->entries; i++) {
@@ -111,13 +118,15 @@
 }
 
 static void
-draw_kind(struct sim_kind *k, gsl_rng *rng, double declared_sigma)
+draw_kind(struct sim_kind *k, gsl_rng *rng, const struct sim_ranges *r,
+    double declared_sigma)
 {
     k->run_ms = scale_between(rng, 40, 1000);
     k->run_sigma = between(rng, 0.2, 0.6);
     k->width = scale_between(rng, 1, 10);
     k->width_max = (uint32_t)(4 * k->width) + 1;
-    k->millicores = (uint32_t)scale_between(rng, 500, 8000);
+    k->millicores = (uint32_t)scale_between(
+        rng, r->task_millicores_min, r->task_millicores_max);
     k->declared = scale_between(rng, 0.5, 2);
     k->declared_sigma = declared_sigma;
     k->stretch_milli = whole_between(rng, 1200, 2500);
@@ -126,14 +135,14 @@
     k->attempts = whole_between(rng, 2, 4);
 }
 
-/* Requests a second that a day has at most, so that hundreds of days can be
- * played in a minute; beyond it run times are longer. */
-#define PER_S_MAX 500.0
 #define LONGER 1.1
 
-/* Each kind has a like part of the cores, give or take, and of the worth. */
+/* Each kind has a like part of the cores, give or take, and of the worth.
+ * Run times are longer rather than more than per_s_max requests a second, as
+ * what a day takes to play is by its requests. */
 static void
-share_out(struct sim_deployment *d, gsl_rng *rng, double cores)
+share_out(
+    struct sim_deployment *d, gsl_rng *rng, double cores, double per_s_max)
 {
     double parts[SIM_KINDS_MAX];
     double sum = 0;
@@ -151,7 +160,7 @@
             k->share = parts[i] / sum * cores / work_of(k);
             d->per_s += k->share;
         }
-    } while (d->per_s > PER_S_MAX);
+    } while (d->per_s > per_s_max);
     for (uint32_t i = 0; i < d->kinds; i++) {
         d->kind[i].worth = between(rng, 0.5, 2) / d->kind[i].share;
         d->kind[i].share /= d->per_s;
@@ -167,10 +176,10 @@
 
     d->kinds = whole_between(rng, 2, SIM_KINDS_MAX);
     for (uint32_t i = 0; i < d->kinds; i++) {
-        draw_kind(&d->kind[i], rng, declared_sigma);
+        draw_kind(&d->kind[i], rng, r, declared_sigma);
         d->kind[i].priority = i;
     }
-    share_out(d, rng, load * total_cores(d));
+    share_out(d, rng, load * total_cores(d), r->per_s_max);
     d->uneven = between(rng, 0.05, 0.25);
     d->fails = between(rng, 0, 0.005);
     d->resend_ms = whole_between(rng, 1000, 2000);
@@ -255,6 +264,7 @@
     gsl_rng_set(rng, (unsigned long)seed);
     d->seed = seed;
     d->length_ms = r->length_ms;
+    d->goal = r->goal;
     draw_machines(d, rng, r);
     draw_requests(d, rng, r);
     draw_troubles(d, rng, r);
