Room in whole tasks, estimates by service, a turn for who still waits

Entries counted some 100 of 1,792 cores free that held nothing (64 cores hold six tasks of ten, 24 workers times four), slow workers as sound ones, all services together, and what would overtake a job by its slack, though jobs are placed by their objectives. After a loss of power, callers that still waited were turned away with cores idle, by an estimate of when they first sent.

Change: fl_sum_up() tells a service's room in tasks of one size, slow workers for what they do; inflow.c tells what will come with an earlier objective; jobs whose answer is likely of no use have a turn of their own, the last: run where there is room beside all others, else refused at once.

--- a/coord-int.h
+++ b/coord-int.h
@@ -14,6 +14,13 @@
 void co_give_up(
     struct coord *c, uint64_t now, struct co_job *j, const char *reason);
 
+/* ms that its longest task takes on the fastest workers. */
+static inline uint64_t
+co_least_ms(const struct co_job *j)
+{
+    return j->longest_ms * CO_LEAST_PERCENT / 100;
+}
+
 /* Estimated millicores x ms. */
 static inline uint64_t
 co_task_work(const struct co_task *t)
--- a/coord.c
+++ b/coord.c
@@ -23,6 +23,7 @@
  * fleet that comes back from a loss of power is there within half a second,
  * and a late answer is worth more than a refusal. */
 #define HOLD_MS 800U
+
 void
 co_init(struct coord *c, const struct co_ops *ops, void *ctx, uint64_t seed,
     const char *domain, const char *address, uint16_t port)
@@ -67,18 +68,18 @@
 {
     if (t->state == CO_WAITING) {
         j->waiting--;
-        c->waiting_work -= co_task_work(t);
+        j->load->waiting_work -= co_task_work(t);
     }
     else if (t->state == CO_OUT) {
-        c->out_millicores -= t->spec.millicores;
+        j->load->out_millicores -= t->spec.millicores;
     }
     t->state = state;
     if (state == CO_OUT) {
-        c->out_millicores += t->spec.millicores;
+        j->load->out_millicores += t->spec.millicores;
     }
     if (state == CO_WAITING) {
         j->waiting++;
-        c->waiting_work += co_task_work(t);
+        j->load->waiting_work += co_task_work(t);
         enqueue(c, j);
     }
     else if (j->waiting == 0) {
@@ -220,7 +221,6 @@
     HASH_DEL(c->jobs, j);
     free(j->tasks);
     free(j->spec);
-    free(j->service);
     free(j);
 }
 
@@ -237,7 +237,7 @@
     uint32_t retry_ms;
 
     ++*counts[how];
-    retry_ms = how == CO_NOT_RUN ? tn_retry_ms(c, now) : 0;
+    retry_ms = how == CO_NOT_RUN ? tn_retry_ms(c, now, j->load) : 0;
     stop_runs(c, j);
     c->ops->note(c->ctx, j, reason);
     while (j->waiters != NULL) {
@@ -297,13 +297,12 @@
 refusal(struct coord *c, uint64_t now, const struct co_submit *s,
     const struct gs_guess *g)
 {
-    int64_t capacity = fl_capacity(&c->fleet, now);
+    struct fl_sum sum = fl_sum_up(&c->fleet, now, s->service, 1);
 
-    if ((uint64_t)g->run_ms * CO_LEAST_PERCENT / 100 >=
-        num_min(s->left_ms, g->use_ms)) {
+    if ((uint64_t)g->run_ms * CO_LEAST_PERCENT / 100 >= s->left_ms) {
         return "too_late";
     }
-    if (capacity <= 0 && now - c->capable_ms > HOLD_MS) {
+    if (sum.capacity <= 0 && now - c->capable_ms > HOLD_MS) {
         return "no_workers";
     }
     for (size_t i = 0; i < s->count; i++) {
@@ -322,6 +321,20 @@
     return NULL;
 }
 
+static struct co_load *
+load_of(struct coord *c, const char *service)
+{
+    struct co_load *l;
+
+    HASH_FIND_STR(c->loads, service, l);
+    if (l == NULL) {
+        l = dw_zero(1, sizeof(*l));
+        l->service = str_dup(str_of(service));
+        HASH_ADD_KEYPTR(hh, c->loads, l->service, strlen(l->service), l);
+    }
+    return l;
+}
+
 static struct co_job *
 admit(struct coord *c, uint64_t now, const struct co_submit *s,
     const struct gs_guess *g, void *handle)
@@ -331,7 +344,7 @@
     j->id = s->id;
     j->spec = str_dup(s->spec);
     j->spec_n = s->spec.n;
-    j->service = str_dup(str_of(s->service));
+    j->load = load_of(c, s->service);
     j->priority = s->priority;
     j->attempts = (uint32_t)num_max(s->attempts, 1);
     j->come_ms = now;
@@ -383,11 +396,12 @@
     if (why != NULL) {
         c->stats.not_run++;
         c->ops->note_refusal(c->ctx, s, &g, why, co_waiting_ms(c, now));
-        c->ops->answer(c->ctx, handle, CO_NOT_RUN, why, tn_retry_ms(c, now));
+        c->ops->answer(c->ctx, handle, CO_NOT_RUN, why,
+            tn_retry_ms(c, now, load_of(c, s->service)));
         return;
     }
     j = admit(c, now, s, &g, handle);
-    tn_note_job(c, now, j, &g);
+    tn_note_job(now, j, &g);
     j->model = model;
     j->seen = seen;
     tn_shed(c, now);
@@ -631,8 +645,9 @@
 static struct fl_need
 need_of(const struct co_job *j, const struct co_task *t)
 {
-    struct fl_need need = {j->service, t->spec.millicores, t->spec.memory_mb,
-        t->spec.gpus, t->spec.est_ms, 0, t->failed > 0, false, t->avoid};
+    struct fl_need need = {j->load->service, t->spec.millicores,
+        t->spec.memory_mb, t->spec.gpus, t->spec.est_ms, 0, t->failed > 0,
+        false, t->avoid};
 
     return need;
 }
@@ -678,22 +693,24 @@
 static void
 place_all(struct coord *c, uint64_t now)
 {
-    int64_t free_millicores = fl_free_room(&c->fleet, now);
-    int64_t capacity = fl_capacity(&c->fleet, now);
+    struct tn_room room = {0};
     struct co_job *j;
     struct co_job *tmp;
     uint32_t misses = 0;
 
     for (int turn = 0; turn < TURN_COUNT; turn++) {
         DL_FOREACH_SAFE (c->queue, j, tmp) {
-            if (tn_of(j, now) != (enum turn)turn ||
-                tn_leaves_room(c, now, j, free_millicores, capacity)) {
+            if (tn_of(j, now) != (enum turn)turn) {
+                continue;
+            }
+            tn_look(&room, c, now, j);
+            if (tn_leaves_room(&room, now, j)) {
                 continue;
             }
             if (!place_job(c, now, j) && ++misses >= MISSES_MAX) {
                 return;
             }
-            free_millicores = fl_free_room(&c->fleet, now);
+            room.load = NULL; /* changed */
         }
     }
 }
@@ -832,13 +849,11 @@
 static bool
 tend_job(struct coord *c, uint64_t now, struct co_job *j)
 {
-    uint64_t least = j->longest_ms * CO_LEAST_PERCENT / 100;
-
     if (now >= j->deadline_ms) {
         co_give_up(c, now, j, "deadline");
         return false;
     }
-    if (!j->begun && now + least >= num_min(j->deadline_ms, j->use_ms)) {
+    if (!j->begun && now + co_least_ms(j) >= j->deadline_ms) {
         co_give_up(c, now, j, "too_late");
         return false;
     }
@@ -879,13 +894,15 @@
     struct fl_agent *a_tmp;
     struct co_job *j;
     struct co_job *j_tmp;
+    struct fl_sum sum;
 
     c->ticked_ms = now;
     fl_choose(&c->fleet, now);
     fl_learn(&c->fleet, now);
     /* Other entries see the same room. */
-    c->move_room = fl_free_room(&c->fleet, now) / MOVE_SHARE;
-    if (c->capable_ms == 0 || fl_capacity(&c->fleet, now) > 0) {
+    sum = fl_sum_up(&c->fleet, now, NULL, 1);
+    c->move_room = sum.free / MOVE_SHARE;
+    if (c->capable_ms == 0 || sum.capacity > 0) {
         c->capable_ms = now;
     }
     HASH_ITER (hh, c->fleet.agents, a, a_tmp) {
@@ -916,6 +933,8 @@
     struct co_job *j_tmp;
     struct co_ended *e;
     struct co_ended *e_tmp;
+    struct co_load *l;
+    struct co_load *l_tmp;
 
     HASH_ITER (hh, c->jobs, j, j_tmp) {
         while (j->waiters != NULL) {
@@ -930,6 +949,11 @@
         HASH_DEL(c->ended, e);
         free(e);
     }
+    HASH_ITER (hh, c->loads, l, l_tmp) {
+        HASH_DEL(c->loads, l);
+        free(l->service);
+        free(l);
+    }
     gs_free(&c->times);
     fl_free(&c->fleet);
 }
@@ -949,9 +973,14 @@
 uint64_t
 co_waiting_ms(const struct coord *c, uint64_t now)
 {
-    int64_t capacity = fl_capacity(&c->fleet, now);
+    struct fl_sum sum = fl_sum_up(&c->fleet, now, NULL, 1);
+    const struct co_load *l;
+    uint64_t work = 0;
 
-    return capacity > 0 ? c->waiting_work / (uint64_t)capacity : 0;
+    for (l = c->loads; l != NULL; l = l->hh.next) {
+        work += l->waiting_work;
+    }
+    return sum.capacity > 0 ? work / (uint64_t)sum.capacity : 0;
 }
 
 size_t
--- a/coord.h
+++ b/coord.h
@@ -15,6 +15,7 @@
 
 #include "fleet.h"
 #include "guess.h"
+#include "inflow.h"
 #include "proto.h"
 #include "runner.h"
 #include "slack.h"
@@ -84,12 +85,22 @@
     void *handle;
 };
 
+/* The jobs of one service together. */
+struct co_load {
+    char *service;
+    uint64_t waiting_work;   /* estimated millicores x ms of waiting tasks */
+    uint64_t out_millicores; /* of runs under way */
+    struct sl_mix mix;       /* what waits how long */
+    struct in_flow inflow;   /* millicores x ms that come in time */
+    UT_hash_handle hh;
+};
+
 struct co_job {
     uint64_t id;
     struct co_waiter *waiters;
     char *spec;
     size_t spec_n;
-    char *service;
+    struct co_load *load; /* of its service */
     uint32_t priority;
     uint32_t attempts;
     uint64_t come_ms;
@@ -158,13 +169,9 @@
     struct co_job *jobs;
     struct co_job *queue;
     struct co_ended *ended;
-    struct gs_table times;   /* what jobs of each route take */
-    struct sl_mix mix;       /* what waits how long */
-    int64_t move_room;       /* millicores that may be moved this tick */
-    uint64_t waiting_work;   /* estimated millicores x ms of waiting tasks */
-    uint64_t out_millicores; /* of runs under way */
-    double inflow;           /* millicores x ms a ms that come in time */
-    uint64_t inflow_ms;      /* until when old work has been faded */
+    struct gs_table times; /* what jobs of each route take */
+    struct co_load *loads; /* by service */
+    int64_t move_room;     /* millicores that may be moved this tick */
     uint64_t ticked_ms;
     uint64_t
         capable_ms;   /* when there last was a worker; at first, the start */
--- a/entryd.c
+++ b/entryd.c
@@ -114,13 +114,14 @@
     const char *why, uint64_t waiting_ms)
 {
     struct entry *e = ctx;
-    uint64_t now = proc_now();
+    struct fl_sum sum = fl_sum_up(&e->coord.fleet, proc_now(), s->service,
+        s->count > 0 ? s->tasks[0].millicores : 1);
 
     log_event(LOG_LEVEL_WARN, "job_refused",
         "job=%016" PRIx64 " why=%s tasks=%zu run_ms=%u left_ms=%u"
         " use_ms=%u waiting_ms=%" PRIu64 " capacity=%" PRId64 " free=%" PRId64,
         s->id, why, s->count, g->run_ms, s->left_ms, g->use_ms, waiting_ms,
-        fl_capacity(&e->coord.fleet, now), fl_free_room(&e->coord.fleet, now));
+        sum.capacity, sum.free);
 }
 
 static void
@@ -358,7 +359,7 @@
 is_ready(const struct entry *e)
 {
     return !e->s->leaving && e->routes.version != 0 &&
-           fl_capacity(&e->coord.fleet, proc_now()) > 0;
+           fl_sum_up(&e->coord.fleet, proc_now(), NULL, 1).capacity > 0;
 }
 
 static void
@@ -750,11 +751,13 @@
     }
     e->load_line_ms = now;
     if (jobs > 0) {
+        struct fl_sum sum = fl_sum_up(&c->fleet, now, NULL, 1);
+
         log_event(LOG_LEVEL_INFO, "load",
             "jobs=%zu pending=%zu waiting_ms=%" PRIu64 " capacity=%" PRId64
             " free=%" PRId64,
-            jobs, co_pending(c), co_waiting_ms(c, now),
-            fl_capacity(&c->fleet, now), fl_free_room(&c->fleet, now));
+            jobs, co_pending(c), co_waiting_ms(c, now), sum.capacity,
+            sum.free);
     }
 }
 
--- a/fleet.c
+++ b/fleet.c
@@ -14,10 +14,10 @@
  * are few.  Bad tasks fail everywhere; so a share counts only where it is
  * far above the mean of all.
  */
+#define FAIL_WEIGHT 8U
 #define SICK_PERMILLE 750U
 #define RISKY_PERMILLE 150U
 #define RISKY_TIMES 2U
-#define FAIL_WEIGHT 8U
 /* A worker at this part of the usual speed, or below, is slow.  Machines
  * differ by 0.8 to 1.25; slow ones take four to eight times as long. */
 #define SLOW_PERCENT 40U
@@ -135,8 +135,8 @@
 struct candidate {
     struct fl_agent *agent;
     bool standby;
-    bool near; /* in the entry's own domain */
-    uint64_t score;
+    bool near;      /* in the entry's own domain */
+    uint64_t score; /* by its name, which a restart keeps */
 };
 
 /* One order of agents for all entries. */
@@ -536,50 +536,62 @@
     return best;
 }
 
-int64_t
-fl_capacity(const struct fleet *f, uint64_t now)
+/* What a core there does, 1: as much as usual. */
+static double
+relative_pace(const struct fleet *f, const struct fl_agent *a)
 {
-    const struct fl_agent *a;
-    int64_t sum = 0;
-
-    for (a = f->agents; a != NULL; a = a->hh.next) {
-        sum += fl_usable(a, now) ? a->room.millicores : 0;
-    }
-    return sum;
+    return fl_slow(f, a) ? (double)a->room.pace_permille / f->speed : 1;
 }
 
-int64_t
-fl_expected(const struct fleet *f, uint64_t now)
+/* Rests of workers that hold no task are no room. */
+static double
+whole_tasks(int64_t free_millicores, uint32_t task_millicores)
 {
-    const struct fl_agent *a;
-    int64_t sum = 0;
-    int64_t usable = 0;
-    int64_t coming = 0;
+    int64_t task = (int64_t)num_max(task_millicores, 1);
 
-    for (a = f->agents; a != NULL; a = a->hh.next) {
-        if (fl_usable(a, now)) {
-            sum += a->room.millicores;
-            usable++;
-        }
-        else if (a->chosen && a->member && !a->withdrawn && !a->live &&
-                 a->silent_ms != 0 && now - a->silent_ms < FL_RETURN_MS) {
-            coming++;
-        }
-    }
-    return usable > 0 ? sum + sum / usable * coming : 0;
+    return free_millicores < task
+               ? 0
+               : (double)(free_millicores - free_millicores % task);
+}
+
+static bool
+is_coming_back(const struct fl_agent *a, uint64_t now)
+{
+    return a->chosen && a->member && !a->withdrawn && !a->live &&
+           a->silent_ms != 0 && now - a->silent_ms < FL_RETURN_MS;
 }
 
-int64_t
-fl_free_room(const struct fleet *f, uint64_t now)
+struct fl_sum
+fl_sum_up(const struct fleet *f, uint64_t now, const char *service,
+    uint32_t task_millicores)
 {
+    struct fl_sum sum = {0, 0, 0, 1};
     const struct fl_agent *a;
-    int64_t sum = 0;
+    int64_t usable = 0;
+    int64_t coming = 0;
+    double free_millicores = 0;
+    double runs = 0;
+    double paced = 0;
 
     for (a = f->agents; a != NULL; a = a->hh.next) {
-        if (fl_usable(a, now) && a->free_millicores > 0) {
-            sum += a->free_millicores;
+        if (service != NULL && strcmp(a->service, service) != 0) {
+            continue;
         }
-    }
+        if (!fl_usable(a, now)) {
+            coming += is_coming_back(a, now);
+            continue;
+        }
+        usable++;
+        sum.capacity += a->room.millicores;
+        free_millicores += relative_pace(f, a) *
+                           whole_tasks(a->free_millicores, task_millicores);
+        runs += a->out;
+        paced += a->out * relative_pace(f, a);
+    }
+    sum.free = (int64_t)free_millicores;
+    /* As large as the others. */
+    sum.coming = usable > 0 ? sum.capacity / usable * coming : 0;
+    sum.pace = runs > 0 ? paced / runs : 1;
     return sum;
 }
 
--- a/fleet.h
+++ b/fleet.h
@@ -112,6 +112,15 @@
     uint64_t avoid;     /* an agent where it failed before; 0: none */
 };
 
+/* The workers of a service together, in millicores. */
+struct fl_sum {
+    int64_t capacity; /* of usable workers */
+    int64_t free;     /* of these, in whole tasks; on slow workers, as much as
+                       * a sound one does in that time */
+    int64_t coming;   /* of workers that may be back soon */
+    double pace;      /* of this entry's runs there, 1: usual speed */
+};
+
 void fl_init(struct fleet *f, uint64_t seed, const char *domain);
 void fl_free(struct fleet *f);
 struct fl_agent *fl_find(struct fleet *f, uint64_t id);
@@ -151,12 +160,10 @@
 /* Nothing of this entry is on its way there or back. */
 bool fl_idle(const struct fl_agent *a);
 bool fl_usable(const struct fl_agent *a, uint64_t now);
-/* Cores of all usable workers, and those free. */
-int64_t fl_capacity(const struct fleet *f, uint64_t now);
-int64_t fl_free_room(const struct fleet *f, uint64_t now);
-/* Cores of usable workers, and of those that may be back soon, as large as the
- * others; 0 if none is usable. */
-int64_t fl_expected(const struct fleet *f, uint64_t now);
+/* The workers of a service (NULL: of all), for tasks of task_millicores (1: of
+ * any size). */
+struct fl_sum fl_sum_up(const struct fleet *f, uint64_t now,
+    const char *service, uint32_t task_millicores);
 /* No usable worker could hold it, were it empty; false if none is known. */
 bool fl_never_fits(
     const struct fleet *f, uint64_t now, const struct fl_need *need);
--- /dev/null
+++ b/inflow.c
@@ -0,0 +1,55 @@
+#include "inflow.h"
+
+#include <math.h>
+
+#define PER_DOUBLING 4.0
+
+static uint32_t
+bucket_of(uint32_t objective_ms)
+{
+    double b = PER_DOUBLING * log2(fmax(objective_ms, 1));
+
+    return (uint32_t)fmin(b, IN_BUCKETS - 1);
+}
+
+static double
+middle_of(uint32_t bucket)
+{
+    return exp2((bucket + 0.5) / PER_DOUBLING);
+}
+
+static double
+kept(const struct in_flow *f, uint64_t now)
+{
+    return exp2(-(double)(now - f->at_ms) / IN_HALF_MS);
+}
+
+void
+in_note(struct in_flow *f, uint64_t now, uint32_t objective_ms, double work)
+{
+    double k = kept(f, now);
+
+    for (uint32_t b = 0; b < IN_BUCKETS; b++) {
+        f->rate[b] *= k;
+    }
+    f->at_ms = now;
+    /* A sum that halves in that time is so many times the rate. */
+    f->rate[bucket_of(objective_ms)] += work * log(2) / IN_HALF_MS;
+}
+
+double
+in_before(
+    const struct in_flow *f, uint64_t now, double objective_ms, double span_ms)
+{
+    double sum = 0;
+
+    for (uint32_t b = 0; b < IN_BUCKETS; b++) {
+        double window = objective_ms - middle_of(b);
+
+        if (window <= 0) {
+            break;
+        }
+        sum += f->rate[b] * fmin(span_ms, window);
+    }
+    return sum * kept(f, now);
+}
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -141,6 +141,18 @@
         co_submit(&c, now, &s, handle);
         co_flush(&c, now);
     }
+    /* Jobs are declared twice as long as they take; callers wait for 3 s. */
+    void
+    learn()
+    {
+        for (uint32_t id = 10; id < 60; id++) {
+            uint32_t run_ms = 30 + id % 40;
+
+            submit(id, 1, this, 3000, 2 * run_ms);
+            report({{{id, 0, run_of(id)}, DW_END_DONE, run_ms}});
+        }
+        ASSERT_EQ(c.stats.completed, 50u);
+    }
     uint64_t
     run_of(uint64_t id)
     {
@@ -390,6 +402,34 @@
     }
 }
 
+/* Guards against turning callers away by an estimate of when they first sent
+ * their request, while cores are idle. */
+TEST(Coord, WhereCoresAreFreeACallerThatStillWaitsIsServed)
+{
+    Entry e;
+
+    e.learn();
+    e.submit(99, 1, &caller, 1200); /* sent before, 1800 ms ago */
+    EXPECT_EQ(e.c.stats.runs, 51u);
+    EXPECT_EQ(e.run_of(99), 51u);
+}
+
+/* Guards against one whose answer is likely of no use keeping cores from
+ * others, or its caller waiting. */
+TEST(Coord, WhereCoresAreScarceItIsRefusedAtOnce)
+{
+    Entry e;
+
+    e.learn();
+    e.submit(98, 10, &caller, 3000);
+    e.room(0);
+    e.callers.reasons.clear();
+    e.submit(99, 1, &caller, 1200);
+    ASSERT_EQ(e.callers.reasons.size(), 1u);
+    EXPECT_EQ(e.callers.reasons[0], "no_turn");
+    EXPECT_EQ(e.c.stats.not_run, 1u);
+}
+
 /* Callers that were refused in one moment come back in one moment, and are
  * refused again, if all are told the same time. */
 TEST(Coord, RefusedCallersAreToldTimesApart)
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -340,3 +340,32 @@
     m.pass(FL_CHOOSE_MS);
     EXPECT_EQ(m.chosen(), 2 * FL_CHOSEN_MAX);
 }
+
+/* --- room --- */
+
+/* Guards against entries that count on rests of workers which hold no task,
+ * and so keep jobs that get no turn. */
+TEST(Fleet3, RestsThatHoldNoTaskAreNoRoom)
+{
+    Fleet3 t;
+
+    t.room(1, 9000, 1000);
+    t.room(2, 3000, 1000);
+    t.room(3, 0, 1000);
+    EXPECT_EQ(fl_sum_up(&t.f, t.now, "s", 1).free, 12000);
+    EXPECT_EQ(fl_sum_up(&t.f, t.now, "s", 4000).free, 8000);
+    EXPECT_EQ(fl_sum_up(&t.f, t.now, "other", 4000).free, 0);
+    EXPECT_EQ(fl_sum_up(&t.f, t.now, "other", 4000).capacity, 0);
+}
+
+/* Guards against counting slow workers as sound ones when the wait is told. */
+TEST(Fleet3, SlowWorkersCountForWhatTheyDo)
+{
+    Fleet3 t;
+
+    t.room(3, 10000, 200);
+    EXPECT_EQ(fl_sum_up(&t.f, t.now, "s", 1).free, 22000);
+    fl_find(&t.f, 1)->out = 1;
+    fl_find(&t.f, 3)->out = 1;
+    EXPECT_NEAR(fl_sum_up(&t.f, t.now, "s", 1).pace, 0.6, 0.01);
+}
--- /dev/null
+++ b/test/inflow-test.cc
@@ -0,0 +1,43 @@
+/* What comes while a job waits. */
+#include <gtest/gtest.h>
+
+#include "inflow.h"
+
+namespace {
+
+/* 10 units a ms of work that is wanted within 200 ms. */
+in_flow
+steady()
+{
+    in_flow f = {};
+
+    for (uint64_t now = 0; now <= 20000; now += 10) {
+        in_note(&f, now, 200, 100);
+    }
+    return f;
+}
+
+} // namespace
+
+TEST(Inflow, WorkWithAnEarlierObjectiveGoesBefore)
+{
+    in_flow f = steady();
+
+    EXPECT_NEAR(in_before(&f, 20000, 2000, 100), 1000, 50);
+    EXPECT_EQ(in_before(&f, 20000, 100, 100), 0);
+}
+
+/* What comes later than 300 ms before its objective is behind it. */
+TEST(Inflow, OnlyForAsLongAsItsObjectiveIsEarlier)
+{
+    in_flow f = steady();
+
+    EXPECT_NEAR(in_before(&f, 20000, 500, 10000), 3000, 400);
+}
+
+TEST(Inflow, WhatCeasesToComeIsForgotten)
+{
+    in_flow f = steady();
+
+    EXPECT_NEAR(in_before(&f, 21000, 2000, 100), 500, 50);
+}
--- a/turn.c
+++ b/turn.c
@@ -10,11 +10,8 @@
 /* The part of the cores that a job leaves free if all other work is tighter
  * than it: some short jobs' tasks, as they come at a time. */
 #define ROOM_LEFT 0.05
-/* ms in which half of the work that came is forgotten as inflow: about as
- * long as jobs can wait. */
-#define INFLOW_HALF_MS 1000.0
-/* A job is taken to get this part of the cores at least. */
-#define LEAST_PART 0.05
+/* Times that the work which comes while a job waits is added to its wait. */
+#define WAIT_ROUNDS 8
 /* ms after which refused callers may come back, at the soonest and latest. */
 #define RETRY_MIN_MS 500U
 #define RETRY_MAX_MS 10000U
@@ -36,123 +33,197 @@
     if (j->begun) {
         return TURN_BEGUN;
     }
-    return now + j->longest_ms <= j->objective_ms ? TURN_ON_TIME : TURN_LATE;
+    if (now + j->longest_ms <= j->objective_ms) {
+        return TURN_ON_TIME;
+    }
+    return now + co_least_ms(j) < j->use_ms ? TURN_LATE : TURN_SPARE;
 }
 
 /* --- room for what will come --- */
 
-bool
-tn_leaves_room(const struct coord *c, uint64_t now, const struct co_job *j,
-    int64_t free_millicores, int64_t capacity)
+void
+tn_look(struct tn_room *room, const struct coord *c, uint64_t now,
+    const struct co_job *j)
+{
+    uint32_t task = j->tasks[0].spec.millicores;
+
+    if (room->load != j->load || room->task_millicores != task) {
+        room->load = j->load;
+        room->task_millicores = task;
+        room->sum = fl_sum_up(&c->fleet, now, j->load->service, task);
+    }
+}
+
+/* Millicores that it leaves free. */
+static double
+room_left(const struct fl_sum *sum, uint64_t now, const struct co_job *j)
 {
     enum turn turn = tn_of(j, now);
-    double tighter;
 
     if (turn == TURN_BEGUN) {
-        return false;
+        return 0;
     }
-    tighter = turn == TURN_LATE ? 1 : sl_tighter(&c->mix, j->slack_ms);
-    return (double)free_millicores < tighter * ROOM_LEFT * (double)capacity;
+    return ROOM_LEFT * (double)sum->capacity *
+           (turn == TURN_ON_TIME ? sl_tighter(&j->load->mix, j->slack_ms) : 1);
 }
 
-static double
-inflow(const struct coord *c, uint64_t now)
+bool
+tn_leaves_room(
+    const struct tn_room *room, uint64_t now, const struct co_job *j)
+{
+    return (double)room->sum.free < room_left(&room->sum, now, j);
+}
+
+/* What of a job waits. */
+struct waiting {
+    double work; /* millicores x ms */
+    double millicores;
+    uint32_t least; /* millicores of its smallest task; 0: nothing waits */
+};
+
+static struct waiting
+waiting_of(const struct co_job *j)
 {
-    return c->inflow * exp2(-(double)(now - c->inflow_ms) / INFLOW_HALF_MS);
+    struct waiting w = {0, 0, 0};
+
+    for (uint32_t i = 0; i < j->count; i++) {
+        const struct co_task *t = &j->tasks[i];
+
+        if (t->state == CO_WAITING) {
+            w.work += (double)co_task_work(t);
+            w.millicores += t->spec.millicores;
+            w.least = w.least == 0
+                          ? t->spec.millicores
+                          : (uint32_t)num_min(w.least, t->spec.millicores);
+        }
+    }
+    return w;
 }
 
 void
-tn_note_job(
-    struct coord *c, uint64_t now, struct co_job *j, const struct gs_guess *g)
+tn_note_job(uint64_t now, struct co_job *j, const struct gs_guess *g)
 {
-    double work = 0;
+    struct co_load *l = j->load;
+    double work;
 
     j->slack_ms = (uint32_t)num_minus(g->objective_ms, g->run_ms);
     if (j->slack_ms == 0) {
         return; /* it is late already and makes nobody wait */
     }
-    for (uint32_t i = 0; i < j->count; i++) {
-        work += (double)co_task_work(&j->tasks[i]);
-    }
-    sl_note(&c->mix, now, j->slack_ms, work);
-    /* A sum that halves in that time is so many times the rate. */
-    c->inflow = inflow(c, now) + work * log(2) / INFLOW_HALF_MS;
-    c->inflow_ms = now;
+    work = waiting_of(j).work;
+    sl_note(&l->mix, now, j->slack_ms, work);
+    in_note(&l->inflow, now, g->objective_ms, work);
 }
 
 /* --- refusing what will not be served --- */
 
-/* The cores that this entry's jobs can count on: those that its runs hold now,
- * what is free, and workers that are on their way back. */
-static double
-cores_ahead(struct coord *c, uint64_t now)
+/* What the jobs of one service can count on, and what of it is taken by those
+ * that go before. */
+struct line {
+    struct fl_sum sum;
+    double cores; /* millicores, by usual speed */
+    double work;
+    double millicores;
+};
+
+/* Cores that are held by this entry's runs now, free ones, and workers that
+ * are on their way back. */
+static struct line
+line_of(const struct coord *c, uint64_t now, const struct co_load *l)
 {
-    int64_t coming = fl_expected(&c->fleet, now) - fl_capacity(&c->fleet, now);
-
-    return (double)c->out_millicores + (double)fl_free_room(&c->fleet, now) +
-           (double)coming;
-}
+    struct line line = {{0, 0, 0, 0}, 0, 0, 0};
+    uint32_t least = 0;
+    const struct co_job *j;
 
-static double
-waiting_work(const struct co_job *j)
-{
-    double work = 0;
+    for (j = c->queue; j != NULL; j = j->next) {
+        uint32_t own = j->load == l ? waiting_of(j).least : 0;
 
-    for (uint32_t i = 0; i < j->count; i++) {
-        if (j->tasks[i].state == CO_WAITING) {
-            work += (double)co_task_work(&j->tasks[i]);
+        if (own != 0 && (least == 0 || own < least)) {
+            least = own;
         }
     }
-    return work;
+    line.sum = fl_sum_up(&c->fleet, now, l->service, least);
+    line.cores = (double)l->out_millicores * line.sum.pace +
+                 (double)line.sum.free + (double)line.sum.coming;
+    return line;
 }
 
 /*
- * ms until its turn, with so much work ahead.  Tighter work that comes goes
- * before it too; that it goes on coming is known for about as long as it has
- * come, so for a longer wait it is not counted.
+ * ms until its turn.  What comes meanwhile with an earlier objective goes
+ * before it too.
  */
 static double
-wait_ms(const struct coord *c, uint64_t now, const struct co_job *j,
-    enum turn turn, double work, double cores)
+wait_ms(const struct line *line, uint64_t now, const struct co_job *j)
+{
+    double room = (double)(line->sum.free + line->sum.coming);
+    double ahead = line->millicores + waiting_of(j).millicores;
+    double objective = (double)j->objective_ms - (double)now;
+    double work;
+    double wait;
+
+    if (ahead <= room) {
+        return 0;
+    }
+    work = line->work * fmin(1, (ahead - room) / fmax(line->millicores, 1));
+    wait = work / line->cores;
+    for (int i = 0; i < WAIT_ROUNDS && wait < objective; i++) {
+        wait = (work + in_before(&j->load->inflow, now, objective, wait)) /
+               line->cores;
+    }
+    return wait;
+}
+
+/* There is room for it now, and will be for those that it must not delay. */
+static bool
+fits_beside(const struct line *line, uint64_t now, const struct co_job *j)
 {
-    double overtaking = turn == TURN_ON_TIME
-                            ? inflow(c, now) * sl_tighter(&c->mix, j->slack_ms)
-                            : 0;
-    double rate = fmax(cores - overtaking, cores * LEAST_PART);
-    double soon = rate * INFLOW_HALF_MS;
+    double room = (double)(line->sum.free + line->sum.coming);
 
-    return work <= soon ? work / rate : INFLOW_HALF_MS + (work - soon) / cores;
+    return room - line->millicores - waiting_of(j).millicores >=
+           room_left(&line->sum, now, j);
 }
 
 static bool
-gets_no_turn(const struct co_job *j, uint64_t now, double wait)
+gets_no_turn(const struct line *line, uint64_t now, const struct co_job *j)
 {
-    uint64_t least = j->longest_ms * CO_LEAST_PERCENT / 100;
-    uint64_t until = num_min(j->deadline_ms, j->use_ms);
+    double wait = wait_ms(line, now, j);
+    double done = (double)(now + co_least_ms(j)) + wait;
 
-    return (double)(now + least) + wait > (double)until;
+    switch (tn_of(j, now)) {
+    case TURN_BEGUN:
+        return false;
+    case TURN_SPARE:
+        return done > (double)j->deadline_ms || !fits_beside(line, now, j);
+    case TURN_ON_TIME:
+    case TURN_LATE:
+    case TURN_COUNT:
+        break;
+    }
+    return done > (double)num_min(j->deadline_ms, j->use_ms);
 }
 
-/* Those of one kind of turn; work is what goes before them.  The work that
- * goes before what comes after. */
-static double
-shed(struct coord *c, uint64_t now, enum turn turn, double work, double cores)
+/* Those of one kind of turn. */
+static void
+shed(struct coord *c, uint64_t now, enum turn turn, const struct co_load *l,
+    struct line *line)
 {
     struct co_job *j;
     struct co_job *tmp;
 
     DL_FOREACH_SAFE (c->queue, j, tmp) {
-        if (tn_of(j, now) != turn) {
+        struct waiting w;
+
+        if (j->load != l || tn_of(j, now) != turn) {
             continue;
         }
-        if (turn != TURN_BEGUN &&
-            gets_no_turn(j, now, wait_ms(c, now, j, turn, work, cores))) {
+        if (gets_no_turn(line, now, j)) {
             co_give_up(c, now, j, "no_turn");
             continue;
         }
-        work += waiting_work(j);
+        w = waiting_of(j);
+        line->work += w.work;
+        line->millicores += w.millicores;
     }
-    return work;
 }
 
 /*
@@ -165,14 +236,18 @@
 void
 tn_shed(struct coord *c, uint64_t now)
 {
-    double cores = cores_ahead(c, now);
-    double work = 0;
+    const struct co_load *l;
 
-    if (c->queue == NULL || cores <= 0) {
-        return;
-    }
-    for (int turn = 0; turn < TURN_COUNT; turn++) {
-        work = shed(c, now, (enum turn)turn, work, cores);
+    for (l = c->loads; l != NULL; l = l->hh.next) {
+        struct line line;
+
+        if (l->waiting_work == 0) {
+            continue;
+        }
+        line = line_of(c, now, l);
+        for (int turn = 0; turn < TURN_COUNT && line.cores > 0; turn++) {
+            shed(c, now, (enum turn)turn, l, &line);
+        }
     }
 }
 
@@ -181,10 +256,10 @@
  * again: so each is told another time, from when what waits now has gone.
  */
 uint32_t
-tn_retry_ms(struct coord *c, uint64_t now)
+tn_retry_ms(struct coord *c, uint64_t now, const struct co_load *load)
 {
-    double cores = cores_ahead(c, now);
-    double wait = cores > 0 ? (double)c->waiting_work / cores : 0;
+    struct line line = line_of(c, now, load);
+    double wait = line.cores > 0 ? (double)load->waiting_work / line.cores : 0;
     double chance;
 
     c->fleet.seed = mix64(c->fleet.seed, now);
@@ -220,19 +295,16 @@
 tn_want(struct coord *c, uint64_t now, const char *service)
 {
     dw_want w = {0, 0, 0};
-    int64_t free_millicores;
-    int64_t capacity;
+    struct tn_room room = {0};
     const struct co_job *j;
 
-    if (c->queue == NULL) {
-        return w;
-    }
-    free_millicores = fl_free_room(&c->fleet, now);
-    capacity = fl_capacity(&c->fleet, now);
     for (j = c->queue; j != NULL; j = j->next) {
-        if (strcmp(j->service, service) == 0 &&
-            !tn_leaves_room(c, now, j, free_millicores, capacity)) {
-            add_want(&w, j, tn_of(j, now) != TURN_LATE);
+        if (strcmp(j->load->service, service) != 0) {
+            continue;
+        }
+        tn_look(&room, c, now, j);
+        if (!tn_leaves_room(&room, now, j)) {
+            add_want(&w, j, tn_of(j, now) <= TURN_ON_TIME);
         }
     }
     return w;
--- a/turn.h
+++ b/turn.h
@@ -25,26 +25,36 @@
 enum turn {
     TURN_BEGUN, /* parts of it hold cores already */
     TURN_ON_TIME,
-    TURN_LATE, /* its objective cannot be met any more */
+    TURN_LATE,  /* its objective cannot be met any more */
+    TURN_SPARE, /* by the estimate its answer is of no use; its caller waits */
     TURN_COUNT
 };
 
 enum turn tn_of(const struct co_job *j, uint64_t now);
 
-/* It waits until more cores are free, as tighter jobs are likely to come;
- * free_millicores and capacity are those of the fleet. */
-bool tn_leaves_room(const struct coord *c, uint64_t now,
-    const struct co_job *j, int64_t free_millicores, int64_t capacity);
+/* The fleet's room, for tasks of one size of one service. */
+struct tn_room {
+    const struct co_load *load; /* NULL: not known */
+    uint32_t task_millicores;
+    struct fl_sum sum;
+};
+
+/* Make it the room for this job's tasks. */
+void tn_look(struct tn_room *room, const struct coord *c, uint64_t now,
+    const struct co_job *j);
+/* It waits until more cores are free, as tighter jobs are likely to come. */
+bool tn_leaves_room(
+    const struct tn_room *room, uint64_t now, const struct co_job *j);
 
 /* A job was admitted with this guess: what comes, and how long it can wait. */
-void tn_note_job(
-    struct coord *c, uint64_t now, struct co_job *j, const struct gs_guess *g);
+void tn_note_job(uint64_t now, struct co_job *j, const struct gs_guess *g);
 
 /* Refuse the jobs that will not get their turn in time. */
 void tn_shed(struct coord *c, uint64_t now);
 
 /* ms after which a caller that is refused now had better come back. */
-uint32_t tn_retry_ms(struct coord *c, uint64_t now);
+uint32_t tn_retry_ms(
+    struct coord *c, uint64_t now, const struct co_load *load);
 
 /* What could not be placed, of one service. */
 dw_want tn_want(struct coord *c, uint64_t now, const char *service);
