Agents tell entries how many runs fail on their worker

Cause: each entry had to see eleven failures in a row by itself until it gave a failing worker one run at a time; five entries share a worker, and a task's attempts are few.

Change: the agent counts the runs that fail there, of all entries, and tells the share with the room; a new life of the worker begins anew. An entry goes by the higher of the told and its own share, and tries a worker that fails nearly all with one run each half a second.

--- a/fleet.c
+++ b/fleet.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "num.h"
+#include "runner.h"
 #include "str.h"
 
 /*
@@ -14,7 +15,6 @@
  * are few.  Bad tasks fail everywhere; so a share counts only where it is
  * far above the mean of all.
  */
-#define FAIL_WEIGHT 8U
 #define SICK_PERMILLE 750U
 #define RISKY_PERMILLE 150U
 #define RISKY_TIMES 2U
@@ -135,8 +135,8 @@
 struct candidate {
     struct fl_agent *agent;
     bool standby;
-    bool near;      /* in the entry's own domain */
-    uint64_t score; /* by its name, which a restart keeps */
+    bool near; /* in the entry's own domain */
+    uint64_t score;
 };
 
 /* One order of agents for all entries. */
@@ -351,16 +351,13 @@
 void
 fl_note_end(struct fl_agent *a, uint64_t now, dw_end how)
 {
-    uint32_t failed = how == DW_END_FAILED ? 1000 : 0;
-
     if (a->out > 0) {
         a->out--;
     }
     if (how != DW_END_DONE && how != DW_END_FAILED) {
         return;
     }
-    a->fail_permille =
-        (a->fail_permille * (FAIL_WEIGHT - 1) + failed) / FAIL_WEIGHT;
+    a->fail_permille = rn_fail_share(a->fail_permille, how == DW_END_FAILED);
     if (how == DW_END_DONE) {
         a->sick_ms = 0;
         a->sick_until_ms = 0;
@@ -387,11 +384,24 @@
            a->free_gpus >= (int64_t)need->gpus;
 }
 
+/* Of runs that ended there lately: this entry's, or all entries', which the
+ * agent tells. */
+static uint32_t
+fail_share(const struct fl_agent *a)
+{
+    return (uint32_t)num_max(a->fail_permille, a->room.fail_permille);
+}
+
 /* A worker on probation gets one run at a time. */
 static bool
 on_probation(const struct fl_agent *a, uint64_t now)
 {
-    return a->sick_until_ms > now || (a->sick_ms > 0 && a->out > 0);
+    if (a->sick_until_ms > now || (a->sick_ms > 0 && a->out > 0)) {
+        return true;
+    }
+    /* Others have seen it fail: each entry tries it by itself. */
+    return a->room.fail_permille >= SICK_PERMILLE &&
+           (a->out > 0 || now - a->probed_ms < SICK_MIN_MS);
 }
 
 static void
@@ -403,7 +413,7 @@
 
     for (a = f->agents; a != NULL; a = a->hh.next) {
         if (fl_usable(a, now)) {
-            sum += a->fail_permille;
+            sum += fail_share(a);
             n++;
         }
     }
@@ -413,8 +423,8 @@
 static bool
 is_risky(const struct fleet *f, const struct fl_agent *a)
 {
-    return a->fail_permille >= RISKY_PERMILLE &&
-           a->fail_permille > RISKY_TIMES * f->fail_permille;
+    return fail_share(a) >= RISKY_PERMILLE &&
+           fail_share(a) > RISKY_TIMES * f->fail_permille;
 }
 
 /* More than speed and free cores together can make up for. */
--- a/proto.h
+++ b/proto.h
@@ -536,6 +536,7 @@
 	u_int waiting;
 	u_int speed_permille;
 	u_int pace_permille;
+	u_int fail_permille;
 };
 typedef struct dw_room dw_room;
 
--- a/proto.x
+++ b/proto.x
@@ -434,6 +434,7 @@
     unsigned int waiting;
     unsigned int speed_permille;
     unsigned int pace_permille;
+    unsigned int fail_permille; /* of runs that ended there lately */
 };
 
 /* Agent to entry: its room, and runs that ended. */
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1343,7 +1343,7 @@
 
 
 	if (xdrs->x_op == XDR_ENCODE) {
-		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->serving))
 				 return FALSE;
@@ -1369,6 +1369,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pace_permille))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fail_permille))
+				 return FALSE;
 		} else {
 			IXDR_PUT_BOOL(buf, objp->serving);
 			IXDR_PUT_BOOL(buf, objp->draining);
@@ -1382,10 +1384,11 @@
 			IXDR_PUT_U_LONG(buf, objp->waiting);
 			IXDR_PUT_U_LONG(buf, objp->speed_permille);
 			IXDR_PUT_U_LONG(buf, objp->pace_permille);
+			IXDR_PUT_U_LONG(buf, objp->fail_permille);
 		}
 		return TRUE;
 	} else if (xdrs->x_op == XDR_DECODE) {
-		buf = XDR_INLINE (xdrs, 12 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 13 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_bool (xdrs, &objp->serving))
 				 return FALSE;
@@ -1411,6 +1414,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->pace_permille))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->fail_permille))
+				 return FALSE;
 		} else {
 			objp->serving = IXDR_GET_BOOL(buf);
 			objp->draining = IXDR_GET_BOOL(buf);
@@ -1424,6 +1429,7 @@
 			objp->waiting = IXDR_GET_U_LONG(buf);
 			objp->speed_permille = IXDR_GET_U_LONG(buf);
 			objp->pace_permille = IXDR_GET_U_LONG(buf);
+			objp->fail_permille = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
 	}
@@ -1452,6 +1458,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->pace_permille))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->fail_permille))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/runner.c
+++ b/runner.c
@@ -116,6 +116,10 @@
     else if (how == DW_END_FAILED) {
         r->stats.failed++;
     }
+    if (how == DW_END_DONE || how == DW_END_FAILED) {
+        r->fail_permille =
+            rn_fail_share(r->fail_permille, how == DW_END_FAILED);
+    }
     r->ops->ended(r->ctx, run, how, ran_ms);
     drop(r, now, run);
 }
@@ -426,6 +430,7 @@
 static void
 reborn(struct runner *r, uint64_t now, uint64_t born_ms)
 {
+    r->fail_permille = 0;
     r->stats.reborn++;
     r->clock_ms = 0;
     r->looked = false;
@@ -804,6 +809,7 @@
     room->gpus = r->gpus;
     room->speed_permille = r->speed_permille;
     room->pace_permille = r->pace_permille;
+    room->fail_permille = r->fail_permille;
     room->free_millicores = (int)(r->millicores - r->used_millicores);
     room->free_memory_mb = (int)(r->memory_mb - r->used_memory_mb);
     room->free_gpus = (int)(r->gpus - r->used_gpus);
--- a/runner.h
+++ b/runner.h
@@ -58,6 +58,17 @@
 /* ms of the longest lease a worker grants, its clock's drift included. */
 #define RN_LONGEST_MS 1040U
 
+/* The newest run's weight in the share of failed ones. */
+#define RN_FAIL_WEIGHT 8U
+
+/* The share of runs that failed, after one more has ended. */
+static inline uint32_t
+rn_fail_share(uint32_t permille, bool failed)
+{
+    return (permille * (RN_FAIL_WEIGHT - 1) + (failed ? 1000 : 0)) /
+           RN_FAIL_WEIGHT;
+}
+
 struct rn_key {
     uint64_t job;
     uint64_t run;
@@ -202,6 +213,7 @@
     bool clean;              /* nothing of an earlier agent runs there */
     uint32_t speed_permille; /* usual; 1000: runs end as estimated */
     uint32_t pace_permille;  /* at present */
+    uint32_t fail_permille;  /* of runs that ended lately */
     uint64_t work_us;        /* seen since it was learned last */
     uint64_t work_ms;
     struct rn_stats stats;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -369,3 +369,25 @@
     fl_find(&t.f, 3)->out = 1;
     EXPECT_NEAR(fl_sum_up(&t.f, t.now, "s", 1).pace, 0.6, 0.01);
 }
+
+/* Guards against each entry finding out by its own tasks' attempts that a
+ * worker fails all that it starts. */
+TEST(Fleet3, AWorkerThatFailedForOthersIsTriedByOneRun)
+{
+    Fleet3 t;
+    fl_agent *a = fl_find(&t.f, 3);
+
+    t.room(1, 0, 1000);
+    t.room(2, 0, 1000);
+    a->room.fail_permille = 900;
+    a->probed_ms = t.now;
+    EXPECT_EQ(t.pick(100, 0), 0u);
+    t.now += 500;
+    a->sess.fresh_ms = t.now;
+    EXPECT_EQ(t.pick(100, 0), 3u);
+    a->out = 1;
+    EXPECT_EQ(t.pick(100, 0), 0u);
+    a->out = 0;
+    a->room.fail_permille = 0;
+    EXPECT_EQ(t.pick(100, 0), 3u);
+}
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -273,3 +273,23 @@
     a.look({}, {{1, {1, 1, 0}, DW_END_DONE}});
     EXPECT_EQ(a.told.ends.size(), 2u);
 }
+
+/* Guards against a failing worker that each entry must find out about by its
+ * own tasks' attempts, and against a new life that is blamed for the last. */
+TEST(Runner, TheShareOfFailedRunsIsToldAndForgottenAtRebirth)
+{
+    Agent a;
+
+    for (uint64_t job = 1; job <= 20; job++) {
+        a.order(job, 1000);
+        a.started(job, RN_START_OK);
+        a.look({}, {{job, {job, 1, 0}, DW_END_FAILED}});
+    }
+    EXPECT_GT(a.room().fail_permille, 800u);
+    a.order(21, 1000);
+    a.started(21, RN_START_OK);
+    a.look({}, {{21, {21, 1, 0}, DW_END_DONE}});
+    EXPECT_LT(a.room().fail_permille, 900u);
+    a.look({}, {}, 78);
+    EXPECT_EQ(a.room().fail_permille, 0u);
+}
