Entries keep their places and agents by name, across cuts and restarts

Entries that are cut from the store lapse there and come back with it; an entry's place is the number of entries before it by id, and its part of the agents follows from its place.

Change: rank.c: places follow names, which a restart keeps, and an entry that vanished keeps its place for a minute. Agents are taken in an order by their names too.

--- a/entryd.c
+++ b/entryd.c
@@ -13,6 +13,7 @@
 #include "platform/follow.h"
 #include "platform/wire.h"
 #include "proc.h"
+#include "rank.h"
 #include "route.h"
 #include "serve.h"
 
@@ -49,6 +50,7 @@
 struct entry {
     struct serve *s;
     struct coord coord;
+    struct rk_table ranks;
     struct rt_table routes;
     struct web *callers;
     struct web *ready;
@@ -514,6 +516,16 @@
 
 /* --- members --- */
 
+static void
+find_rank(struct entry *e)
+{
+    const struct view_member *me = &e->s->conf->node.me;
+    struct rk_place place =
+        rk_find(&e->ranks, proc_now(), me->name, me->domain);
+
+    fl_set_rank(&e->coord.fleet, place.near, place.all);
+}
+
 static void
 member_in(struct entry *e, const struct sv_peer *told)
 {
@@ -524,6 +536,8 @@
     *p = *told;
     p->hh = hh;
     if (!p->is_agent) {
+        rk_in(&e->ranks, p->name, p->domain);
+        find_rank(e);
         return;
     }
     a = fl_add(&e->coord.fleet, p->id, p->name, p->domain, p->service);
@@ -580,23 +594,6 @@
     }
 }
 
-static void
-find_rank(struct entry *e)
-{
-    const char *domain = e->s->conf->node.me.domain;
-    const struct sv_peer *p;
-    uint32_t near_rank = 0;
-    uint32_t rank = 0;
-
-    for (p = e->s->peers; p != NULL; p = p->hh.next) {
-        if (!p->is_agent && p->entered && p->id < e->s->id) {
-            rank++;
-            near_rank += strcmp(p->domain, domain) == 0;
-        }
-    }
-    fl_set_rank(&e->coord.fleet, near_rank, rank);
-}
-
 /* A key that vanished says little: a session shows better who lives. */
 static void
 member_out(struct entry *e, const char *key)
@@ -616,6 +613,7 @@
             a->member = false;
         }
     }
+    rk_out(&e->ranks, proc_now(), name);
 }
 
 static void
@@ -640,7 +638,6 @@
         return;
     }
     member_in(e, &told);
-    find_rank(e);
     tell_withdrawn(e);
 }
 
@@ -654,6 +651,7 @@
     for (a = e->coord.fleet.agents; a != NULL; a = a->hh.next) {
         a->member = false;
     }
+    rk_out(&e->ranks, proc_now(), NULL);
     for (size_t i = 0; i < n; i++) {
         members_change(e, &items[i]);
     }
@@ -725,6 +723,7 @@
     }
     give_answers(e);
     co_free(&e->coord);
+    rk_free(&e->ranks);
     if (e->callers != NULL) {
         web_close(e->callers);
     }
--- a/fleet.c
+++ b/fleet.c
@@ -135,8 +135,8 @@
 struct candidate {
     struct fl_agent *agent;
     bool standby;
-    bool near; /* in the entry's own domain */
-    uint64_t score;
+    bool near;      /* in the entry's own domain */
+    uint64_t score; /* by its name, which a restart keeps */
 };
 
 /* One order of agents for all entries. */
@@ -157,7 +157,10 @@
     if (x->near != y->near) {
         return x->near ? -1 : 1;
     }
-    return (x->score > y->score) - (x->score < y->score);
+    if (x->score != y->score) {
+        return x->score < y->score ? -1 : 1;
+    }
+    return (x->agent->id > y->agent->id) - (x->agent->id < y->agent->id);
 }
 
 /* Choose up to `most` of n, beginning where the entries before this one end:
@@ -243,7 +246,8 @@
     c = dw_zero(count, sizeof(*c));
     for (a = f->agents; a != NULL; a = a->hh.next) {
         c[n++] = (struct candidate){a, on_standby(a, now),
-            strcmp(a->domain, f->domain) == 0, mix64(RANK_SEED, a->id)};
+            strcmp(a->domain, f->domain) == 0,
+            str_hash(str_of(a->name), RANK_SEED)};
     }
     qsort(c, n, sizeof(*c), by_rank);
     for (size_t i = 1; i <= n; i++) {
--- /dev/null
+++ b/rank.c
@@ -0,0 +1,66 @@
+#include "rank.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "str.h"
+
+void
+rk_free(struct rk_table *t)
+{
+    struct rk_entry *e;
+    struct rk_entry *tmp;
+
+    HASH_ITER (hh, t->entries, e, tmp) {
+        HASH_DEL(t->entries, e);
+        free(e);
+    }
+}
+
+void
+rk_in(struct rk_table *t, const char *name, const char *domain)
+{
+    struct rk_entry *e;
+
+    HASH_FIND_STR(t->entries, name, e);
+    if (e == NULL) {
+        e = dw_zero(1, sizeof(*e));
+        str_copy(e->name, sizeof(e->name), str_of(name));
+        HASH_ADD_STR(t->entries, name, e);
+    }
+    str_copy(e->domain, sizeof(e->domain), str_of(domain));
+    e->here = true;
+}
+
+void
+rk_out(struct rk_table *t, uint64_t now, const char *name)
+{
+    struct rk_entry *e;
+
+    for (e = t->entries; e != NULL; e = e->hh.next) {
+        if (e->here && (name == NULL || strcmp(e->name, name) == 0)) {
+            e->here = false;
+            e->gone_ms = now;
+        }
+    }
+}
+
+struct rk_place
+rk_find(struct rk_table *t, uint64_t now, const char *name, const char *domain)
+{
+    struct rk_place place = {0, 0};
+    struct rk_entry *e;
+    struct rk_entry *tmp;
+
+    HASH_ITER (hh, t->entries, e, tmp) {
+        if (!e->here && now - e->gone_ms > RK_KEEP_MS) {
+            HASH_DEL(t->entries, e);
+            free(e);
+        }
+        else if (strcmp(e->name, name) < 0) {
+            place.all++;
+            place.near += strcmp(e->domain, domain) == 0;
+        }
+    }
+    return place;
+}
--- a/sim-int.h
+++ b/sim-int.h
@@ -163,7 +163,6 @@
 
 /* Requests begin then; what is before is for the fleet to start. */
 #define SIM_LEAD_US 2000000U
-#define SIM_NAME "worker"
 #define SIM_SERVICE "s"
 
 static inline uint64_t
--- a/sim.c
+++ b/sim.c
@@ -340,6 +340,7 @@
 tell_members(struct sim_entry *e)
 {
     struct fl_agent *a;
+    char name[FL_NAME_MAX];
     char domain[FL_NAME_MAX];
 
     for (a = e->c.fleet.agents; a != NULL; a = a->hh.next) {
@@ -349,9 +350,9 @@
         if (e->s->entered[i] == 0) {
             continue;
         }
+        snprintf(name, sizeof(name), "worker-%u", i);
         domain_name(domain, sizeof(domain), sim_domain(e->s, i));
-        a = fl_add(
-            &e->c.fleet, e->s->entered[i], SIM_NAME, domain, SIM_SERVICE);
+        a = fl_add(&e->c.fleet, e->s->entered[i], name, domain, SIM_SERVICE);
         a->member = true;
     }
     tell_withdrawn(e);
--- /dev/null
+++ b/test/rank-test.cc
@@ -0,0 +1,64 @@
+/* An entry's place among all entries. */
+#include <gtest/gtest.h>
+
+#include "rank.h"
+
+namespace {
+
+struct Five {
+    rk_table t = {};
+    uint64_t now = 1000;
+
+    Five()
+    {
+        for (const char *name : {"e1", "e2", "e3", "e4", "e5"}) {
+            rk_in(&t, name, name[1] % 2 == 1 ? "kolding" : "aarhus");
+        }
+    }
+    ~Five()
+    {
+        rk_free(&t);
+    }
+    rk_place
+    place(const char *name)
+    {
+        return rk_find(&t, now, name, "kolding");
+    }
+};
+
+} // namespace
+
+TEST(Rank, PlacesFollowNamesAndDomains)
+{
+    Five f;
+
+    EXPECT_EQ(f.place("e1").all, 0u);
+    EXPECT_EQ(f.place("e5").all, 4u);
+    EXPECT_EQ(f.place("e5").near, 2u);
+}
+
+/* Guards against entries that leave half of their sessions, amid load, when
+ * others are cut from the store and come back. */
+TEST(Rank, AnEntryThatVanishesForAWhileKeepsTheOthersPlaces)
+{
+    Five f;
+
+    rk_out(&f.t, f.now, "e2");
+    f.now += 10000;
+    EXPECT_EQ(f.place("e5").all, 4u);
+    rk_out(&f.t, f.now, nullptr); /* the store is read anew */
+    rk_in(&f.t, "e1", "kolding");
+    EXPECT_EQ(f.place("e5").all, 4u);
+    rk_in(&f.t, "e2", "aarhus");
+    EXPECT_EQ(f.place("e5").all, 4u);
+}
+
+TEST(Rank, AnEntryThatStaysAwayIsForgotten)
+{
+    Five f;
+
+    rk_out(&f.t, f.now, "e2");
+    f.now += RK_KEEP_MS + 1;
+    EXPECT_EQ(f.place("e5").all, 3u);
+    EXPECT_EQ(f.place("e5").near, 2u);
+}
