turn: an entry without runs of its own tells a wait too

Cause: where all cores were held by other entries' runs and this entry had none under way, it counted no cores at all, and then refused nothing: its jobs waited until their callers left.

Change: a twentieth of the cores at least.

The test fails without it.

--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -430,6 +430,21 @@
     EXPECT_EQ(e.c.stats.not_run, 1u);
 }
 
+/* Guards against jobs that wait until their callers leave, as an entry without
+ * a run of its own told no time of waiting. */
+TEST(Coord, WhatWaitsForOthersRunsIsRefusedAtOnceToo)
+{
+    Entry e;
+
+    e.room(0);
+    for (uint64_t id = 100; id < 200; id++) {
+        e.submit(id, 1, &caller);
+    }
+    EXPECT_GT(co_pending(&e.c), 5u);
+    EXPECT_LT(co_pending(&e.c), 20u);
+    EXPECT_EQ(e.callers.answers.size(), 100 - co_pending(&e.c));
+}
+
 /* Callers that were refused in one moment come back in one moment, and are
  * refused again, if all are told the same time. */
 TEST(Coord, RefusedCallersAreToldTimesApart)
--- a/turn.c
+++ b/turn.c
@@ -10,6 +10,9 @@
 /* The part of the cores that a job leaves free if all other work is tighter
  * than it: some short jobs' tasks, as they come at a time. */
 #define ROOM_LEFT 0.05
+/* An entry's jobs are taken to get this part of the cores at least, where all
+ * are held by other entries' runs. */
+#define LEAST_PART 0.05
 /* Times that the work which comes while a job waits is added to its wait. */
 #define WAIT_ROUNDS 8
 /* ms after which refused callers may come back, at the soonest and latest. */
@@ -145,6 +148,7 @@
     line.sum = fl_sum_up(&c->fleet, now, l->service, least);
     line.cores = (double)l->out_millicores * line.sum.pace +
                  (double)line.sum.free + (double)line.sum.coming;
+    line.cores = fmax(line.cores, LEAST_PART * (double)line.sum.capacity);
     return line;
 }
 
