guess: medians by selection, not by sorting

Cause: each eight jobs of a route a line is drawn through the latest 64, three medians of 2,016 slopes each; sorting them took a tenth of an entry's processor time under a load of 50 jobs a second (perf, msort, by_size and memmove).

Change: Hoare's selection of the middle one. The value is the same, so are all decisions. Ruled out: drawing less often, which would learn later.

--- a/guess.c
+++ b/guess.c
@@ -60,20 +60,55 @@
 
 /* --- lines --- */
 
-static int
-by_size(const void *a, const void *b)
+static void
+swap(double *a, double *b)
 {
-    double x = *(const double *)a;
-    double y = *(const double *)b;
+    double kept = *a;
+
+    *a = *b;
+    *b = kept;
+}
+
+/* Hoare's selection: the k-th smallest of v, which it reorders.  A median is
+ * wanted of some thousand slopes each few jobs; sorting them all costs the
+ * entry more than the rest of a job's decisions. */
+static double
+select_kth(double *v, size_t n, size_t k)
+{
+    size_t low = 0;
+    size_t high = n - 1;
+
+    while (low < high) {
+        double pivot = v[low + (high - low) / 2];
+        size_t i = low;
+        size_t j = high;
 
-    return (x > y) - (x < y);
+        for (;;) {
+            while (v[i] < pivot) {
+                i++;
+            }
+            while (v[j] > pivot) {
+                j--;
+            }
+            if (i >= j) {
+                break;
+            }
+            swap(&v[i++], &v[j--]);
+        }
+        if (k <= j) {
+            high = j;
+        }
+        else {
+            low = j + 1;
+        }
+    }
+    return v[k];
 }
 
 static double
 median(double *v, size_t n)
 {
-    qsort(v, n, sizeof(*v), by_size);
-    return n == 0 ? 0 : v[n / 2];
+    return n == 0 ? 0 : select_kth(v, n, n / 2);
 }
 
 struct point {
