Entries begin what they have time for, and leave the rotation when behind

Cause: web_reply() ran the whole web server once an answer, from inside a tick or a flush, and each run took in what had come.

Change, in the order of a pass: messages; timers (a session is judged after what has come was read); requests, as many as 20 ms hold (intake.c); placing; answers, with one run of the web server for all of them. A request that would wait over 150 ms is refused when it comes, before its body is looked at. lag.c measures the part of the time that an entry is busy and what its tick takes against the usual: behind, it is not ready; slow, until it is as fast as usual. A busy entry asks agents for fewer reports (dw_want.pause_ms). Shedding once a flush, not once a job.

--- a/agent.c
+++ b/agent.c
@@ -256,7 +256,7 @@
     }
     sess_begin(&e->sess, head->session);
     e->newest = head->session;
-    e->want = (dw_want){0, 0, 0};
+    e->want = (dw_want){0, 0, 0, 0};
     e->told_millicores = 0;
     e->shown_ms = 0;
     e->begun_ms = now;
@@ -357,6 +357,14 @@
     rn_tick(&a->runner, now);
 }
 
+/* An entry that is behind gets the ends of some ms in one report, as it would
+ * not read them sooner one by one. */
+static bool
+may_report(const struct ag_entry *e, uint64_t now)
+{
+    return now - e->sess.sent_ms >= e->want.pause_ms / AG_ENDS_PART;
+}
+
 void
 ag_flush(struct agent *a, uint64_t now)
 {
@@ -369,11 +377,14 @@
             continue;
         }
         if (e->batch != NULL) {
-            send_batch(a, now, e);
+            if (may_report(e, now)) {
+                send_batch(a, now, e);
+            }
         }
         else if (must_hear(a, e, now, free_millicores) ||
                  (a->runner.room_changed_ms >= e->sess.sent_ms &&
-                     now - e->sess.sent_ms >= pause)) {
+                     now - e->sess.sent_ms >=
+                         num_max(pause, e->want.pause_ms))) {
             send_beat(a, now, e);
         }
     }
--- a/agent.h
+++ b/agent.h
@@ -11,6 +11,9 @@
  * could not place, and while that is more than the room, an agent shows room
  * to one that wants it: first for jobs that can be in time, and to the one
  * with most of them, which evens out their queues.
+ *
+ * An entry that is behind with its own work asks for fewer reports that only
+ * tell a changed room, and gets ends of runs in fewer.
  */
 #ifndef AGENT_H
 #define AGENT_H
@@ -30,6 +33,8 @@
 /* ms between reports to one entry that only tell a changed room, for each
  * entry there is: what all entries cost stays the same. */
 #define AG_ROOM_MS_PER_ENTRY 5U
+/* Ends wait for this part of the pause that an entry asks for. */
+#define AG_ENDS_PART 4U
 /* ms after its session that an entry is forgotten; messages of an earlier
  * session are too old to be taken long before. */
 #define AG_FORGET_MS 60000U
--- a/coord.c
+++ b/coord.c
@@ -404,7 +404,7 @@
     tn_note_job(now, j, &g);
     j->model = model;
     j->seen = seen;
-    tn_shed(c, now);
+    c->admitted = true;
 }
 
 static bool
@@ -720,8 +720,12 @@
 {
     struct fl_agent *a;
     const char *service = NULL;
-    dw_want w = {0, 0, 0};
+    dw_want w = {0, 0, 0, 0};
 
+    if (c->admitted) {
+        c->admitted = false;
+        tn_shed(c, now);
+    }
     if (c->queue != NULL) {
         place_all(c, now);
     }
--- a/coord.h
+++ b/coord.h
@@ -171,7 +171,9 @@
     struct co_ended *ended;
     struct gs_table times; /* what jobs of each route take */
     struct co_load *loads; /* by service */
-    int64_t move_room;     /* millicores that may be moved this tick */
+    bool admitted;          /* a job since the last flush */
+    uint32_t room_pause_ms; /* between an agent's reports on its room */
+    int64_t move_room;      /* millicores that may be moved this tick */
     uint64_t ticked_ms;
     uint64_t
         capable_ms;   /* when there last was a worker; at first, the start */
--- a/entryd.c
+++ b/entryd.c
@@ -7,6 +7,8 @@
 
 #include "coord.h"
 #include "hist.h"
+#include "intake.h"
+#include "lag.h"
 #include "log.h"
 #include "news.h"
 #include "num.h"
@@ -36,6 +38,9 @@
 #define CALLERS_MAX 3000U
 #define BODY_MAX (1U << 20)
 #define IDLE_S 30U
+/* ms after which a request that was refused as the entry is behind may come
+ * back: another entry takes it. */
+#define BEHIND_RETRY_MS 1000U
 /* Callers that say no deadline. */
 #define LEFT_MS 10000U
 
@@ -63,6 +68,12 @@
     uint64_t asked_last;   /* the entry asked for news last */
     uint64_t load_line_ms;
     bool accepting;
+    struct intake intake;
+    struct lag lag;
+    bool was_out; /* of rotation, as logged last */
+    uint64_t turned_away;
+    ev_check pass_check;
+    ev_timer more; /* requests are left over for the next pass */
     uint64_t stale_ms; /* requests read before this time waited too long */
 };
 
@@ -312,10 +323,8 @@
 }
 
 static void
-on_caller(void *ctx, struct web_req *r)
+begin_request(struct entry *e, uint64_t now, struct web_req *r)
 {
-    struct entry *e = ctx;
-    uint64_t now = proc_now();
     const char *host = web_header(r, "Host");
     struct str path = str_of(web_path(r));
     const struct rt_route *route;
@@ -342,12 +351,76 @@
     }
 }
 
+static void
+turn_away(struct entry *e, struct web_req *r, const char *why)
+{
+    e->turned_away++;
+    log_event(LOG_LEVEL_WARN, "request_refused",
+        "path=%s why=%s waiting=%zu wait_us=%.0f", web_path(r), why,
+        it_count(&e->intake), it_wait_us(&e->intake));
+    reply_not_run(r, "behind", BEHIND_RETRY_MS);
+}
+
+/* All but jobs is answered at once. */
+static void
+on_caller(void *ctx, struct web_req *r)
+{
+    struct entry *e = ctx;
+
+    if (strcmp(web_method(r), "POST") != 0) {
+        begin_request(e, proc_now(), r);
+    }
+    else if (!it_add(&e->intake, proc_now_us(), r)) {
+        turn_away(e, r, "would_wait");
+    }
+    else {
+        ev_timer_start(e->s->loop, &e->more);
+    }
+}
+
+static void
+begin_requests(struct entry *e, uint64_t now)
+{
+    enum it_turn turn;
+    void *r;
+
+    for (;;) {
+        turn = it_next(&e->intake, proc_now_us(), &r);
+        if (turn == IT_NONE) {
+            break;
+        }
+        if (turn == IT_REFUSE) {
+            turn_away(e, r, "waited");
+            continue;
+        }
+        begin_request(e, now, r);
+    }
+    if (it_count(&e->intake) == 0) {
+        ev_timer_stop(e->s->loop, &e->more);
+    }
+    else {
+        ev_timer_start(e->s->loop, &e->more);
+    }
+}
+
+static void
+on_more(struct ev_loop *loop, ev_timer *t, int revents)
+{
+    (void)loop;
+    (void)t;
+    (void)revents;
+}
+
 static void
 on_caller_gone(void *ctx, struct web_req *r)
 {
     struct entry *e = ctx;
     struct answer *a;
 
+    if (it_drop(&e->intake, r)) {
+        return;
+    }
+
     for (a = e->answers; a != NULL; a = a->next) {
         if (a->req == r) {
             a->req = NULL;
@@ -361,6 +434,7 @@
 is_ready(const struct entry *e)
 {
     return !e->s->leaving && e->routes.version != 0 &&
+           !lg_is_out(&e->lag) &&
            fl_sum_up(&e->coord.fleet, proc_now(), NULL, 1).capacity > 0;
 }
 
@@ -683,6 +757,16 @@
                : -1;
 }
 
+static void
+on_pass(struct ev_loop *loop, ev_check *w, int revents)
+{
+    struct entry *e = w->data;
+
+    (void)loop;
+    (void)revents;
+    lg_pass_begins(&e->lag, proc_now_us());
+}
+
 static int
 entry_open(struct serve *s, struct err *err)
 {
@@ -702,6 +786,11 @@
             0) {
         return -1;
     }
+    ev_init(&e->more, on_more);
+    ev_check_init(&e->pass_check, on_pass);
+    ev_set_priority(&e->pass_check, EV_MAXPRI);
+    e->pass_check.data = e;
+    ev_check_start(s->loop, &e->pass_check);
     e->operators = follow_new(
         s->loop, s->kv, "op/", WATCH_OPERATORS_MS, &operators_events, e);
     e->members = follow_new(
@@ -721,6 +810,9 @@
         follow_free(e->operators);
         follow_free(e->members);
     }
+    ev_check_stop(s->loop, &e->pass_check);
+    ev_timer_stop(s->loop, &e->more);
+    it_free(&e->intake);
     give_answers(e);
     co_free(&e->coord);
     rk_free(&e->ranks);
@@ -760,12 +852,30 @@
     }
 }
 
+static void
+note_rotation(struct entry *e)
+{
+    bool out = lg_is_out(&e->lag);
+
+    if (out == e->was_out) {
+        return;
+    }
+    e->was_out = out;
+    web_send_elsewhere(e->callers, out);
+    log_event(out ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+        out ? "behind" : "caught_up",
+        "busy=%.2f tick_us=%.0f usual_us=%.0f waiting=%zu", e->lag.busy,
+        e->lag.probe_us, e->lag.usual_us, it_count(&e->intake));
+}
+
 static void
 entry_tick(struct serve *s, uint64_t now)
 {
     struct entry *e = s->state;
+    uint64_t began_us = proc_now_us();
 
     co_tick(&e->coord, now);
+    lg_probe(&e->lag, proc_now_us(), proc_now_us() - began_us);
     keep_times(e, now);
     note_load(e, now);
     if (nw_must_ask(&e->news, now)) {
@@ -782,8 +892,13 @@
 {
     struct entry *e = s->state;
 
+    begin_requests(e, now);
+    e->coord.room_pause_ms = lg_pause_ms(&e->lag);
     co_flush(&e->coord, now);
     give_answers(e);
+    web_flush(e->callers);
+    lg_pass_ends(&e->lag, proc_now_us());
+    note_rotation(e);
 }
 
 static void
@@ -857,6 +972,10 @@
         {"dw_runs_moved", st->moved},
         {"dw_choice_widened", st->widened},
         {"dw_config_version", e->routes.version},
+        {"dw_requests_waiting", it_count(&e->intake)},
+        {"dw_requests_turned_away", e->turned_away},
+        {"dw_busy_permille", (uint64_t)(e->lag.busy * 1000)},
+        {"dw_behind", lg_is_out(&e->lag)},
     };
 
     sv_add_rows(b, rows, sizeof(rows) / sizeof(rows[0]));
--- a/fleet.c
+++ b/fleet.c
@@ -82,7 +82,7 @@
     a->batch = NULL;
     a->batch_millicores = a->batch_memory_mb = a->batch_gpus = 0;
     a->live = false;
-    a->want = (dw_want){0, 0, 0};
+    a->want = (dw_want){0, 0, 0, 0};
     a->out = 0;
     memset(&a->room, 0, sizeof(a->room));
     sess_end(&a->sess);
--- a/httpc.c
+++ b/httpc.c
@@ -188,6 +188,8 @@
     h->loop = loop;
     h->multi = curl_multi_init();
     ev_init(&h->timer, on_timer);
+    /* A call that has been answered has not timed out. */
+    ev_set_priority(&h->timer, -1);
     h->timer.data = h;
     curl_multi_setopt(h->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
     curl_multi_setopt(h->multi, CURLMOPT_SOCKETDATA, h);
--- /dev/null
+++ b/lag.h
@@ -0,0 +1,65 @@
+/*
+ * lag - how far an entry keeps up with what it must read and do
+ *
+ * A process with a small share of a processor, or one whose machine has turned
+ * slow, may be given more than it can do.  Then each pass of its loop gets
+ * longer, its sessions fall silent and what it took in is answered too late.
+ * Here it measures itself: the part of the time that it spends in passes, and
+ * what a piece of work that it does anyway takes against what it usually does.
+ *
+ * An entry that is behind leaves the balancer's rotation.  It comes back when
+ * it has caught up and is as fast as usual again.  If it is not slow, it has
+ * more to do than it can; then all may have, and none can help the others, so
+ * the part of the time that it may be out is bounded.
+ *
+ * Source: Welsh, Culler, Brewer: SEDA, SOSP 2001 (delay as the signal).
+ */
+#ifndef LAG_H
+#define LAG_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Times are us of one steady clock. */
+struct lag {
+    uint64_t began_us; /* this pass */
+    uint64_t ended_us; /* the pass before; 0: none yet */
+    double busy;       /* part of the time spent in passes, lately */
+    uint32_t probes;
+    double probe_us;   /* what the probe takes, lately */
+    double usual_us;   /* and usually */
+    uint64_t probed_us;
+    bool out;
+    uint64_t turned_us; /* when it went out or came back last */
+    uint64_t late_us;   /* since when it is too busy; 0: it is not */
+};
+
+/* ms between its reports on a changed room that an agent is asked to leave, at
+ * the most. */
+#define LG_PAUSE_MAX_MS 100U
+
+void lg_pass_begins(struct lag *l, uint64_t now_us);
+void lg_pass_ends(struct lag *l, uint64_t now_us);
+/* A piece of work that is done regularly, and is much the same each time,
+ * took this long. */
+void lg_probe(struct lag *l, uint64_t now_us, uint64_t took_us);
+
+/* Queries, as of the last pass. */
+/* Out of the balancer's rotation. */
+bool lg_is_out(const struct lag *l);
+/* Far slower than usual. */
+bool lg_is_slow(const struct lag *l);
+/* The part of the requests that come which others had better begin. */
+double lg_give_part(const struct lag *l);
+/* ms that agents are asked to leave between reports on their room. */
+uint32_t lg_pause_ms(const struct lag *l);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/link.c
+++ b/link.c
@@ -896,6 +896,8 @@
     ev_init(&l->accept_io, on_accept);
     ev_init(&l->udp_io, on_datagram);
     ev_init(&l->timer, on_tick);
+    /* What has come proves more than that time has passed. */
+    ev_set_priority(&l->timer, -1);
     st = open_both(l, addr, port, e);
     if (st != LINK_OK) {
         link_close(l);
--- a/proc.c
+++ b/proc.c
@@ -20,6 +20,15 @@
     return clock_in_ms(CLOCK_BOOTTIME);
 }
 
+uint64_t
+proc_now_us(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
+}
+
 uint64_t
 proc_wall(void)
 {
--- a/proto.h
+++ b/proto.h
@@ -487,6 +487,7 @@
 	u_int urgent;
 	u_int late;
 	u_int least;
+	u_int pause_ms;
 };
 typedef struct dw_want dw_want;
 
--- a/proto.x
+++ b/proto.x
@@ -387,12 +387,14 @@
 
 /*
  * What an entry could not place for want of room: millicores of tasks that can
- * still meet their objective, of those that cannot, and of the smallest.
+ * still meet their objective, of those that cannot, and of the smallest.  And
+ * the ms that it asks to be left between reports on a changed room.
  */
 struct dw_want {
     unsigned int urgent;
     unsigned int late;
     unsigned int least;
+    unsigned int pause_ms;
 };
 
 /* Entry to agent: runs to start and runs to stop. */
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1281,12 +1281,53 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->urgent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->late))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->least))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pause_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->urgent);
+			IXDR_PUT_U_LONG(buf, objp->late);
+			IXDR_PUT_U_LONG(buf, objp->least);
+			IXDR_PUT_U_LONG(buf, objp->pause_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->urgent))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->late))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->least))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->pause_ms))
+				 return FALSE;
+		} else {
+			objp->urgent = IXDR_GET_U_LONG(buf);
+			objp->late = IXDR_GET_U_LONG(buf);
+			objp->least = IXDR_GET_U_LONG(buf);
+			objp->pause_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_int (xdrs, &objp->urgent))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->late))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->least))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pause_ms))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/serve.c
+++ b/serve.c
@@ -12,6 +12,8 @@
 #include "proc.h"
 
 #define TICK_S 0.02
+/* After the messages that have come, before callers. */
+#define SV_TICK_PRIORITY (-1)
 /* A pass of the loop that took longer is a pause of the machine's. */
 #define PAUSE_MS 300U
 /* Two watches, a read or two, and what is sent again. */
@@ -381,6 +383,8 @@
     proc_watch_signal(s->loop, &s->intr, SIGINT, on_term, s);
     proc_watch_signal(s->loop, &s->hup, SIGHUP, on_hup, s);
     ev_timer_init(&s->tick, on_tick, 0.0, TICK_S);
+    /* Whoever sent in time is not silent because it was read late. */
+    ev_set_priority(&s->tick, SV_TICK_PRIORITY);
     s->tick.data = s;
     ev_timer_start(s->loop, &s->tick);
     ev_prepare_init(&s->prepare, on_prepare);
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -72,7 +72,7 @@
         ag_free(&a);
     }
     void
-    beat(uint64_t entry, dw_want want = {0, 0, 0})
+    beat(uint64_t entry, dw_want want = {0, 0, 0, 0})
     {
         dw_orders o;
 
@@ -160,8 +160,8 @@
     Sessions s;
 
     s.room(0);
-    s.beat(1, {0, 20000, 2000});
-    s.beat(2, {4000, 0, 2000});
+    s.beat(1, {0, 20000, 2000, 0});
+    s.beat(2, {4000, 0, 2000, 0});
     s.beat(3);
     s.flush();
     s.now++;
@@ -177,8 +177,8 @@
     Sessions s;
 
     s.room(0);
-    s.beat(1, {3000, 0, 1000});
-    s.beat(2, {9000, 0, 1000});
+    s.beat(1, {3000, 0, 1000, 0});
+    s.beat(2, {9000, 0, 1000, 0});
     s.flush();
     s.now++;
     s.room(10000);
@@ -194,8 +194,8 @@
     Sessions s;
 
     s.room(0);
-    s.beat(1, {20000, 0, 6000});
-    s.beat(2, {0, 2000, 1000});
+    s.beat(1, {20000, 0, 6000, 0});
+    s.beat(2, {0, 2000, 1000, 0});
     s.flush();
     s.now++;
     s.room(2000); /* too little for entry 1 */
--- a/turn.c
+++ b/turn.c
@@ -298,7 +298,7 @@
 dw_want
 tn_want(struct coord *c, uint64_t now, const char *service)
 {
-    dw_want w = {0, 0, 0};
+    dw_want w = {0, 0, 0, c->room_pause_ms};
     struct tn_room room = {0};
     const struct co_job *j;
 
@@ -335,5 +335,6 @@
     }
     return now - a->want_ms >= WANT_MS &&
            (is_far(a->want.urgent, w->urgent) ||
+               is_far(a->want.pause_ms, w->pause_ms) ||
                is_far(a->want.late, w->late) || a->want.least != w->least);
 }
--- a/web.c
+++ b/web.c
@@ -43,14 +43,15 @@
     struct MHD_Daemon *mhd;
     ev_io io;
     ev_timer timer;
+    ev_prepare prepare; /* the end of a pass */
     web_handle_fn handle;
     web_gone_fn gone;
     void *ctx;
     size_t open;
     bool draining;
     struct web_conn *conns;
-    bool in_run;
-    bool run_again;
+    bool due;      /* there is something to read or to send */
+    bool closing;  /* each answer asks the caller to connect anew */
 };
 
 static void
@@ -65,38 +66,53 @@
     }
 }
 
-/* A reply given from inside the library's own call waits for the end of it,
- * as the library must not be entered twice. */
 static void
 run(struct web *w)
 {
-    if (w->in_run) {
-        w->run_again = true;
-        return;
-    }
-    w->in_run = true;
-    do {
-        w->run_again = false;
-        MHD_run(w->mhd);
-    } while (w->run_again);
-    w->in_run = false;
+    w->due = false;
+    MHD_run(w->mhd);
     arm_timer(w);
 }
 
+void
+web_flush(struct web *w)
+{
+    if (w->due) {
+        run(w);
+    }
+}
+
+/*
+ * A run looks at every connection, takes in what has come and sends what was
+ * answered.  So there is one for all of it at the end of a pass of the loop:
+ * a run for each answer would keep an entry with much to read from all else.
+ */
 static void
 on_io(struct ev_loop *loop, ev_io *io, int revents)
 {
+    struct web *w = io->data;
+
     (void)loop;
     (void)revents;
-    run(io->data);
+    w->due = true;
 }
 
 static void
 on_timer(struct ev_loop *loop, ev_timer *t, int revents)
 {
+    struct web *w = t->data;
+
     (void)loop;
     (void)revents;
-    run(t->data);
+    w->due = true;
+}
+
+static void
+on_prepare(struct ev_loop *loop, ev_prepare *p, int revents)
+{
+    (void)loop;
+    (void)revents;
+    web_flush(p->data);
 }
 
 static void *
@@ -151,6 +167,14 @@
     return res;
 }
 
+static void
+resume(struct web_req *r)
+{
+    r->suspended = false;
+    MHD_resume_connection(r->conn);
+    r->w->due = true;
+}
+
 /* The library does not look at a suspended connection, so a caller that left
  * would go unnoticed and its work go on for nobody. */
 static void
@@ -173,9 +197,7 @@
     r->status = MHD_HTTP_SERVICE_UNAVAILABLE;
     r->response =
         MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
-    r->suspended = false;
-    MHD_resume_connection(r->conn);
-    run(r->w);
+    resume(r);
 }
 
 static void
@@ -309,6 +331,10 @@
     ev_io_start(loop, &w->io);
     ev_init(&w->timer, on_timer);
     w->timer.data = w;
+    ev_prepare_init(&w->prepare, on_prepare);
+    ev_set_priority(&w->prepare, EV_MINPRI);
+    w->prepare.data = w;
+    ev_prepare_start(loop, &w->prepare);
     *out = w;
     return WEB_OK;
 }
@@ -339,6 +365,12 @@
     arm_timer(w);
 }
 
+void
+web_send_elsewhere(struct web *w, bool on)
+{
+    w->closing = on;
+}
+
 size_t
 web_open_requests(const struct web *w)
 {
@@ -350,6 +382,8 @@
 {
     ev_io_stop(w->loop, &w->io);
     ev_timer_stop(w->loop, &w->timer);
+    ev_prepare_stop(w->loop, &w->prepare);
+    web_flush(w);
     MHD_stop_daemon(w->mhd);
     free(w);
 }
@@ -422,7 +456,7 @@
         MHD_add_response_header(
             r->response, MHD_HTTP_HEADER_RETRY_AFTER, number);
     }
-    if (r->w->draining) {
+    if (r->w->draining || r->w->closing) {
         MHD_add_response_header(
             r->response, MHD_HTTP_HEADER_CONNECTION, "close");
     }
@@ -430,9 +464,7 @@
     r->replied = true;
     if (r->suspended) {
         ev_io_stop(r->w->loop, &r->gone_io);
-        r->suspended = false;
-        MHD_resume_connection(r->conn);
-        run(r->w);
+        resume(r);
     }
 }
 
--- a/web.h
+++ b/web.h
@@ -2,7 +2,8 @@
  * web - HTTP server by libmicrohttpd on the libev loop
  *
  * A handler answers at once with web_reply() or later, while the connection
- * is suspended.  Malformed, oversized and slow requests are ended here and
+ * is suspended; answers leave before the loop waits again.  What comes is
+ * read at the end of a pass of the loop.  Malformed, oversized and slow requests are ended here and
  * cost no one else.
  */
 #ifndef WEB_H
@@ -40,12 +41,17 @@
 enum web_status web_open(struct web **out, struct ev_loop *loop,
     const struct web_cfg *cfg, web_handle_fn handle, web_gone_fn gone,
     void *ctx, struct err *e);
+/* Read what has come and send what was answered; done by itself before the
+ * loop waits. */
+void web_flush(struct web *w);
 /* Take no new connections; those open are served. */
 void web_stop_accepting(struct web *w);
 /* Ask callers, with each answer from now on, to connect anew elsewhere, and
  * close connections that are idle for a second: what comes on one that stays
  * open would come too late to be served. */
 void web_drain(struct web *w);
+/* Ask callers, with each answer while it is on, to connect anew elsewhere. */
+void web_send_elsewhere(struct web *w, bool on);
 size_t web_open_requests(const struct web *w);
 void web_close(struct web *w);
 
