--- a/coord.h
+++ b/coord.h
@@ -169,8 +169,8 @@
     struct co_job *jobs;
     struct co_job *queue;
     struct co_ended *ended;
-    struct gs_table times; /* what jobs of each route take */
-    struct co_load *loads; /* by service */
+    struct gs_table times;  /* what jobs of each route take */
+    struct co_load *loads;  /* by service */
     bool admitted;          /* a job since the last flush */
     uint32_t room_pause_ms; /* between an agent's reports on its room */
     int64_t move_room;      /* millicores that may be moved this tick */
--- a/entryd.c
+++ b/entryd.c
@@ -16,6 +16,7 @@
 #include "platform/wire.h"
 #include "proc.h"
 #include "rank.h"
+#include "relay.h"
 #include "route.h"
 #include "serve.h"
 
@@ -35,6 +36,10 @@
 /* ms before the platform's kill from which on a job is no longer taken: the
  * longest seen take two seconds. */
 #define TAKE_MS 2400U
+/* Part of the time busy below which requests of others are welcome, and above
+ * which others may soon be needed. */
+#define WILLING_BUSY 0.5
+#define NEED_BUSY 0.5
 #define CALLERS_MAX 3000U
 #define BODY_MAX (1U << 20)
 #define IDLE_S 30U
@@ -44,12 +49,10 @@
 /* Callers that say no deadline. */
 #define LEFT_MS 10000U
 
-struct answer {
-    struct answer *next;
-    struct web_req *req;
-    enum co_outcome how;
-    const char *reason;
-    uint32_t retry_ms;
+/* Who waits for a job: a caller here, or another entry for one there. */
+struct caller {
+    struct web_req *req; /* NULL: the other */
+    struct rl_taken *taken;
 };
 
 struct entry {
@@ -61,8 +64,10 @@
     struct web *ready;
     struct follow *operators;
     struct follow *members;
-    struct answer *answers; /* to be given when the decisions are over */
-    struct answer **answers_tail;
+    struct relay relay;
+    double give_credit; /* requests due to be given away */
+    uint64_t given;
+    uint64_t taken;
     struct news news;
     struct hist answer_ms; /* from a request to its answer */
     uint64_t asked_last;   /* the entry asked for news last */
@@ -70,10 +75,11 @@
     bool accepting;
     struct intake intake;
     struct lag lag;
-    bool was_out; /* of rotation, as logged last */
+    bool was_out;          /* of rotation, as logged last */
+    uint32_t missed_looks; /* of the balancer since it is out */
     uint64_t turned_away;
     ev_check pass_check;
-    ev_timer more; /* requests are left over for the next pass */
+    ev_timer more;     /* requests are left over for the next pass */
     uint64_t stale_ms; /* requests read before this time waited too long */
 };
 
@@ -87,24 +93,6 @@
     link_send(e->s->link, to, m);
 }
 
-/* Answers wait until the coordinator is done, as the library may hand over
- * the next request, or a caller's leaving, from inside the call. */
-static void
-keep_answer(void *ctx, void *handle, enum co_outcome how, const char *reason,
-    uint32_t retry_ms)
-{
-    struct entry *e = ctx;
-    struct answer *a = dw_zero(1, sizeof(*a));
-
-    a->req = handle;
-    a->how = how;
-    a->reason = reason;
-    a->retry_ms = retry_ms;
-    web_set_ctx(a->req, NULL);
-    *e->answers_tail = a;
-    e->answers_tail = &a->next;
-}
-
 static void
 note_job(void *ctx, const struct co_job *j, const char *why)
 {
@@ -164,9 +152,6 @@
         a->id, proc_now() - a->sess.heard_ms, a->out);
 }
 
-static const struct co_ops co_ops = {
-    send_message, keep_answer, note_job, note_refusal, note_run, note_agent};
-
 static void
 reply_text(struct web_req *r, unsigned status, const char *text)
 {
@@ -185,41 +170,56 @@
 }
 
 static void
-give_answer(const struct answer *a)
+reply_to(struct web_req *r, dw_how how, const char *reason, uint32_t retry_ms)
 {
     static const struct {
         unsigned status;
         const char *text;
     } replies[] = {
-        [CO_COMPLETED] = {200, "{\"state\":\"completed\"}"},
-        [CO_FAILED] = {200, "{\"state\":\"failed\"}"},
-        [CO_GAVE_UP] = {504, "{\"error\":\"gave_up\"}"},
+        [DW_HOW_COMPLETED] = {200, "{\"state\":\"completed\"}"},
+        [DW_HOW_FAILED] = {200, "{\"state\":\"failed\"}"},
+        [DW_HOW_GAVE_UP] = {504, "{\"error\":\"gave_up\"}"},
     };
 
-    if (a->how == CO_NOT_RUN) {
-        reply_not_run(a->req, a->reason, a->retry_ms);
-        return;
+    if (how == DW_HOW_NOT_RUN) {
+        reply_not_run(r, reason, retry_ms);
+    }
+    else {
+        reply_text(r, replies[how].status, replies[how].text);
     }
-    reply_text(a->req, replies[a->how].status, replies[a->how].text);
 }
 
 static void
-give_answers(struct entry *e)
+answer(struct entry *e, struct caller *c, dw_how how, const char *reason,
+    uint32_t retry_ms)
 {
-    while (e->answers != NULL) {
-        struct answer *a = e->answers;
-
-        e->answers = a->next;
-        if (e->answers == NULL) {
-            e->answers_tail = &e->answers;
-        }
-        if (a->req != NULL) {
-            give_answer(a);
-        }
-        free(a);
+    if (c->req != NULL) {
+        web_set_ctx(c->req, NULL);
+        reply_to(c->req, how, reason, retry_ms);
+    }
+    else {
+        rl_reply(&e->relay, c->taken, how, reason, retry_ms);
     }
+    free(c);
+}
+
+static void
+answer_job(void *ctx, void *handle, enum co_outcome outcome,
+    const char *reason, uint32_t retry_ms)
+{
+    static const dw_how hows[] = {
+        [CO_COMPLETED] = DW_HOW_COMPLETED,
+        [CO_FAILED] = DW_HOW_FAILED,
+        [CO_GAVE_UP] = DW_HOW_GAVE_UP,
+        [CO_NOT_RUN] = DW_HOW_NOT_RUN,
+    };
+
+    answer(ctx, handle, hows[outcome], reason, retry_ms);
 }
 
+static const struct co_ops co_ops = {
+    send_message, answer_job, note_job, note_refusal, note_run, note_agent};
+
 /* --- callers --- */
 
 static uint32_t
@@ -236,25 +236,57 @@
     return end == z || ms < 0 || ms > 86400000.0 ? LEFT_MS : (uint32_t)ms;
 }
 
-/* The caller's connection stands for the job. */
+static struct str
+path_of(const struct caller *c)
+{
+    return str_of(c->req != NULL ? web_path(c->req) : c->taken->path);
+}
+
+static struct str
+host_of(const struct caller *c)
+{
+    return str_of(
+        c->req != NULL ? web_header(c->req, "Host") : c->taken->host);
+}
+
+static struct str
+body_of(const struct caller *c)
+{
+    return c->req != NULL ? web_body(c->req) : buf_str(&c->taken->body);
+}
+
+static void
+answer_bad(struct entry *e, struct caller *c, const char *why)
+{
+    struct web_req *r = c->req;
+
+    if (r == NULL) {
+        answer(e, c, DW_HOW_NOT_RUN, "bad_job", 0);
+        return;
+    }
+    web_set_ctx(r, NULL);
+    free(c);
+    web_problem(r, 400, "bad_job", why, 0);
+}
+
 static void
-submit(struct entry *e, uint64_t now, struct web_req *r,
+submit(struct entry *e, uint64_t now, struct caller *c,
     const struct rt_route *route, uint64_t id)
 {
     struct wire_job job;
     struct err why = {""};
     struct co_submit s = {0};
-    enum wire_status st = wire_read_job(&job, web_body(r), &why);
+    enum wire_status st = wire_read_job(&job, body_of(c), &why);
 
     if (st != WIRE_OK) {
         log_event(LOG_LEVEL_WARN, "job_refused",
             "job=%016" PRIx64 " route=%s why=\"%s\"", id, route->name,
             why.msg);
         if (st == WIRE_UNSUPPORTED) {
-            reply_not_run(r, "not_served", 5000);
+            answer(e, c, DW_HOW_NOT_RUN, "not_served", 5000);
         }
         else {
-            web_problem(r, 400, "bad_job", why.msg, 0);
+            answer_bad(e, c, why.msg);
         }
         return;
     }
@@ -266,11 +298,10 @@
     s.attempts = route->attempts;
     s.route_name = route->name;
     s.route = (struct gs_route){route->stretch_milli, route->slo_ms};
-    s.left_ms = left_ms(r);
+    s.left_ms = c->req != NULL ? left_ms(c->req) : c->taken->left_ms;
     s.tasks = job.tasks;
     s.count = job.count;
-    web_set_ctx(r, (void *)(uintptr_t)1);
-    co_submit(&e->coord, now, &s, r);
+    co_submit(&e->coord, now, &s, c);
     wire_job_free(&job);
 }
 
@@ -284,49 +315,95 @@
     buf_free(&b);
 }
 
+/* NULL if nothing is served there; the job's id, or 0 for the queue itself. */
+static const struct rt_route *
+find_route(struct entry *e, struct str host, struct str path, uint64_t *id)
+{
+    const struct rt_route *route = rt_match(&e->routes, host, path);
+
+    *id = 0;
+    if (route != NULL && path.n > route->prefix_n &&
+        !wire_job_id(
+            str_make(path.p + route->prefix_n, path.n - route->prefix_n),
+            id)) {
+        return NULL;
+    }
+    return route;
+}
+
+/* Why no job is begun now; NULL if one is. */
+static const char *
+closed_for(const struct entry *e, uint64_t now)
+{
+    if (e->routes.version == 0) {
+        return "no_configuration";
+    }
+    if (e->s->leaving &&
+        now + TAKE_MS > e->s->leave_ms + e->s->conf->platform.grace_ms) {
+        return "leaving";
+    }
+    return now < e->stale_ms ? "paused" : NULL;
+}
+
 static void
-handle_job(struct entry *e, uint64_t now, struct web_req *r,
-    const struct rt_route *route, uint64_t id)
+begin_job(struct entry *e, uint64_t now, struct caller *c)
 {
-    const char *method = web_method(r);
+    const char *why = closed_for(e, now);
+    const struct rt_route *route;
+    struct str path = path_of(c);
+    uint64_t id;
 
-    if (strcmp(method, "POST") == 0) {
-        if (e->s->leaving &&
-            now + TAKE_MS > e->s->leave_ms + e->s->conf->platform.grace_ms) {
-            log_event(LOG_LEVEL_WARN, "job_refused",
-                "job=%016" PRIx64 " why=leaving", id);
-            reply_not_run(r, "leaving", 1000);
-            return;
-        }
-        if (now < e->stale_ms) {
-            log_event(LOG_LEVEL_WARN, "job_refused",
-                "job=%016" PRIx64 " why=waited_through_pause", id);
-            reply_not_run(r, "paused", 1000);
-            return;
-        }
-        submit(e, now, r, route, id);
+    if (why != NULL) {
+        log_event(LOG_LEVEL_WARN, "request_refused", "path=%.*s why=%s",
+            (int)path.n, path.p, why);
+        answer(e, c, DW_HOW_NOT_RUN, why, 1000);
+        return;
     }
-    else if (strcmp(method, "GET") == 0) {
-        if (co_known(&e->coord, id)) {
-            reply_text(r, 200, "{\"state\":\"running\"}");
-        }
-        else {
-            reply_text(r, 410, "{}");
-        }
+    route = find_route(e, host_of(c), path, &id);
+    if (route != NULL && id != 0) {
+        submit(e, now, c, route, id);
     }
-    else if (strcmp(method, "DELETE") == 0) {
-        reply_text(r, co_cancel(&e->coord, now, id) ? 200 : 410, "{}");
+    else if (c->req == NULL) {
+        answer(e, c, DW_HOW_NOT_RUN, "no_route", 1000);
     }
     else {
-        web_problem(r, 405, "bad_method", "want POST, GET or DELETE", 0);
+        web_set_ctx(c->req, NULL);
+        reply_text(c->req, 404, "{\"error\":\"no_route\"}");
+        free(c);
+    }
+}
+
+static void
+cancel(struct entry *e, uint64_t now, struct web_req *r, uint64_t id)
+{
+    struct caller *given = rl_find(&e->relay, str_of(web_path(r)));
+
+    if (given != NULL) {
+        rl_drop(&e->relay, given);
+        answer(e, given, DW_HOW_FAILED, "cancelled", 0);
+        reply_text(r, 200, "{}");
+        return;
+    }
+    reply_text(r, co_cancel(&e->coord, now, id) ? 200 : 410, "{}");
+}
+
+static void
+tell_state(struct entry *e, struct web_req *r, uint64_t id)
+{
+    if (co_known(&e->coord, id) ||
+        rl_find(&e->relay, str_of(web_path(r))) != NULL) {
+        reply_text(r, 200, "{\"state\":\"running\"}");
+    }
+    else {
+        reply_text(r, 410, "{}");
     }
 }
 
+/* Whatever is no job to be begun. */
 static void
-begin_request(struct entry *e, uint64_t now, struct web_req *r)
+serve_other(struct entry *e, uint64_t now, struct web_req *r)
 {
-    const char *host = web_header(r, "Host");
-    struct str path = str_of(web_path(r));
+    const char *method = web_method(r);
     const struct rt_route *route;
     uint64_t id;
 
@@ -334,31 +411,123 @@
         reply_not_run(r, "no_configuration", 1000);
         return;
     }
-    route = rt_match(&e->routes, str_of(host), path);
+    route =
+        find_route(e, str_of(web_header(r, "Host")), str_of(web_path(r)), &id);
     if (route == NULL) {
         reply_text(r, 404, "{\"error\":\"no_route\"}");
-        return;
     }
-    path = str_make(path.p + route->prefix_n, path.n - route->prefix_n);
-    if (path.n == 0) {
+    else if (id == 0) {
         reply_pending(e, r);
     }
-    else if (wire_job_id(path, &id)) {
-        handle_job(e, now, r, route, id);
+    else if (strcmp(method, "GET") == 0) {
+        tell_state(e, r, id);
+    }
+    else if (strcmp(method, "DELETE") == 0) {
+        cancel(e, now, r, id);
     }
     else {
-        reply_text(r, 404, "{\"error\":\"no_job_id\"}");
+        web_problem(r, 405, "bad_method", "want POST, GET or DELETE", 0);
+    }
+}
+
+/* --- requests that others had better begin --- */
+
+/* ms that a taker's loop may be late with ending the jobs of a giver. */
+#define GIVE_LATE_MS 150U
+/* A caller sends again so long after an answer that was lost.  Until then a
+ * taker that no longer hears this entry has ended its job, and the taker's
+ * agents what they run of it, though they no longer hear the taker. */
+#define GIVE_RESEND_MS                                                        \
+    (SESS_LEASE_MS + SESS_LEASE_MS + RN_STOP_MS + RN_LAPSE_MS + GIVE_LATE_MS)
+
+static bool
+give_away(struct entry *e, uint64_t now, struct caller *c)
+{
+    if (e->s->conf->platform.resend_ms < GIVE_RESEND_MS ||
+        closed_for(e, now) != NULL ||
+        !rl_give(&e->relay, now, c, host_of(c), path_of(c), body_of(c),
+            left_ms(c->req))) {
+        return false;
+    }
+    e->given++;
+    return true;
+}
+
+/* As many of those that come as lag says. */
+static bool
+is_to_be_given(struct entry *e)
+{
+    e->give_credit = e->give_credit >= 1 ? e->give_credit - 1 : e->give_credit;
+    e->give_credit += lg_give_part(&e->lag);
+    return e->give_credit >= 1;
+}
+
+static void
+begin_taken(void *ctx, struct rl_taken *t)
+{
+    struct entry *e = ctx;
+    struct caller *c = dw_zero(1, sizeof(*c));
+
+    e->taken++;
+    c->taken = t;
+    t->data = c;
+    if (!it_add(&e->intake, proc_now_us(), c)) {
+        answer(e, c, DW_HOW_NOT_RUN, "behind", BEHIND_RETRY_MS);
+    }
+}
+
+static void
+leave_taken(void *ctx, struct rl_taken *t)
+{
+    struct entry *e = ctx;
+
+    if (!it_drop(&e->intake, t->data)) {
+        co_leave(&e->coord, proc_now(), t->data);
+    }
+    free(t->data);
+}
+
+static void
+answer_given(
+    void *ctx, void *handle, dw_how how, struct str reason, uint32_t retry_ms)
+{
+    char text[64];
+
+    str_copy(text, sizeof(text), reason);
+    answer(ctx, handle, how, text, retry_ms);
+}
+
+static void
+note_relay(void *ctx, uint64_t entry, const char *what, uint64_t ms)
+{
+    (void)ctx;
+    log_event(LOG_LEVEL_INFO, what, "entry=%016" PRIx64 " heard_ms=%" PRIu64,
+        entry, ms);
+}
+
+static const struct rl_ops rl_ops = {
+    send_message, begin_taken, leave_taken, answer_given, note_relay};
+
+/* The loop is not to wait before its next pass. */
+static void
+want_pass(struct entry *e)
+{
+    if (!ev_is_active(&e->more)) {
+        ev_timer_set(&e->more, 0.0, 0.0);
+        ev_timer_start(e->s->loop, &e->more);
     }
 }
 
 static void
-turn_away(struct entry *e, struct web_req *r, const char *why)
+turn_away(struct entry *e, struct caller *c, const char *why)
 {
+    struct str path = path_of(c);
+
     e->turned_away++;
     log_event(LOG_LEVEL_WARN, "request_refused",
-        "path=%s why=%s waiting=%zu wait_us=%.0f", web_path(r), why,
+        "path=%.*s why=%s waiting=%zu wait_us=%.0f", (int)path.n, path.p, why,
         it_count(&e->intake), it_wait_us(&e->intake));
-    reply_not_run(r, "behind", BEHIND_RETRY_MS);
+    answer(e, c, DW_HOW_NOT_RUN, "behind", BEHIND_RETRY_MS);
 }
 
 /* All but jobs is answered at once. */
@@ -366,40 +535,59 @@
 on_caller(void *ctx, struct web_req *r)
 {
     struct entry *e = ctx;
+    uint64_t now = proc_now();
+    struct caller *c;
 
     if (strcmp(web_method(r), "POST") != 0) {
-        begin_request(e, proc_now(), r);
+        serve_other(e, now, r);
+        return;
     }
-    else if (!it_add(&e->intake, proc_now_us(), r)) {
-        turn_away(e, r, "would_wait");
+    c = dw_zero(1, sizeof(*c));
+    c->req = r;
+    web_set_ctx(r, c);
+    if (is_to_be_given(e) && give_away(e, now, c)) {
+        return;
     }
-    else {
-        ev_timer_start(e->s->loop, &e->more);
+    if (it_add(&e->intake, proc_now_us(), c)) {
+        want_pass(e);
+    }
+    else if (!give_away(e, now, c)) {
+        turn_away(e, c, "would_wait");
     }
 }
 
+/* After a start callers are there at once, the configuration some ms later:
+ * they wait for it as they would for their turn. */
 static void
 begin_requests(struct entry *e, uint64_t now)
 {
     enum it_turn turn;
-    void *r;
+    void *c;
 
+    while (e->routes.version == 0) {
+        c = it_late(&e->intake, proc_now_us());
+        if (c == NULL) {
+            return;
+        }
+        begin_job(e, now, c);
+    }
     for (;;) {
-        turn = it_next(&e->intake, proc_now_us(), &r);
+        turn = it_next(&e->intake, proc_now_us(), &c);
         if (turn == IT_NONE) {
             break;
         }
         if (turn == IT_REFUSE) {
-            turn_away(e, r, "waited");
-            continue;
+            turn_away(e, c, "waited");
+        }
+        else {
+            begin_job(e, now, c);
         }
-        begin_request(e, now, r);
     }
     if (it_count(&e->intake) == 0) {
         ev_timer_stop(e->s->loop, &e->more);
     }
     else {
-        ev_timer_start(e->s->loop, &e->more);
+        want_pass(e);
     }
 }
 
@@ -415,33 +603,38 @@
 on_caller_gone(void *ctx, struct web_req *r)
 {
     struct entry *e = ctx;
-    struct answer *a;
+    struct caller *c = web_ctx(r);
 
-    if (it_drop(&e->intake, r)) {
+    if (c == NULL) {
         return;
     }
-
-    for (a = e->answers; a != NULL; a = a->next) {
-        if (a->req == r) {
-            a->req = NULL;
-            return;
-        }
+    if (!it_drop(&e->intake, c) && !rl_drop(&e->relay, c)) {
+        co_leave(&e->coord, proc_now(), c);
     }
-    co_leave(&e->coord, proc_now(), r);
+    free(c);
 }
 
 static bool
 is_ready(const struct entry *e)
 {
-    return !e->s->leaving && e->routes.version != 0 &&
-           !lg_is_out(&e->lag) &&
+    return !e->s->leaving && e->routes.version != 0 && !lg_is_out(&e->lag) &&
            fl_sum_up(&e->coord.fleet, proc_now(), NULL, 1).capacity > 0;
 }
 
+/* Looks of the balancer that find an entry not ready until it gets no new
+ * connections. */
+#define LOOKS_TO_LEAVE 2U
+
 static void
 on_ready(void *ctx, struct web_req *r)
 {
-    reply_text(r, is_ready(ctx) ? 200 : 503, "{}");
+    struct entry *e = ctx;
+
+    /* Callers that connect anew sooner would come back here. */
+    if (lg_is_out(&e->lag) && ++e->missed_looks == LOOKS_TO_LEAVE) {
+        web_send_elsewhere(e->callers, true);
+    }
+    reply_text(r, is_ready(e) ? 200 : 503, "{}");
 }
 
 static void
@@ -612,6 +805,7 @@
     if (!p->is_agent) {
         rk_in(&e->ranks, p->name, p->domain);
         find_rank(e);
+        rl_entry_in(&e->relay, p->id);
         return;
     }
     a = fl_add(&e->coord.fleet, p->id, p->name, p->domain, p->service);
@@ -683,6 +877,9 @@
             continue;
         }
         p->entered = false;
+        if (!p->is_agent) {
+            rl_entry_out(&e->relay, p->id);
+        }
         if (a != NULL) {
             a->member = false;
         }
@@ -777,7 +974,7 @@
     e->s = s;
     e->accepting = true;
     e->news.answers = true;
-    e->answers_tail = &e->answers;
+    rl_init(&e->relay, &rl_ops, e, s->id);
     co_init(&e->coord, &co_ops, e, s->seed, s->conf->node.me.domain,
         s->conf->node.me.addr, s->conf->node.me.port);
     if (open_web(e, &e->callers, p->callers, on_caller, on_caller_gone, err) !=
@@ -813,7 +1010,7 @@
     ev_check_stop(s->loop, &e->pass_check);
     ev_timer_stop(s->loop, &e->more);
     it_free(&e->intake);
-    give_answers(e);
+    rl_free(&e->relay);
     co_free(&e->coord);
     rk_free(&e->ranks);
     if (e->callers != NULL) {
@@ -861,19 +1058,35 @@
         return;
     }
     e->was_out = out;
-    web_send_elsewhere(e->callers, out);
+    e->missed_looks = 0;
+    web_send_elsewhere(e->callers, false);
     log_event(out ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
         out ? "behind" : "caught_up",
         "busy=%.2f tick_us=%.0f usual_us=%.0f waiting=%zu", e->lag.busy,
         e->lag.probe_us, e->lag.usual_us, it_count(&e->intake));
 }
 
+static void
+tend_relay(struct entry *e, uint64_t now)
+{
+    struct rl_state state = {is_ready(e) && e->lag.busy < WILLING_BUSY,
+        (uint32_t)(e->lag.busy * 1000), e->routes.version};
+
+    rl_tell(&e->relay, &state);
+    if (e->lag.busy > NEED_BUSY) {
+        rl_need(&e->relay, now);
+    }
+    rl_tick(&e->relay, now);
+}
+
 static void
 entry_tick(struct serve *s, uint64_t now)
 {
     struct entry *e = s->state;
-    uint64_t began_us = proc_now_us();
+    uint64_t began_us;
 
+    tend_relay(e, now);
+    began_us = proc_now_us();
     co_tick(&e->coord, now);
     lg_probe(&e->lag, proc_now_us(), proc_now_us() - began_us);
     keep_times(e, now);
@@ -892,10 +1105,14 @@
 {
     struct entry *e = s->state;
 
+    /* A request that comes while there is time is begun in this pass. */
+    if (e->lag.busy < NEED_BUSY) {
+        web_flush(e->callers);
+    }
     begin_requests(e, now);
     e->coord.room_pause_ms = lg_pause_ms(&e->lag);
     co_flush(&e->coord, now);
-    give_answers(e);
+    rl_flush(&e->relay, now);
     web_flush(e->callers);
     lg_pass_ends(&e->lag, proc_now_us());
     note_rotation(e);
@@ -909,6 +1126,12 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_RELAY) {
+        rl_take(&e->relay, now, from, &m->dw_msg_u.relay);
+    }
+    else if (m->type == DW_RELAYED) {
+        rl_replies(&e->relay, now, from, &m->dw_msg_u.relayed);
+    }
     else if (m->type == DW_NEWS) {
         take_news(e, from, &m->dw_msg_u.news);
     }
@@ -920,6 +1143,7 @@
     struct entry *e = s->state;
 
     co_refused(&e->coord, now, id);
+    rl_refused(&e->relay, now, id);
 }
 
 static void
@@ -937,7 +1161,7 @@
     struct entry *e = s->state;
 
     (void)now;
-    return !e->accepting && co_running(&e->coord) == 0 &&
+    return !e->accepting && co_running(&e->coord) == 0 && rl_done(&e->relay) &&
            web_open_requests(e->callers) == 0;
 }
 
@@ -974,6 +1198,8 @@
         {"dw_config_version", e->routes.version},
         {"dw_requests_waiting", it_count(&e->intake)},
         {"dw_requests_turned_away", e->turned_away},
+        {"dw_requests_given", e->given},
+        {"dw_requests_taken", e->taken},
         {"dw_busy_permille", (uint64_t)(e->lag.busy * 1000)},
         {"dw_behind", lg_is_out(&e->lag)},
     };
--- a/guess.c
+++ b/guess.c
@@ -84,10 +84,10 @@
         size_t j = high;
 
         for (;;) {
-            while (v[i] < pivot) {
+            while (i < high && v[i] < pivot) {
                 i++;
             }
-            while (v[j] > pivot) {
+            while (j > low && v[j] > pivot) {
                 j--;
             }
             if (i >= j) {
@@ -126,7 +126,7 @@
 static struct gs_line
 draw_line(const struct point *p, size_t n)
 {
-    double v[GS_SAMPLES * (GS_SAMPLES - 1) / 2];
+    double v[GS_SAMPLES * (GS_SAMPLES - 1) / 2] = {0};
     struct gs_line l = {0, 0};
     size_t pairs = 0;
 
@@ -148,7 +148,7 @@
 static double
 spread_around(const struct gs_line *l, const struct point *p, size_t n)
 {
-    double v[GS_SAMPLES];
+    double v[GS_SAMPLES] = {0};
 
     for (size_t i = 0; i < n; i++) {
         v[i] = fabs(p[i].y - value_at(l, p[i].x));
--- a/intake.c
+++ b/intake.c
@@ -75,6 +75,19 @@
     return false;
 }
 
+void *
+it_late(struct intake *t, uint64_t now_us)
+{
+    struct it_request *r = t->first;
+    void *handle = NULL;
+
+    if (r != NULL && now_us - r->come_us > IT_WAIT_US) {
+        handle = r->handle;
+        remove_request(t, r);
+    }
+    return handle;
+}
+
 /* The pass has begun all that it will. */
 static enum it_turn
 end_pass(struct intake *t, uint64_t now_us)
@@ -89,7 +102,6 @@
 it_next(struct intake *t, uint64_t now_us, void **handle)
 {
     struct it_request *r = t->first;
-    bool late;
 
     if (t->taken_us != 0) {
         learn(&t->begin_us, now_us - t->taken_us);
@@ -107,11 +119,15 @@
     else if (now_us - t->pass_us >= IT_PASS_US) {
         return end_pass(t, now_us);
     }
-    late = now_us - r->come_us > IT_WAIT_US;
+    *handle = it_late(t, now_us);
+    if (*handle != NULL) {
+        t->taken_us = 0;
+        return IT_REFUSE;
+    }
     *handle = r->handle;
-    t->taken_us = late ? 0 : now_us;
+    t->taken_us = now_us;
     remove_request(t, r);
-    return late ? IT_REFUSE : IT_BEGIN;
+    return IT_BEGIN;
 }
 
 size_t
--- a/intake.h
+++ b/intake.h
@@ -32,9 +32,9 @@
 struct intake {
     struct it_request *first;
     size_t count;
-    double begin_us; /* what beginning a request takes, mean of the latest */
-    double rest_us;  /* what the rest of a pass takes, likewise */
-    uint64_t pass_us; /* when this pass began to begin requests; 0: not yet */
+    double begin_us;   /* what beginning a request takes, mean of the latest */
+    double rest_us;    /* what the rest of a pass takes, likewise */
+    uint64_t pass_us;  /* when this pass began to begin requests; 0: not yet */
     uint64_t taken_us; /* when the last was taken; 0: none in this pass */
     uint64_t rest_from_us;
 };
@@ -50,6 +50,8 @@
 bool it_add(struct intake *t, uint64_t now_us, void *handle);
 /* Its caller has gone; false if it does not wait here. */
 bool it_drop(struct intake *t, const void *handle);
+/* One that has waited too long, to be refused; NULL if there is none. */
+void *it_late(struct intake *t, uint64_t now_us);
 /* The next of this pass; called until IT_NONE. */
 enum it_turn it_next(struct intake *t, uint64_t now_us, void **handle);
 
--- a/lag.c
+++ b/lag.c
@@ -145,7 +145,7 @@
 double
 lg_give_part(const struct lag *l)
 {
-    return toward_behind(l, GIVE_FROM);
+    return l->out && lg_is_slow(l) ? 1 : toward_behind(l, GIVE_FROM);
 }
 
 uint32_t
--- a/lag.h
+++ b/lag.h
@@ -30,8 +30,8 @@
     uint64_t ended_us; /* the pass before; 0: none yet */
     double busy;       /* part of the time spent in passes, lately */
     uint32_t probes;
-    double probe_us;   /* what the probe takes, lately */
-    double usual_us;   /* and usually */
+    double probe_us; /* what the probe takes, lately */
+    double usual_us; /* and usually */
     uint64_t probed_us;
     bool out;
     uint64_t turned_us; /* when it went out or came back last */
--- a/proto.h
+++ b/proto.h
@@ -54,6 +54,8 @@
 	DW_ORDERS = 24,
 	DW_REPORT = 25,
 	DW_NEWS = 26,
+	DW_RELAY = 27,
+	DW_RELAYED = 28,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -563,6 +565,56 @@
 };
 typedef struct dw_news dw_news;
 
+struct dw_request {
+	u_quad_t ref;
+	dw_bytes host;
+	dw_bytes path;
+	dw_bytes body;
+	u_int left_ms;
+};
+typedef struct dw_request dw_request;
+
+struct dw_relay {
+	dw_head head;
+	struct {
+		u_int requests_len;
+		dw_request *requests_val;
+	} requests;
+	struct {
+		u_int left_len;
+		u_quad_t *left_val;
+	} left;
+};
+typedef struct dw_relay dw_relay;
+
+enum dw_how {
+	DW_HOW_COMPLETED = 0,
+	DW_HOW_FAILED = 1,
+	DW_HOW_GAVE_UP = 2,
+	DW_HOW_NOT_RUN = 3,
+};
+typedef enum dw_how dw_how;
+
+struct dw_reply {
+	u_quad_t ref;
+	dw_how how;
+	u_int retry_ms;
+	dw_bytes reason;
+};
+typedef struct dw_reply dw_reply;
+
+struct dw_relayed {
+	dw_head head;
+	bool_t willing;
+	u_int busy_permille;
+	u_quad_t config;
+	struct {
+		u_int replies_len;
+		dw_reply *replies_val;
+	} replies;
+};
+typedef struct dw_relayed dw_relayed;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -591,6 +643,8 @@
 		dw_orders orders;
 		dw_report report;
 		dw_news news;
+		dw_relay relay;
+		dw_relayed relayed;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -663,6 +717,11 @@
 extern  bool_t xdr_dw_room (XDR *, dw_room*);
 extern  bool_t xdr_dw_report (XDR *, dw_report*);
 extern  bool_t xdr_dw_news (XDR *, dw_news*);
+extern  bool_t xdr_dw_request (XDR *, dw_request*);
+extern  bool_t xdr_dw_relay (XDR *, dw_relay*);
+extern  bool_t xdr_dw_how (XDR *, dw_how*);
+extern  bool_t xdr_dw_reply (XDR *, dw_reply*);
+extern  bool_t xdr_dw_relayed (XDR *, dw_relayed*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -718,6 +777,11 @@
 extern bool_t xdr_dw_room ();
 extern bool_t xdr_dw_report ();
 extern bool_t xdr_dw_news ();
+extern bool_t xdr_dw_request ();
+extern bool_t xdr_dw_relay ();
+extern bool_t xdr_dw_how ();
+extern bool_t xdr_dw_reply ();
+extern bool_t xdr_dw_relayed ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -37,7 +37,9 @@
     DW_LEDGER = 23,
     DW_ORDERS = 24,
     DW_REPORT = 25,
-    DW_NEWS = 26
+    DW_NEWS = 26,
+    DW_RELAY = 27,
+    DW_RELAYED = 28
 };
 
 /* What a submission's answer says. */
@@ -459,6 +461,48 @@
     dw_bytes withdrawn<64>;
 };
 
+/* A caller's request, as it came. */
+struct dw_request {
+    unsigned hyper ref;
+    dw_bytes host;
+    dw_bytes path;
+    dw_bytes body;
+    unsigned int left_ms;
+};
+
+/* Entry to entry: requests to begin, and those whose callers have left. */
+struct dw_relay {
+    dw_head head;
+    dw_request requests<DW_MAX_ITEMS>;
+    unsigned hyper left<DW_MAX_ITEMS>;
+};
+
+enum dw_how {
+    DW_HOW_COMPLETED = 0,
+    DW_HOW_FAILED = 1,
+    DW_HOW_GAVE_UP = 2,
+    DW_HOW_NOT_RUN = 3
+};
+
+struct dw_reply {
+    unsigned hyper ref;
+    dw_how how;
+    unsigned int retry_ms;
+    dw_bytes reason;
+};
+
+/*
+ * Back: answers, whether more requests are welcome, how busy the entry is, and
+ * the version of its configuration.
+ */
+struct dw_relayed {
+    dw_head head;
+    bool willing;
+    unsigned int busy_permille;
+    unsigned hyper config;
+    dw_reply replies<DW_MAX_ITEMS>;
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -485,6 +529,8 @@
 case DW_ORDERS: dw_orders orders;
 case DW_REPORT: dw_report report;
 case DW_NEWS: dw_news news;
+case DW_RELAY: dw_relay relay;
+case DW_RELAYED: dw_relayed relayed;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1538,6 +1538,85 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_request (XDR *xdrs, dw_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ref))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->host))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->path))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->body))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->left_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_relay (XDR *xdrs, dw_relay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dw_head (xdrs, &objp->head))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->requests.requests_val, (u_int *) &objp->requests.requests_len, DW_MAX_ITEMS,
+		sizeof (dw_request), (xdrproc_t) xdr_dw_request))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->left.left_val, (u_int *) &objp->left.left_len, DW_MAX_ITEMS,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_how (XDR *xdrs, dw_how *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_reply (XDR *xdrs, dw_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->ref))
+		 return FALSE;
+	 if (!xdr_dw_how (xdrs, &objp->how))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->retry_ms))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->reason))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_relayed (XDR *xdrs, dw_relayed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dw_head (xdrs, &objp->head))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->willing))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->busy_permille))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->config))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->replies.replies_val, (u_int *) &objp->replies.replies_len, DW_MAX_ITEMS,
+		sizeof (dw_reply), (xdrproc_t) xdr_dw_reply))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -1646,6 +1725,14 @@
 		 if (!xdr_dw_news (xdrs, &objp->dw_msg_u.news))
 			 return FALSE;
 		break;
+	case DW_RELAY:
+		 if (!xdr_dw_relay (xdrs, &objp->dw_msg_u.relay))
+			 return FALSE;
+		break;
+	case DW_RELAYED:
+		 if (!xdr_dw_relayed (xdrs, &objp->dw_msg_u.relayed))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/sess.c
+++ b/sess.c
@@ -13,8 +13,16 @@
 static dw_head *
 head_of(dw_msg *m)
 {
-    return m->type == DW_ORDERS ? &m->dw_msg_u.orders.head
-                                : &m->dw_msg_u.report.head;
+    switch (m->type) {
+    case DW_ORDERS:
+        return &m->dw_msg_u.orders.head;
+    case DW_RELAY:
+        return &m->dw_msg_u.relay.head;
+    case DW_RELAYED:
+        return &m->dw_msg_u.relayed.head;
+    default:
+        return &m->dw_msg_u.report.head;
+    }
 }
 
 static void
--- a/test/serve-test.cc
+++ b/test/serve-test.cc
@@ -150,6 +150,118 @@
         return std::string(i.param.name);
     });
 
+/* Half of the requests are begun by another entry than they came to. */
+struct RelayCase {
+    const char *name;
+    void (*strike)(World &w);
+    double least; /* share of jobs that complete during the fault */
+};
+
+const RelayCase relay_faults[] = {
+    {"none", [](World &) {}, 1.0},
+    {"killed", [](World &w) { w.kill_entry(0, 600); }, 0.85},
+    {"dark", [](World &w) { w.darken_entry(0, 900); }, 0.8},
+    {"frozen_briefly", [](World &w) { w.freeze_entry(0, 600); }, 0.85},
+    {"frozen_past_a_session", [](World &w) { w.freeze_entry(0, 400); }, 0.85},
+    {"frozen_for_long", [](World &w) { w.freeze_entry(0, 3500); }, 0.5},
+    {"giver_cut_off", [](World &w) { w.cut_entries(0, 1, 3000); }, 0.85},
+    {"taker_cut_off", [](World &w) { w.cut_entries(1, 0, 3000); }, 0.85},
+    {"cut_near_the_lease",
+        [](World &w) {
+            w.cut_entries(0, 1, SESS_LEASE_MS + 5);
+            w.cut_entries(1, 0, SESS_LEASE_MS + 5);
+        },
+        0.85},
+    {"dark_while_an_agent_is_cut_off",
+        [](World &w) {
+            w.darken_entry(0, 900);
+            w.after(SESS_LEASE_MS, [&w] { w.cut(1, 0, true, true, 2000); });
+        },
+        0.75},
+};
+
+class RelayFault : public testing::TestWithParam<RelayCase> {};
+
+/* A task runs twice: its job was given to another entry, which goes on with it
+ * after the first has gone and the caller has sent it again. */
+TEST_P(RelayFault, PromisesHold)
+{
+    const RelayCase &f = GetParam();
+    Tally during;
+
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        World w(seed, ENTRIES, AGENTS);
+        uint64_t began = w.now;
+
+        w.give_part = 0.5;
+        traffic(w, 14000);
+        w.run(1500 + seed * 13);
+        EXPECT_GT(w.given, 10u);
+        f.strike(w);
+        w.run(8500);
+        uint64_t calm = w.now;
+        w.run(8000);
+        EXPECT_EQ(first_broken(w), "") << f.name << " seed " << seed;
+        Tally all = tally(w, began);
+        Tally after = tally(w, calm);
+        during.calls += all.calls;
+        during.completed += all.completed;
+        EXPECT_EQ(after.completed, after.calls) << f.name << " seed " << seed;
+    }
+    EXPECT_GE((double)during.completed / (double)during.calls, f.least)
+        << f.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Served, RelayFault, testing::ValuesIn(relay_faults),
+    [](const testing::TestParamInfo<RelayCase> &i) {
+        return std::string(i.param.name);
+    });
+
+/* The same with faults of entries, agents and the links between all of them
+ * one upon another. */
+TEST(Served, RelayFaultsOneUponAnother)
+{
+    const char *more = getenv("DW_SEEDS");
+    uint64_t seeds = more != nullptr ? strtoull(more, nullptr, 10) : 30;
+
+    for (uint64_t seed = 500; seed < 500 + seeds; seed++) {
+        World w(seed, 3, AGENTS);
+
+        w.give_part = 0.5;
+        traffic(w, 26000);
+        for (int k = 0; k < 40; k++) {
+            w.run(100 + w.rng() % 800);
+            size_t e = w.rng() % 3;
+            size_t other = (e + 1 + w.rng() % 2) % 3;
+            size_t a = w.rng() % AGENTS;
+            switch (w.rng() % 7) {
+            case 0:
+                w.freeze_agent(a, 100 + w.rng() % 1500);
+                break;
+            case 1:
+                w.freeze_entry(e, 100 + w.rng() % 1500);
+                break;
+            case 2:
+                w.cut(e, a, w.rng() % 2, w.rng() % 2, w.rng() % 1500);
+                break;
+            case 3:
+                w.cut_entries(e, other, w.rng() % 1500);
+                break;
+            case 4:
+                w.kill_entry(e, 300 + w.rng() % 1000);
+                break;
+            case 5:
+                w.darken_entry(e, 300 + w.rng() % 1000);
+                break;
+            default:
+                w.kill_agent(a, 300 + w.rng() % 1000);
+            }
+        }
+        w.run(12000);
+        EXPECT_EQ(first_broken(w), "") << "seed " << seed;
+    }
+}
+
 /* Faults of all kinds one upon another, each second, for 20 s.  DW_SEEDS
  * plays more than the 30 seeds of a usual run, DW_SEED a single one. */
 TEST(Served, FaultsOneUponAnother)
--- a/test/world.cc
+++ b/test/world.cc
@@ -261,12 +261,61 @@
 entry_answer(void *ctx, void *handle, co_outcome how, const char *, uint32_t)
 {
     FakeEntry *e = static_cast<FakeEntry *>(ctx);
-    Call *c = static_cast<Call *>(handle);
+    FakeCaller *who = static_cast<FakeCaller *>(handle);
+    Call *c = who->call;
     uint64_t id = e->id;
 
-    e->answers.push_back([e, c, id, how] { e->w->answered(c, id, how); });
+    if (who->taken != nullptr) {
+        rl_reply(&e->r, who->taken, (dw_how)how, "", 0);
+    }
+    else {
+        c->caller = nullptr;
+        e->answers.push_back([e, c, id, how] { e->w->answered(c, id, how); });
+    }
+    delete who;
+}
+
+/* --- requests given to other entries --- */
+
+void
+relay_begin(void *ctx, rl_taken *t)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+    Call *c = e->w->calls.at(strtoull(t->path, nullptr, 10)).get();
+    FakeCaller *who = new FakeCaller{c, t};
+
+    t->data = who;
+    e->w->given++;
+    e->w->submit_at(e, c, who);
 }
 
+void
+relay_leave(void *ctx, rl_taken *t)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+    FakeCaller *who = static_cast<FakeCaller *>(t->data);
+
+    co_leave(&e->c, e->w->now, who);
+    delete who;
+}
+
+void
+relay_answer(void *ctx, void *handle, dw_how how, struct str, uint32_t)
+{
+    entry_answer(ctx, handle, (co_outcome)how, "", 0);
+}
+
+void
+relay_note(void *ctx, uint64_t entry, const char *what, uint64_t)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+
+    e->w->trace("entry %zu: entry %lu %s", e->index, entry, what);
+}
+
+const rl_ops relay_ops = {
+    entry_send, relay_begin, relay_leave, relay_answer, relay_note};
+
 void
 entry_note(void *, const co_job *, const char *)
 {
@@ -327,6 +376,7 @@
     for (auto &e : entries) {
         if (e->up) {
             co_free(&e->c);
+            rl_free(&e->r);
         }
     }
 }
@@ -379,6 +429,7 @@
     }
     fn();
     co_flush(&e->c, now);
+    rl_flush(&e->r, now);
     auto answers = std::move(e->answers);
     e->answers.clear();
     for (auto &give : answers) {
@@ -421,6 +472,20 @@
     after(20, [this, a, id] { tick_agent(a, id); });
 }
 
+/* Silent givers first: what they gave must not be placed again. */
+void
+World::tick_both(FakeEntry *e)
+{
+    rl_state state = {true, 0, 1};
+
+    rl_tell(&e->r, &state);
+    if (give_part > 0) {
+        rl_need(&e->r, now);
+    }
+    rl_tick(&e->r, now);
+    co_tick(&e->c, now);
+}
+
 /* The worker reports every 1.5 s. */
 void
 World::beat_agent(FakeAgent *a, uint64_t id)
@@ -448,6 +513,13 @@
     e->frozen_until = 0;
     e->unread.clear();
     co_init(&e->c, &entry_ops, e, rng(), "d0", "10.0.0.1", 1);
+    rl_init(&e->r, &relay_ops, e, e->id);
+    for (auto &other : entries) {
+        if (other->up && other->id != e->id) {
+            rl_entry_in(&e->r, other->id);
+            rl_entry_in(&other->r, e->id);
+        }
+    }
     for (auto &a : agents) {
         if (a->up) {
             fl_add(&e->c.fleet, a->id, "agent", "domain", "s")->member = true;
@@ -464,7 +536,7 @@
         return;
     }
     if (now >= e->frozen_until) {
-        on_entry(e, [this, e] { co_tick(&e->c, now); });
+        on_entry(e, [this, e] { tick_both(e); });
     }
     after(20, [this, e, id] { tick_entry(e, id); });
 }
@@ -487,6 +559,16 @@
                     co_report(&p->c, now, from, &copy->dw_msg_u.report);
                 });
             }
+            else if (p->up && p->id == to && copy->type == DW_RELAY) {
+                on_entry(p, [this, p, from, copy] {
+                    rl_take(&p->r, now, from, &copy->dw_msg_u.relay);
+                });
+            }
+            else if (p->up && p->id == to && copy->type == DW_RELAYED) {
+                on_entry(p, [this, p, from, copy] {
+                    rl_replies(&p->r, now, from, &copy->dw_msg_u.relayed);
+                });
+            }
         }
         for (auto &a : agents) {
             FakeAgent *p = a.get();
@@ -521,6 +603,16 @@
     });
 }
 
+void
+World::cut_entries(size_t from, size_t to, uint64_t for_ms)
+{
+    std::pair<uint64_t, uint64_t> way = {entries[from]->id, entries[to]->id};
+
+    trace("cut entry %zu to entry %zu for %lu", from, to, for_ms);
+    cuts.insert(way);
+    after(for_ms, [this, way] { cuts.erase(way); });
+}
+
 /* --- processes --- */
 
 void
@@ -557,6 +649,19 @@
 World::kill_entry(size_t i, uint64_t for_ms)
 {
     trace("kill_entry %zu for %lu", i, for_ms);
+    end_entry(i, for_ms, false);
+}
+
+void
+World::darken_entry(size_t i, uint64_t for_ms)
+{
+    trace("darken_entry %zu for %lu", i, for_ms);
+    end_entry(i, for_ms, true);
+}
+
+void
+World::end_entry(size_t i, uint64_t for_ms, bool dark)
+{
     FakeEntry *e = entries[i].get();
     uint64_t id = e->id;
 
@@ -566,10 +671,12 @@
     e->up = false;
     e->answers.clear();
     co_free(&e->c);
+    rl_free(&e->r);
     for (auto &c : calls) {
         Call *call = c.second.get();
         if (call->open && call->entry_id == id) {
             call->open = false;
+            call->caller = nullptr;
             if (now + RESEND_MS < call->deadline) {
                 after(RESEND_MS, [this, call] { send_call(call); });
             }
@@ -578,12 +685,22 @@
     for (auto &p : agents) {
         FakeAgent *a = p.get();
         uint64_t agent_id = a->id;
-        after(MESSAGE_MS, [this, a, agent_id, id] {
-            if (a->up && a->id == agent_id) {
+        after(MESSAGE_MS, [this, a, agent_id, id, dark] {
+            if (!dark && a->up && a->id == agent_id) {
                 on_agent(a, [this, a, id] { ag_refused(&a->a, now, id); });
             }
         });
     }
+    for (auto &p : entries) {
+        FakeEntry *other = p.get();
+        uint64_t other_id = other->id;
+        after(MESSAGE_MS, [this, other, other_id, id, dark] {
+            if (!dark && other->up && other->id == other_id) {
+                on_entry(other,
+                    [this, other, id] { rl_refused(&other->r, now, id); });
+            }
+        });
+    }
     after(for_ms, [this, i] { start_entry(i); });
 }
 
@@ -634,7 +751,7 @@
         for (auto &fn : unread) {
             fn();
         }
-        on_entry(e, [this, e] { co_tick(&e->c, now); });
+        on_entry(e, [this, e] { tick_both(e); });
     });
 }
 
@@ -850,24 +967,18 @@
         trace("entry %zu (%lu): job %lu comes, send %u", e->index, e->id,
             c->id, c->sends);
         on_entry(e, [this, e, c] {
-            std::vector<co_task_spec> specs(
-                c->task_ms.size(), {6000, 64, 0, c->task_ms[0]});
-            struct co_submit s = {};
-
             if (now >= c->deadline) {
                 return;
             }
-            s.id = c->id;
-            s.wall_ms = now;
-            s.spec = STR("spec");
-            s.service = "s";
-            s.attempts = 3;
-            s.route_name = "r";
-            s.route = {1000, 100};
-            s.left_ms = (uint32_t)(c->deadline - now);
-            s.tasks = specs.data();
-            s.count = specs.size();
-            co_submit(&e->c, now, &s, c);
+            c->caller = new FakeCaller{c, nullptr};
+            std::string path = std::to_string(c->id);
+            if (give_part > 0 && chance() < give_part &&
+                rl_give(&e->r, now, c->caller, STR("host"),
+                    str_make(path.data(), path.size()), STR("body"),
+                    (uint32_t)(c->deadline - now))) {
+                return;
+            }
+            submit_at(e, c, c->caller);
         });
     });
     /* The caller leaves at its deadline. */
@@ -877,11 +988,37 @@
         }
         c->open = false;
         if (e->up && e->id == id) {
-            on_entry(e, [this, e, c] { co_leave(&e->c, now, c); });
+            on_entry(e, [this, e, c] {
+                if (c->caller != nullptr && !rl_drop(&e->r, c->caller)) {
+                    co_leave(&e->c, now, c->caller);
+                }
+                delete c->caller;
+                c->caller = nullptr;
+            });
         }
     });
 }
 
+void
+World::submit_at(FakeEntry *e, Call *c, FakeCaller *who)
+{
+    std::vector<co_task_spec> specs(
+        c->task_ms.size(), {6000, 64, 0, c->task_ms[0]});
+    struct co_submit s = {};
+
+    s.id = c->id;
+    s.wall_ms = now;
+    s.spec = STR("spec");
+    s.service = "s";
+    s.attempts = 3;
+    s.route_name = "r";
+    s.route = {1000, 100};
+    s.left_ms = (uint32_t)(c->deadline - now);
+    s.tasks = specs.data();
+    s.count = specs.size();
+    co_submit(&e->c, now, &s, who);
+}
+
 void
 World::answered(Call *c, uint64_t entry_id, co_outcome how)
 {
@@ -890,6 +1027,10 @@
         return;
     }
     c->open = false;
+    if (how == CO_GAVE_UP && now + RESEND_MS < c->deadline) {
+        after(RESEND_MS, [this, c] { send_call(c); });
+        return;
+    }
     c->answers++;
     c->done = true;
     c->completed = how == CO_COMPLETED;
--- a/test/world.hh
+++ b/test/world.hh
@@ -21,6 +21,7 @@
 
 #include "agent.h"
 #include "coord.h"
+#include "relay.h"
 
 /* What a worker is told by its agent, and does. */
 struct FakeWorker {
@@ -68,10 +69,19 @@
     bool up = false;
     uint64_t frozen_until = 0;
     coord c;
+    relay r;
     std::vector<std::function<void()>> unread;
     std::vector<std::function<void()>> answers;
 };
 
+struct Call;
+
+/* Who waits for a job: a caller here, or another entry for one there. */
+struct FakeCaller {
+    Call *call;
+    rl_taken *taken;
+};
+
 /* One call of a caller: it may be sent again elsewhere. */
 struct Call {
     uint64_t id;
@@ -80,6 +90,7 @@
     uint64_t deadline;
     size_t entry;
     uint64_t entry_id;
+    FakeCaller *caller = nullptr; /* at that entry */
     bool open = false;
     uint32_t sends = 0;
     uint32_t answers = 0;
@@ -100,6 +111,10 @@
     void freeze_entry(size_t i, uint64_t for_ms);
     void cut(size_t entry, size_t agent, bool to_agent, bool to_entry,
         uint64_t for_ms);
+    /* Between two entries. */
+    void cut_entries(size_t from, size_t to, uint64_t for_ms);
+    /* The machine has no power: nobody is told by its port. */
+    void darken_entry(size_t i, uint64_t for_ms);
     void crash_worker(size_t i, uint64_t for_ms);
     void drain_worker(size_t i);
 
@@ -110,6 +125,8 @@
     /* Prints if DW_TRACE is set. */
     void trace(const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 
+    double give_part = 0; /* of the requests that an entry gives to another */
+
     uint64_t now = 1000;
     std::vector<std::unique_ptr<FakeWorker>> workers;
     std::vector<std::unique_ptr<FakeAgent>> agents;
@@ -118,6 +135,7 @@
     std::vector<std::string> broken; /* promises, in words */
     uint64_t starts = 0;
     uint64_t messages = 0;
+    uint64_t given = 0; /* requests, from entry to entry */
 
     /* For the fakes. */
     struct Event {
@@ -135,8 +153,11 @@
     void tick_agent(FakeAgent *a, uint64_t id);
     void beat_agent(FakeAgent *a, uint64_t id);
     void tick_entry(FakeEntry *e, uint64_t id);
+    void tick_both(FakeEntry *e);
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
+    void end_entry(size_t i, uint64_t for_ms, bool dark);
+    void submit_at(FakeEntry *e, Call *c, FakeCaller *who);
     void answered(Call *c, uint64_t entry_id, co_outcome how);
     void worker_tick(FakeWorker &w);
     bool worker_start(size_t i, const rn_key &key, uint32_t millicores,
--- a/web.c
+++ b/web.c
@@ -50,8 +50,8 @@
     size_t open;
     bool draining;
     struct web_conn *conns;
-    bool due;      /* there is something to read or to send */
-    bool closing;  /* each answer asks the caller to connect anew */
+    bool due;     /* there is something to read or to send */
+    bool closing; /* each answer asks the caller to connect anew */
 };
 
 static void
--- a/web.h
+++ b/web.h
@@ -3,8 +3,8 @@
  *
  * A handler answers at once with web_reply() or later, while the connection
  * is suspended; answers leave before the loop waits again.  What comes is
- * read at the end of a pass of the loop.  Malformed, oversized and slow requests are ended here and
- * cost no one else.
+ * read at the end of a pass of the loop.  Malformed, oversized and slow
+ * requests are ended here and cost no one else.
  */
 #ifndef WEB_H
 #define WEB_H
