dwsim: entries with a processor of their own, and ways to compare

Change: an entry may have a part of a core; messages, requests, beginning a job, a tick and answers take what was measured of the daemon, pass by pass in its order, with intake, lag and relay as they are, and a balancer that looks each second. Trouble entry_slow; [ways] entries_keep and entries_stay switch giving and leaving off. Entries moved from sim.c to simentry.c.

--- a/dwsim.c
+++ b/dwsim.c
@@ -20,7 +20,9 @@
 #define PATH_CAP 512
 #define CSV_HEAD                                                              \
     "seed,worth,in_time,late,refused,lost,held_in_vain,refused_at_once,"      \
-    "runs,bounced,moved,messages,run_error,broken"
+    "runs,bounced,moved,messages,run_error,broken,given,sessions_lost,"       \
+    "longest_pass_us"
+#define CSV_NUMBERS 17
 
 struct experiment {
     struct sim_ranges ranges;
@@ -44,6 +46,9 @@
     uint64_t messages;
     double run_error;
     uint64_t broken;
+    uint64_t given;
+    uint64_t sessions_lost;
+    uint64_t longest_pass_us;
 };
 
 /* --- experiment files --- */
@@ -69,6 +74,10 @@
     {"machines.domains_max", RANGE(domains_max), KEY_U32, 2, SIM_DOMAINS_MAX},
     {"machines.entries_min", RANGE(entries_min), KEY_U32, 1, 12},
     {"machines.entries_max", RANGE(entries_max), KEY_U32, 1, 12},
+    {"machines.cores_least", RANGE(cpu_min), KEY_REAL, 0.001, 64},
+    {"machines.cores_most", RANGE(cpu_max), KEY_REAL, 0.001, 64},
+    {"ways.entries_keep", RANGE(keep), KEY_BOOL, 0, 1},
+    {"ways.entries_stay", RANGE(stay), KEY_BOOL, 0, 1},
     {"load.least", RANGE(load_min), KEY_REAL, 0.01, 3},
     {"load.most", RANGE(load_max), KEY_REAL, 0.01, 3},
     {"load.burst_most", RANGE(burst_max), KEY_REAL, 1.2, 10},
@@ -205,6 +214,7 @@
 static const struct pair pairs[] = {
     {"machines.workers_min", "machines.workers_max"},
     {"machines.entries_min", "machines.entries_max"},
+    {"machines.cores_least", "machines.cores_most"},
     {"load.least", "load.most"},
     {"load.task_millicores_least", "load.task_millicores_most"},
     {"troubles.least", "troubles.most"},
@@ -282,7 +292,10 @@
         .bounced = r->bounced,
         .moved = r->moved,
         .messages = r->messages,
-        .run_error = r->run_error};
+        .run_error = r->run_error,
+        .given = r->given,
+        .sessions_lost = r->sessions_lost,
+        .longest_pass_us = r->longest_pass_us};
 
     for (size_t i = 0; i < r->broken.n; i++) {
         d.broken += r->broken.p[i] == '\n';
@@ -387,13 +400,16 @@
     for (uint64_t i = 0; i < n; i++) {
         fprintf(out,
             "%llu,%.6f,%.6f,%.6f,%.6f,%.6f,%llu,%llu,%llu,%llu,%llu,%llu,"
-            "%.6f,%llu\n",
+            "%.6f,%llu,%llu,%llu,%llu\n",
             (unsigned long long)d[i].seed, d[i].worth, d[i].in_time, d[i].late,
             d[i].refused, d[i].lost, (unsigned long long)d[i].held_in_vain,
             (unsigned long long)d[i].refused_at_once,
             (unsigned long long)d[i].runs, (unsigned long long)d[i].bounced,
             (unsigned long long)d[i].moved, (unsigned long long)d[i].messages,
-            d[i].run_error, (unsigned long long)d[i].broken);
+            d[i].run_error, (unsigned long long)d[i].broken,
+            (unsigned long long)d[i].given,
+            (unsigned long long)d[i].sessions_lost,
+            (unsigned long long)d[i].longest_pass_us);
     }
 }
 
@@ -424,11 +440,13 @@
             continue;
         }
         if (sscanf(line,
-                "%lu,%lf,%lf,%lf,%lf,%lf,%lu,%lu,%lu,%lu,%lu,%lu,%lf,%lu",
+                "%lu,%lf,%lf,%lf,%lf,%lf,%lu,%lu,%lu,%lu,%lu,%lu,%lf,%lu,%lu,"
+                "%lu,%lu",
                 &d.seed, &d.worth, &d.in_time, &d.late, &d.refused, &d.lost,
                 &d.held_in_vain, &d.refused_at_once, &d.runs, &d.bounced,
-                &d.moved, &d.messages, &d.run_error, &d.broken) != 14) {
-            err_set(e, "%s:%zu: want 14 numbers", path, number);
+                &d.moved, &d.messages, &d.run_error, &d.broken, &d.given,
+                &d.sessions_lost, &d.longest_pass_us) != CSV_NUMBERS) {
+            err_set(e, "%s:%zu: want %d numbers", path, number, CSV_NUMBERS);
             goto out;
         }
         *out = dw_grow(*out, (*n + 1) * sizeof(**out));
@@ -507,6 +525,24 @@
     return d->run_error;
 }
 
+static double
+given_of(const struct day *d)
+{
+    return (double)d->given;
+}
+
+static double
+sessions_lost_of(const struct day *d)
+{
+    return (double)d->sessions_lost;
+}
+
+static double
+longest_pass_of(const struct day *d)
+{
+    return (double)d->longest_pass_us / 1000;
+}
+
 static const struct column *
 columns_of(size_t *n)
 {
@@ -521,6 +557,9 @@
         {"moved, of runs", moved_of},
         {"messages a run", messages_of},
         {"error of run times, ln", run_error_of},
+        {"given to entries", given_of},
+        {"sessions lost", sessions_lost_of},
+        {"longest pass, ms", longest_pass_of},
     };
 
     *n = sizeof(columns) / sizeof(columns[0]);
--- a/sim-int.h
+++ b/sim-int.h
@@ -9,6 +9,9 @@
 
 #include "agent.h"
 #include "coord.h"
+#include "intake.h"
+#include "lag.h"
+#include "relay.h"
 #include "sim.h"
 
 struct sim;
@@ -87,6 +90,24 @@
     struct agent a;
 };
 
+/* Who waits for a job at an entry: a caller, or another entry. */
+struct sim_caller {
+    struct sim_job *job;
+    uint32_t try;
+    struct rl_taken *taken; /* NULL: a caller */
+    struct sim_caller *prev;
+    struct sim_caller *next;
+};
+
+/* What waits to be read by an entry. */
+struct sim_input {
+    struct sim_input *next;
+    uint64_t from;
+    dw_msg *msg;  /* NULL: a request */
+    uint64_t job; /* of that */
+    uint32_t try;
+};
+
 struct sim_answer {
     struct sim_answer *next;
     struct sim_job *job;
@@ -101,6 +122,19 @@
     uint64_t id;
     struct coord c;
     struct sim_answer *answers; /* newest first */
+    struct sim_caller *callers;
+    struct relay relay;
+    /* With a processor. */
+    double slow; /* times */
+    struct lag lag;
+    struct intake intake;
+    struct sim_input *inputs;
+    struct sim_input **inputs_tail;
+    bool working;     /* a pass is due or under way */
+    uint64_t tick_us; /* when it is due next */
+    double spent_us;  /* of this pass, so far */
+    double give_credit;
+    uint32_t missed_looks; /* of the balancer */
 };
 
 enum sim_end {
@@ -126,7 +160,8 @@
     uint64_t objective_us; /* length */
     double worth;
     uint32_t try;
-    bool open; /* the last try waits for its answer */
+    bool open;                 /* the last try waits for its answer */
+    struct sim_caller *caller; /* at that entry, if it has read it */
     uint64_t entry_id;
     bool hopeless;
     bool started;
@@ -161,6 +196,14 @@
     double error_sum;
 };
 
+#define SIM_TICK_US 20000U
+#define SIM_ENTRY_BIT 0x8000U
+
+/* What an event of a process is for; it may have died since. */
+struct sim_alive {
+    uint64_t id;
+};
+
 /* Requests begin then; what is before is for the fleet to start. */
 #define SIM_LEAD_US 2000000U
 #define SIM_SERVICE "s"
@@ -182,12 +225,30 @@
 double sim_chance(struct sim *s);
 /* An agent that still is the process that asked. */
 bool sim_same(const struct sim_call *c);
-/* After whatever an entry was given: send, then answer. */
-void sim_flush_entry(struct sim_entry *e);
+/* For an event of a process; whoever handles it frees it. */
+struct sim_alive *sim_alive(uint64_t id);
+uint64_t sim_new_id(struct sim *s, uint32_t place);
+void sim_domain_name(char *out, size_t cap, uint32_t domain);
+/* It leaves after_us from now. */
+void sim_send(struct sim *s, uint64_t after_us, uint64_t from, uint64_t to,
+    const dw_msg *msg);
 struct sim_entry *sim_entry_of(struct sim *s, uint64_t id);
 void sim_broken(struct sim *s, const char *fmt, ...)
     __attribute__((format(printf, 2, 3)));
 
+/* --- simentry.c: entries and their processors --- */
+void sim_entry_start(struct sim *s, struct sim_entry *e);
+void sim_entry_end(struct sim *s, struct sim_entry *e);
+/* A message has come, which the entry frees. */
+void sim_entry_message(struct sim_entry *e, uint64_t from, dw_msg *msg);
+/* A request has come. */
+void sim_entry_request(struct sim_entry *e, struct sim_job *j);
+/* A caller has left. */
+void sim_entry_left(struct sim_entry *e, struct sim_job *j);
+/* The balancer sends it callers. */
+bool sim_entry_in_rotation(const struct sim_entry *e);
+void sim_read_store(struct sim *s, void *alive);
+
 /* --- simwork.c: workers and the calls of their agents --- */
 extern const struct rn_ops sim_worker_ops;
 void sim_worker_start(struct sim *s, struct sim_worker *w);
@@ -201,6 +262,10 @@
 void sim_note_estimate(struct sim *s, uint32_t estimated_ms, uint32_t true_ms);
 struct sim_job *sim_job_of(struct sim *s, uint64_t id);
 void sim_callers_start(struct sim *s);
+/* The job if this try of it still waits. */
+struct sim_job *sim_open_try(struct sim *s, uint64_t job, uint32_t try);
+/* What the job asks of an entry; free(3) its tasks. */
+struct co_submit sim_submission(const struct sim *s, const struct sim_job *j);
 void sim_answered(struct sim *s, const struct sim_answer *a);
 /* Every open try at the entry ends without an answer. */
 void sim_cut(struct sim *s, uint64_t entry_id);
--- a/sim.c
+++ b/sim.c
@@ -1,4 +1,4 @@
-/* Time, processes, the network between them and the troubles of a day. */
+/* Time, agents, the network and the troubles of a day. */
 #include "sim.h"
 
 #include <stdarg.h>
@@ -9,13 +9,10 @@
 #include "num.h"
 #include "sim-int.h"
 
-#define TICK_US 20000U
 /* us between a worker's reports about itself. */
 #define BEAT_US 1500000U
-/* us from an agent's start until it stands in the store, and from an entry's
- * until it has read the store. */
+/* us from an agent's start until it stands in the store. */
 #define ENTER_US 30000U
-#define READ_US 20000U
 #define MEMORY_MB 1000000U
 /* The soonest a dead process runs again, in ms. */
 #define START_MIN_MS 50U
@@ -37,6 +34,7 @@
     [SIM_LARGE] = "large",
     [SIM_HOPELESS] = "hopeless",
     [SIM_ENTRY_KILL] = "entry_kill",
+    [SIM_ENTRY_SLOW] = "entry_slow",
 };
 
 /* --- time --- */
@@ -124,12 +122,11 @@
 };
 
 /* An id tells where a process is: its life above, then its place. */
-#define ENTRY_BIT 0x8000U
 #define PLACE_MASK 0x7fffU
 #define LIFE_SHIFT 16U
 
-static uint64_t
-new_id(struct sim *s, uint32_t place)
+uint64_t
+sim_new_id(struct sim *s, uint32_t place)
 {
     return ++s->next_life << LIFE_SHIFT | place;
 }
@@ -139,7 +136,7 @@
 {
     struct sim_entry *e = &s->entries[id & PLACE_MASK];
 
-    return (id & ENTRY_BIT) != 0 && e->id == id ? e : NULL;
+    return (id & SIM_ENTRY_BIT) != 0 && e->id == id ? e : NULL;
 }
 
 static struct sim_agent *
@@ -147,7 +144,7 @@
 {
     struct sim_agent *a = &s->agents[id & PLACE_MASK];
 
-    return (id & ENTRY_BIT) == 0 && a->id == id ? a : NULL;
+    return (id & SIM_ENTRY_BIT) == 0 && a->id == id ? a : NULL;
 }
 
 bool
@@ -156,28 +153,6 @@
     return c->agent->id == c->agent_id;
 }
 
-void
-sim_flush_entry(struct sim_entry *e)
-{
-    struct sim_answer *list = NULL;
-
-    co_flush(&e->c, sim_ms(e->s));
-    while (e->answers != NULL) {
-        struct sim_answer *a = e->answers;
-
-        e->answers = a->next;
-        a->next = list;
-        list = a;
-    }
-    while (list != NULL) {
-        struct sim_answer *a = list;
-
-        list = a->next;
-        sim_answered(e->s, a);
-        free(a);
-    }
-}
-
 static void
 arrives(struct sim *s, void *data)
 {
@@ -185,11 +160,12 @@
     struct sim_entry *e = sim_entry_of(s, m->to);
     struct sim_agent *a = agent_of(s, m->to);
 
-    if (e != NULL && m->msg->type == DW_REPORT) {
-        co_report(&e->c, sim_ms(s), m->from, &m->msg->dw_msg_u.report);
-        sim_flush_entry(e);
+    if (e != NULL) {
+        sim_entry_message(e, m->from, m->msg);
+        free(m);
+        return;
     }
-    else if (a != NULL && m->msg->type == DW_ORDERS) {
+    if (a != NULL && m->msg->type == DW_ORDERS) {
         ag_orders(&a->a, sim_ms(s), m->from, &m->msg->dw_msg_u.orders);
         ag_flush(&a->a, sim_ms(s));
     }
@@ -205,14 +181,15 @@
                : s->d->far_us;
 }
 
-static void
-send_message(struct sim *s, uint64_t from, uint64_t to, const dw_msg *msg)
+void
+sim_send(struct sim *s, uint64_t after_us, uint64_t from, uint64_t to,
+    const dw_msg *msg)
 {
     struct message *m = dw_zero(1, sizeof(*m));
 
     *m = (struct message){from, to, msg_clone(msg)};
     s->out->messages++;
-    sim_at(s, way_us(s, from, to), arrives, m);
+    sim_at(s, after_us + way_us(s, from, to), arrives, m);
 }
 
 /* --- agents --- */
@@ -222,7 +199,7 @@
 {
     struct sim_agent *a = ctx;
 
-    send_message(a->s, a->id, to, msg);
+    sim_send(a->s, 0, a->id, to, msg);
 }
 
 static void
@@ -256,15 +233,10 @@
 static struct ag_ops agent_ops = {
     {0}, agent_send, agent_reconnect, agent_note_end, agent_note_session};
 
-/* What an event of a process is for; it may have died since. */
-struct alive {
-    uint64_t id;
-};
-
-static struct alive *
-alive(uint64_t id)
+struct sim_alive *
+sim_alive(uint64_t id)
 {
-    struct alive *p = dw_zero(1, sizeof(*p));
+    struct sim_alive *p = dw_zero(1, sizeof(*p));
 
     p->id = id;
     return p;
@@ -273,7 +245,7 @@
 static void
 tick_agent(struct sim *s, void *data)
 {
-    struct alive *p = data;
+    struct sim_alive *p = data;
     struct sim_agent *a = agent_of(s, p->id);
 
     if (a == NULL) {
@@ -282,7 +254,7 @@
     }
     ag_tick(&a->a, sim_ms(s));
     ag_flush(&a->a, sim_ms(s));
-    sim_at(s, TICK_US, tick_agent, p);
+    sim_at(s, SIM_TICK_US, tick_agent, p);
 }
 
 static void
@@ -300,7 +272,7 @@
 static void
 beat_worker(struct sim *s, void *data)
 {
-    struct alive *p = data;
+    struct sim_alive *p = data;
     struct sim_agent *a = agent_of(s, p->id);
 
     if (a == NULL) {
@@ -313,74 +285,20 @@
 
 /* --- the store --- */
 
-static void
-domain_name(char *out, size_t cap, uint32_t domain)
+void
+sim_domain_name(char *out, size_t cap, uint32_t domain)
 {
     snprintf(out, cap, "d%u", domain);
 }
 
-static void
-tell_withdrawn(struct sim_entry *e)
-{
-    char names[SIM_DOMAINS_MAX][FL_NAME_MAX];
-    const char *list[SIM_DOMAINS_MAX];
-    size_t n = 0;
-
-    for (uint32_t i = 0; i < e->s->d->domains; i++) {
-        if (e->s->withdrawn[i]) {
-            domain_name(names[n], sizeof(names[n]), i);
-            list[n] = names[n];
-            n++;
-        }
-    }
-    fl_withdraw(&e->c.fleet, list, n);
-}
-
-static void
-tell_members(struct sim_entry *e)
-{
-    struct fl_agent *a;
-    char name[FL_NAME_MAX];
-    char domain[FL_NAME_MAX];
-
-    for (a = e->c.fleet.agents; a != NULL; a = a->hh.next) {
-        a->member = false;
-    }
-    for (uint32_t i = 0; i < e->s->d->workers; i++) {
-        if (e->s->entered[i] == 0) {
-            continue;
-        }
-        snprintf(name, sizeof(name), "worker-%u", i);
-        domain_name(domain, sizeof(domain), sim_domain(e->s, i));
-        a = fl_add(&e->c.fleet, e->s->entered[i], name, domain, SIM_SERVICE);
-        a->member = true;
-    }
-    tell_withdrawn(e);
-}
-
-static void
-read_store(struct sim *s, void *data)
-{
-    struct alive *p = data;
-    struct sim_entry *e = sim_entry_of(s, p->id);
-
-    if (e != NULL) {
-        tell_members(e);
-        for (uint32_t i = 0; i < s->d->entries; i++) {
-            gs_load(&e->c.times, buf_str(&s->times[i]));
-        }
-        sim_flush_entry(e);
-    }
-    free(p);
-}
-
 /* The store's watches tell everybody. */
 static void
 store_changed(struct sim *s)
 {
     for (uint32_t i = 0; i < s->d->entries; i++) {
         if (s->entries[i].id != 0) {
-            sim_at(s, s->d->far_us, read_store, alive(s->entries[i].id));
+            sim_at(
+                s, s->d->far_us, sim_read_store, sim_alive(s->entries[i].id));
         }
     }
 }
@@ -388,7 +306,7 @@
 static void
 enter_agent(struct sim *s, void *data)
 {
-    struct alive *p = data;
+    struct sim_alive *p = data;
     struct sim_agent *a = agent_of(s, p->id);
 
     if (a != NULL) {
@@ -403,138 +321,13 @@
 static void
 start_agent(struct sim *s, struct sim_agent *a)
 {
-    a->id = new_id(s, a->index);
+    a->id = sim_new_id(s, a->index);
     ag_init(&a->a, sim_ms(s), &agent_ops, a);
     tell_worker(s, a);
-    sim_at(s, (uint64_t)(sim_chance(s) * TICK_US), tick_agent, alive(a->id));
-    sim_at(s, BEAT_US, beat_worker, alive(a->id));
-    sim_at(s, ENTER_US, enter_agent, alive(a->id));
-}
-
-static void
-entry_send(void *ctx, uint64_t to, const dw_msg *msg)
-{
-    struct sim_entry *e = ctx;
-
-    send_message(e->s, e->id, to, msg);
-}
-
-static void
-entry_answer(void *ctx, void *handle, enum co_outcome how, const char *reason,
-    uint32_t retry_ms)
-{
-    struct sim_entry *e = ctx;
-    struct sim_answer *a = dw_zero(1, sizeof(*a));
-
-    (void)reason;
-    a->job = handle;
-    a->try = a->job->try;
-    a->how = how;
-    a->retry_ms = retry_ms;
-    a->next = e->answers;
-    e->answers = a;
-}
-
-static void
-entry_note(void *ctx, const struct co_job *job, const char *text)
-{
-    struct sim_entry *e = ctx;
-    const struct sim_job *j = sim_job_of(e->s, job->id);
-    uint32_t longest = 1;
-
-    if (j == NULL || strcmp(text, "done") != 0) {
-        return;
-    }
-    for (uint32_t i = 0; i < j->count; i++) {
-        longest = (uint32_t)num_max(longest, j->task_us[i] / 1000);
-    }
-    sim_note_estimate(e->s, (uint32_t)job->longest_ms, longest);
-}
-
-static void
-entry_note_refusal(void *ctx, const struct co_submit *sub,
-    const struct gs_guess *g, const char *why, uint64_t waiting_ms)
-{
-    (void)ctx;
-    (void)sub;
-    (void)g;
-    (void)why;
-    (void)waiting_ms;
-}
-
-static void
-entry_note_run(
-    void *ctx, const struct co_job *job, uint32_t index, const char *what)
-{
-    (void)ctx;
-    (void)job;
-    (void)index;
-    (void)what;
-}
-
-static void
-entry_note_agent(void *ctx, const struct fl_agent *a, const char *what)
-{
-    (void)ctx;
-    (void)a;
-    (void)what;
-}
-
-static const struct co_ops entry_ops = {entry_send, entry_answer, entry_note,
-    entry_note_refusal, entry_note_run, entry_note_agent};
-
-static void
-tick_entry(struct sim *s, void *data)
-{
-    struct alive *p = data;
-    struct sim_entry *e = sim_entry_of(s, p->id);
-
-    if (e == NULL) {
-        free(p);
-        return;
-    }
-    co_tick(&e->c, sim_ms(s));
-    sim_flush_entry(e);
-    if (gs_keep_due(&e->c.times, sim_ms(s))) {
-        buf_free(&s->times[e->index]);
-        gs_save(&e->c.times, &s->times[e->index]);
-    }
-    sim_at(s, TICK_US, tick_entry, p);
-}
-
-static void
-start_entry(struct sim *s, struct sim_entry *e)
-{
-    char domain[FL_NAME_MAX];
-
-    domain_name(domain, sizeof(domain), sim_domain(s, e->index));
-    e->id = new_id(s, e->index | ENTRY_BIT);
-    e->answers = NULL;
-    co_init(&e->c, &entry_ops, e, gsl_rng_get(s->rng), domain, "10.0.0.1", 1);
-    fl_set_rank(&e->c.fleet, e->index / s->d->domains, e->index);
-    sim_at(s, READ_US, read_store, alive(e->id));
-    sim_at(s, (uint64_t)(sim_chance(s) * TICK_US), tick_entry, alive(e->id));
-}
-
-static void
-end_entry(struct sim *s, struct sim_entry *e)
-{
-    uint64_t id = e->id;
-
-    if (id == 0) {
-        return;
-    }
-    e->id = 0;
-    while (e->answers != NULL) {
-        struct sim_answer *a = e->answers;
-
-        e->answers = a->next;
-        free(a);
-    }
-    s->out->runs += e->c.stats.runs;
-    s->out->moved += e->c.stats.moved;
-    co_free(&e->c);
-    sim_cut(s, id);
+    sim_at(s, (uint64_t)(sim_chance(s) * SIM_TICK_US), tick_agent,
+        sim_alive(a->id));
+    sim_at(s, BEAT_US, beat_worker, sim_alive(a->id));
+    sim_at(s, ENTER_US, enter_agent, sim_alive(a->id));
 }
 
 static void
@@ -558,7 +351,7 @@
 entry_back(struct sim *s, void *data)
 {
     if (!s->over) {
-        start_entry(s, data);
+        sim_entry_start(s, data);
     }
 }
 
@@ -627,7 +420,7 @@
     (void)t;
     for (uint32_t i = 0; i < s->d->entries; i++) {
         if (begins) {
-            end_entry(s, &s->entries[i]);
+            sim_entry_end(s, &s->entries[i]);
         }
         else {
             sim_at(s, start_delay_us(s), entry_back, &s->entries[i]);
@@ -716,6 +509,12 @@
     s->hopeless_share = begins ? t->share : 0;
 }
 
+static void
+entry_slow(struct sim *s, const struct sim_trouble *t, bool begins)
+{
+    s->entries[t->target % s->d->entries].slow = begins ? t->x : 1;
+}
+
 static void
 entry_kill(struct sim *s, const struct sim_trouble *t, bool begins)
 {
@@ -724,11 +523,11 @@
 
     if (!begins) {
         if (id == 0) {
-            start_entry(s, e);
+            sim_entry_start(s, e);
         }
         return;
     }
-    end_entry(s, e);
+    sim_entry_end(s, e);
     for (uint32_t i = 0; id != 0 && i < s->d->workers; i++) {
         if (s->agents[i].id != 0) {
             ag_refused(&s->agents[i].a, sim_ms(s), id);
@@ -752,6 +551,7 @@
     [SIM_LARGE] = large,
     [SIM_HOPELESS] = hopeless,
     [SIM_ENTRY_KILL] = entry_kill,
+    [SIM_ENTRY_SLOW] = entry_slow,
 };
 
 static void
@@ -782,7 +582,7 @@
         sim_worker_tick(s, &s->workers[i]);
     }
     if (!s->over) {
-        sim_at(s, TICK_US, tick_workers, NULL);
+        sim_at(s, SIM_TICK_US, tick_workers, NULL);
     }
 }
 
@@ -803,6 +603,7 @@
     for (uint32_t i = 0; i < d->entries; i++) {
         s->entries[i].s = s;
         s->entries[i].index = i;
+        s->entries[i].slow = 1;
         sim_at(s, start_delay_us(s), entry_back, &s->entries[i]);
     }
     for (uint32_t k = 0; k < d->kinds; k++) {
@@ -826,7 +627,7 @@
 {
     s->over = true;
     for (uint32_t i = 0; i < s->d->entries; i++) {
-        end_entry(s, &s->entries[i]);
+        sim_entry_end(s, &s->entries[i]);
     }
     for (uint32_t i = 0; i < s->d->workers; i++) {
         end_agent(&s->agents[i]);
--- a/sim.h
+++ b/sim.h
@@ -68,6 +68,7 @@
     SIM_LARGE,       /* x times the width, of one kind */
     SIM_HOPELESS,    /* a share of the jobs fails whenever run */
     SIM_ENTRY_KILL,  /* one entry dies and comes back */
+    SIM_ENTRY_SLOW,  /* one entry's processor is x times slower */
     SIM_TROUBLE_KINDS
 };
 
@@ -103,6 +104,9 @@
     uint32_t millicores[SIM_WORKERS_MAX];
     double speed[SIM_WORKERS_MAX];
     double entry_share[SIM_ENTRIES_MAX]; /* of its domain's callers */
+    double entry_cpu[SIM_ENTRIES_MAX];   /* cores; 0: its work takes no time */
+    bool entries_keep;                   /* give no requests to one another */
+    bool entries_stay;                   /* in the balancer's rotation */
     struct sim_kind kind[SIM_KINDS_MAX];
     struct sim_trouble trouble[SIM_TROUBLES_MAX];
     double per_s;    /* requests */
@@ -141,7 +145,10 @@
     uint64_t bounced; /* sent back by a full agent */
     uint64_t moved;
     uint64_t messages;
-    double run_error; /* mean of |ln(estimated over true run time)| */
+    uint64_t given;           /* requests, from entry to entry */
+    uint64_t sessions_lost;   /* that entries had with agents */
+    uint64_t longest_pass_us; /* of an entry's loop */
+    double run_error;         /* mean of |ln(estimated over true run time)| */
     uint64_t estimates;
     struct buf broken; /* promises, in words, a line each */
 };
@@ -168,6 +175,10 @@
     double per_s_max; /* requests; beyond it run times are longer */
     uint32_t task_millicores_min;
     uint32_t task_millicores_max;
+    double cpu_min; /* cores of an entry; 0: its work takes no time */
+    double cpu_max;
+    bool keep;        /* entries give no requests to one another */
+    bool stay;        /* nor leave the balancer's rotation */
     double burst_max; /* times the usual requests */
     uint32_t troubles_min;
     uint32_t troubles_max;
--- a/simcall.c
+++ b/simcall.c
@@ -135,13 +135,12 @@
     return t;
 }
 
-/* The job if this try of it still waits. */
-static struct sim_job *
-open_try(struct sim *s, const struct try *t)
+struct sim_job *
+sim_open_try(struct sim *s, uint64_t job, uint32_t try)
 {
-    struct sim_job *j = sim_job_of(s, t->job);
+    struct sim_job *j = sim_job_of(s, job);
 
-    return j != NULL && j->open && j->try == t->number ? j : NULL;
+    return j != NULL && j->open && j->try == try ? j : NULL;
 }
 
 static void
@@ -152,26 +151,45 @@
     j->end_us = s->now_us;
 }
 
-/* By chance as the balancer's hash is uneven; of another domain if all of the
- * caller's own are gone. */
+/* The balancer sends callers to entries of their own domain while half of them
+ * are in rotation, to all of that domain while fewer are, and to others while
+ * none is. */
+static bool
+serves(const struct sim *s, uint32_t i, uint32_t domain, bool own)
+{
+    const struct sim_entry *e = &s->entries[i];
+    uint32_t all = 0;
+    uint32_t in = 0;
+
+    if (e->id == 0 || (own && sim_domain(s, i) != domain)) {
+        return false;
+    }
+    if (!own || s->d->entry_cpu[i] <= 0) {
+        return true;
+    }
+    for (uint32_t k = domain; k < s->d->entries; k += s->d->domains) {
+        all++;
+        in += sim_entry_in_rotation(&s->entries[k]);
+    }
+    return in > 0 && (2 * in < all || sim_entry_in_rotation(e));
+}
+
+/* By chance as the balancer's hash is uneven. */
 static struct sim_entry *
 draw_entry(struct sim *s, uint32_t domain)
 {
-    double sum = 0;
-    double at;
-
     for (int own = 1; own >= 0; own--) {
-        sum = 0;
+        double sum = 0;
+        double at;
+
         for (uint32_t i = 0; i < s->d->entries; i++) {
-            if (s->entries[i].id != 0 &&
-                (!own || sim_domain(s, i) == domain)) {
+            if (serves(s, i, domain, own)) {
                 sum += s->d->entry_share[i];
             }
         }
         at = sim_chance(s) * sum;
         for (uint32_t i = 0; sum > 0 && i < s->d->entries; i++) {
-            if (s->entries[i].id != 0 &&
-                (!own || sim_domain(s, i) == domain)) {
+            if (serves(s, i, domain, own)) {
                 at -= s->d->entry_share[i];
                 if (at <= 0) {
                     return &s->entries[i];
@@ -182,13 +200,13 @@
     return NULL;
 }
 
-static void
-submit(struct sim *s, struct sim_entry *e, struct sim_job *j)
+struct co_submit
+sim_submission(const struct sim *s, const struct sim_job *j)
 {
+    static char routes[SIM_KINDS_MAX][16];
     const struct sim_kind *k = &s->d->kind[j->kind];
     struct co_task_spec *tasks = dw_zero(j->count, sizeof(*tasks));
     struct co_submit sub = {0};
-    char route[16];
 
     for (uint32_t i = 0; i < j->count; i++) {
         tasks[i] = (struct co_task_spec){k->millicores, 64, 0, j->declared_ms};
@@ -196,19 +214,16 @@
     sub.id = j->id;
     sub.wall_ms = sim_ms(s);
     sub.spec = STR("spec");
-    sub.service = "s";
+    sub.service = SIM_SERVICE;
     sub.priority = k->priority;
     sub.attempts = k->attempts;
-    snprintf(route, sizeof(route), "kind-%u", j->kind);
-    sub.route_name = route;
+    snprintf(routes[j->kind], sizeof(routes[j->kind]), "kind-%u", j->kind);
+    sub.route_name = routes[j->kind];
     sub.route = (struct gs_route){k->stretch_milli, k->slo_ms};
     sub.left_ms = (uint32_t)(num_minus(j->deadline_us, s->now_us) / 1000);
     sub.tasks = tasks;
     sub.count = j->count;
-    j->come_us = s->now_us;
-    co_submit(&e->c, sim_ms(s), &sub, j);
-    sim_flush_entry(e);
-    free(tasks);
+    return sub;
 }
 
 static void send_again(struct sim *s, void *data);
@@ -228,13 +243,14 @@
 reaches(struct sim *s, void *data)
 {
     struct try *t = data;
-    struct sim_job *j = open_try(s, t);
+    struct sim_job *j = sim_open_try(s, t->job, t->number);
 
     if (j != NULL) {
         struct sim_entry *e = sim_entry_of(s, j->entry_id);
 
         if (e != NULL) {
-            submit(s, e, j);
+            j->come_us = s->now_us;
+            sim_entry_request(e, j);
         }
         else {
             try_later(s, j, 1000ULL * s->d->resend_ms);
@@ -253,9 +269,8 @@
         struct sim_entry *e = sim_entry_of(s, j->entry_id);
         bool early = j->leave_us < j->deadline_us;
 
-        if (j->open && e != NULL && co_known(&e->c, j->id)) {
-            co_leave(&e->c, sim_ms(s), j);
-            sim_flush_entry(e);
+        if (j->open && e != NULL) {
+            sim_entry_left(e, j);
         }
         end(s, j, early ? SIM_LEFT : SIM_LOST);
     }
--- a/simdraw.c
+++ b/simdraw.c
@@ -34,6 +34,7 @@
     for (size_t i = 0; i < SIM_TROUBLE_KINDS; i++) {
         r->trouble[i] = true;
     }
+    r->trouble[SIM_ENTRY_SLOW] = false;
     for (size_t i = 0; i < SIM_PATIENCE_COUNT; i++) {
         r->patience[i] = true;
     }
@@ -209,6 +210,7 @@
     [SIM_LARGE] = {2, 4, 0, 0, 2000, 5000},
     [SIM_HOPELESS] = {0, 0, 0.03, 0.1, 2000, 5000},
     [SIM_ENTRY_KILL] = {0, 0, 0, 0, 500, 3000},
+    [SIM_ENTRY_SLOW] = {4, 8, 0, 0, 4000, 8000},
 };
 
 static void
@@ -227,7 +229,7 @@
         kind == SIM_BURST ? r->burst_max : sizes[kind].most);
     t->target = (uint32_t)gsl_rng_uniform_int(
         rng, kind == SIM_WITHDRAWN    ? d->domains
-             : kind == SIM_ENTRY_KILL ? d->entries
+             : kind >= SIM_ENTRY_KILL ? d->entries
                                       : d->kinds);
     t->all = kind == SIM_BURST && gsl_rng_uniform(rng) < 0.5;
 }
@@ -238,6 +240,7 @@
 {
     uint32_t n = whole_between(rng, r->troubles_min, r->troubles_max);
     bool had[SIM_TROUBLE_KINDS] = {false};
+    size_t kinds;
 
     for (size_t i = 0; i < SIM_TROUBLE_KINDS; i++) {
         if (r->every[i] && d->troubles < SIM_TROUBLES_MAX) {
@@ -245,8 +248,10 @@
             draw_trouble(d, rng, (enum sim_trouble_kind)i, r);
         }
     }
+    /* Days without processors stay as they were drawn before. */
+    kinds = r->trouble[SIM_ENTRY_SLOW] ? SIM_TROUBLE_KINDS : SIM_ENTRY_SLOW;
     for (uint32_t k = 0; k < n && d->troubles < SIM_TROUBLES_MAX; k++) {
-        size_t i = one_of(rng, r->trouble, SIM_TROUBLE_KINDS);
+        size_t i = one_of(rng, r->trouble, kinds);
 
         if (!had[i]) {
             had[i] = true;
@@ -255,6 +260,17 @@
     }
 }
 
+static void
+draw_processors(
+    struct sim_deployment *d, gsl_rng *rng, const struct sim_ranges *r)
+{
+    d->entries_keep = r->keep;
+    d->entries_stay = r->stay;
+    for (uint32_t i = 0; r->cpu_max > 0 && i < d->entries; i++) {
+        d->entry_cpu[i] = scale_between(rng, r->cpu_min, r->cpu_max);
+    }
+}
+
 void
 sim_draw(struct sim_deployment *d, uint64_t seed, const struct sim_ranges *r)
 {
@@ -268,5 +284,6 @@
     draw_machines(d, rng, r);
     draw_requests(d, rng, r);
     draw_troubles(d, rng, r);
+    draw_processors(d, rng, r);
     gsl_rng_free(rng);
 }
