Agents tell ample room with the next beat

Change: while a third of a worker's cores or more is free, a change of it waits for the beat (100 ms) in place of 5 ms an entry.

--- a/agent.c
+++ b/agent.c
@@ -365,11 +365,20 @@
     return now - e->sess.sent_ms >= e->want.pause_ms / AG_ENDS_PART;
 }
 
+/* Where much is free, changes of it decide little. */
+static bool
+is_scarce(const struct agent *a, int64_t free_millicores)
+{
+    return free_millicores * AG_AMPLE_PART < (int64_t)a->runner.millicores;
+}
+
 void
 ag_flush(struct agent *a, uint64_t now)
 {
-    uint32_t pause = AG_ROOM_MS_PER_ENTRY * a->open_count;
     int64_t free_millicores = free_now(a, now);
+    uint32_t pause = is_scarce(a, free_millicores)
+                         ? AG_ROOM_MS_PER_ENTRY * a->open_count
+                         : SESS_BEAT_MS;
     struct ag_entry *e;
 
     for (e = a->entries; e != NULL; e = e->hh.next) {
--- a/agent.h
+++ b/agent.h
@@ -33,6 +33,8 @@
 /* ms between reports to one entry that only tell a changed room, for each
  * entry there is: what all entries cost stays the same. */
 #define AG_ROOM_MS_PER_ENTRY 5U
+/* From this part of the cores free on, room is told with the next beat. */
+#define AG_AMPLE_PART 3
 /* Ends wait for this part of the pause that an entry asks for. */
 #define AG_ENDS_PART 4U
 /* ms after its session that an entry is forgotten; messages of an earlier
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -222,3 +222,46 @@
     EXPECT_EQ(s.hears(1), 7000);
     EXPECT_EQ(s.hears(2), 7000);
 }
+
+/* An entry spends most of its time on reports of room that changes and is
+ * not short. */
+TEST(Agent, AmpleRoomIsToldWithTheNextBeatScarceRoomSoon)
+{
+    Sessions s;
+
+    s.room(9000);
+    s.beat(1);
+    s.now += SESS_BEAT_MS;
+    s.flush();
+    s.room(8000);
+    s.now += 2 * AG_ROOM_MS_PER_ENTRY;
+    s.flush();
+    EXPECT_EQ(s.hears(1), -1);
+    s.now += SESS_BEAT_MS;
+    s.flush();
+    EXPECT_EQ(s.hears(1), 8000);
+    s.now++;
+    s.room(2000);
+    s.now += 2 * AG_ROOM_MS_PER_ENTRY;
+    s.flush();
+    EXPECT_EQ(s.hears(1), 2000);
+}
+
+/* An entry that is behind reads what it could do without. */
+TEST(Agent, AnEntryThatIsBehindIsToldLessOften)
+{
+    Sessions s;
+
+    s.room(3000);
+    s.beat(1, {0, 0, 0, 100});
+    s.now += SESS_BEAT_MS;
+    s.flush();
+    s.now++;
+    s.room(2000);
+    s.now += 50;
+    s.flush();
+    EXPECT_EQ(s.hears(1), -1);
+    s.now += 50;
+    s.flush();
+    EXPECT_EQ(s.hears(1), 2000);
+}
