--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	lend own ownmap front node route sess fleet coord runner agent news guess slack inflow rank turn intake lag relay
 # What carries their actions out.
 IO = log hist proc base64 httpc store frame link web trail back carry api ops metric serve \
-	entryd agentd platform/wire platform/kv platform/follow
+	entryd entrycall entrynews agentd platform/wire platform/kv platform/follow
 COMMON = $(DECIDE) conf proto_xdr
 LIBS = -ltirpc -lev -lmicrohttpd -lcurl -lpopt -llog4c -ljansson -lxxhash \
 	-lnettle -lm
--- a/proc.c
+++ b/proc.c
@@ -25,7 +25,7 @@
 {
     struct timespec ts;
 
-    clock_gettime(CLOCK_MONOTONIC, &ts);
+    clock_gettime(CLOCK_BOOTTIME, &ts);
     return (uint64_t)ts.tv_sec * 1000000 + (uint64_t)ts.tv_nsec / 1000;
 }
 
--- a/proc.h
+++ b/proc.h
@@ -13,7 +13,7 @@
 /* Present time in ms.  It goes on while a suspended machine sleeps, as leases
  * elsewhere run on meanwhile. */
 uint64_t proc_now(void);
-/* The steady clock in us, for what the process itself takes. */
+/* The same in us, for what the process itself takes. */
 uint64_t proc_now_us(void);
 /* Time of day in ms since 1970. */
 uint64_t proc_wall(void);
