lag: slowness is told by an item of the tick, not by the tick

Cause: a tick looks at each job. In a burst an entry has some hundreds, its tick takes several times the usual, and with the processor busy it would leave the rotation as slow, as all others would. Found by reading.

Change: the time of a tick by its sessions and jobs. A leaving entry also waits for requests that it took and has not begun.

The test of many jobs fails if items are not counted.

--- a/entryd.c
+++ b/entryd.c
@@ -175,7 +175,7 @@
     web_send_elsewhere(e->callers, false);
     log_event(out ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
         out ? "behind" : "caught_up",
-        "busy=%.2f tick_us=%.0f usual_us=%.0f waiting=%zu", e->lag.busy,
+        "busy=%.2f item_us=%.1f usual_us=%.1f waiting=%zu", e->lag.busy,
         e->lag.probe_us, e->lag.usual_us, it_count(&e->intake));
 }
 
@@ -201,7 +201,8 @@
     tend_relay(e, now);
     began_us = proc_now_us();
     co_tick(&e->coord, now);
-    lg_probe(&e->lag, proc_now_us(), proc_now_us() - began_us);
+    lg_probe(&e->lag, proc_now_us(), proc_now_us() - began_us,
+        FL_CHOSEN_MAX + co_running(&e->coord));
     en_keep_times(e, now);
     note_load(e, now);
     if (nw_must_ask(&e->news, now)) {
@@ -274,7 +275,8 @@
     struct entry *e = s->state;
 
     (void)now;
-    return !e->accepting && co_running(&e->coord) == 0 && rl_done(&e->relay) &&
+    return !e->accepting && co_running(&e->coord) == 0 &&
+           it_count(&e->intake) == 0 && rl_done(&e->relay) &&
            web_open_requests(e->callers) == 0;
 }
 
--- a/lag.c
+++ b/lag.c
@@ -62,12 +62,13 @@
 
 /* The usual time is learned while there is nothing unusual. */
 void
-lg_probe(struct lag *l, uint64_t now_us, uint64_t took_us)
+lg_probe(struct lag *l, uint64_t now_us, uint64_t took_us, size_t items)
 {
     double since = (double)(now_us - l->probed_us);
+    double item_us = (double)took_us / (double)items;
 
     l->probed_us = now_us;
-    learn(&l->probe_us, (double)took_us, l->probes, since, PROBE_US);
+    learn(&l->probe_us, item_us, l->probes, since, PROBE_US);
     if (!l->out && l->busy < BEHIND && !lg_is_slow(l)) {
         learn(&l->usual_us, l->probe_us, l->probes, since, USUAL_US);
     }
--- a/lag.h
+++ b/lag.h
@@ -5,7 +5,7 @@
  * slow, may be given more than it can do.  Then each pass of its loop gets
  * longer, its sessions fall silent and what it took in is answered too late.
  * Here it measures itself: the part of the time that it spends in passes, and
- * what a piece of work that it does anyway takes against what it usually does.
+ * what an item of work that it does anyway takes against what it usually does.
  *
  * An entry that is behind leaves the balancer's rotation.  It comes back when
  * it has caught up and is as fast as usual again.  If it is not slow, it has
@@ -18,6 +18,7 @@
 #define LAG_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #ifdef __cplusplus
@@ -30,7 +31,7 @@
     uint64_t ended_us; /* the pass before; 0: none yet */
     double busy;       /* part of the time spent in passes, lately */
     uint32_t probes;
-    double probe_us; /* what the probe takes, lately */
+    double probe_us; /* what an item of the probe takes, lately */
     double usual_us; /* and usually */
     uint64_t probed_us;
     bool out;
@@ -45,9 +46,8 @@
 
 void lg_pass_begins(struct lag *l, uint64_t now_us);
 void lg_pass_ends(struct lag *l, uint64_t now_us);
-/* A piece of work that is done regularly, and is much the same each time,
- * took this long. */
-void lg_probe(struct lag *l, uint64_t now_us, uint64_t took_us);
+/* A piece of work that is done regularly took this long for so many items. */
+void lg_probe(struct lag *l, uint64_t now_us, uint64_t took_us, size_t items);
 
 /* Queries, as of the last pass. */
 /* Out of the balancer's rotation. */
--- a/simentry.c
+++ b/simentry.c
@@ -371,7 +371,7 @@
     rl_tick(&e->relay, now);
     spend(e, TICK_WORK_US);
     co_tick(&e->c, now);
-    lg_probe(&e->lag, present_us(e), (uint64_t)(e->spent_us - before));
+    lg_probe(&e->lag, present_us(e), (uint64_t)(e->spent_us - before), 1);
     if (gs_keep_due(&e->c.times, now)) {
         buf_free(&e->s->times[e->index]);
         gs_save(&e->c.times, &e->s->times[e->index]);
--- a/test/lag-test.cc
+++ b/test/lag-test.cc
@@ -27,7 +27,7 @@
 
             lg_pass_begins(&l, now);
             if (i % 2 == 0) {
-                lg_probe(&l, now, (uint64_t)probe_us);
+                lg_probe(&l, now, (uint64_t)probe_us, 1);
             }
             lg_pass_ends(&l, now + pass);
             now += 10000;
@@ -57,6 +57,26 @@
     EXPECT_LT(p.until(true, 1, 600), SECOND / 2);
 }
 
+/* All entries leave the rotation in a burst, as each has so many jobs that a
+ * look at all of them takes long. */
+TEST(Lag, ManyJobsMakeNoEntrySlow)
+{
+    lag l = {};
+    uint64_t now = SECOND;
+
+    for (int i = 0; i < 500; i++, now += 20000) {
+        lg_probe(&l, now, 100, 24);
+    }
+    for (int i = 0; i < 100; i++, now += 20000) {
+        lg_probe(&l, now, 1000, 240);
+    }
+    EXPECT_FALSE(lg_is_slow(&l));
+    for (int i = 0; i < 100; i++, now += 20000) {
+        lg_probe(&l, now, 6000, 240);
+    }
+    EXPECT_TRUE(lg_is_slow(&l));
+}
+
 TEST(Lag, ASlowEntryWithTimeToSpareStays)
 {
     Process p;
