A request that was refused or passed on is found by its id

Cause: requests refused before their body is looked at were logged by path, so explain did not find them; passing one on, and the 504 for one whose taker was lost, had no line at all.

--- a/entrycall.c
+++ b/entrycall.c
@@ -281,6 +281,28 @@
     return NULL;
 }
 
+/* The id, as it was written at the end of a job's path. */
+static struct str
+job_of(struct str path)
+{
+    size_t at = path.n;
+
+    while (at > 0 && path.p[at - 1] != '/') {
+        at--;
+    }
+    return str_make(path.p + at, path.n - at);
+}
+
+static void
+note_refused(const struct entry *e, struct str path, const char *why)
+{
+    struct str job = job_of(path);
+
+    log_event(LOG_LEVEL_WARN, "request_refused",
+        "job=%.*s why=%s waiting=%zu wait_us=%.0f busy=%.2f", (int)job.n,
+        job.p, why, it_count(&e->intake), it_wait_us(&e->intake), e->lag.busy);
+}
+
 static void
 begin_job(struct entry *e, uint64_t now, struct caller *c)
 {
@@ -290,8 +312,7 @@
     uint64_t id;
 
     if (why != NULL) {
-        log_event(LOG_LEVEL_WARN, "request_refused", "path=%.*s why=%s",
-            (int)path.n, path.p, why);
+        note_refused(e, path, why);
         answer(e, c, DW_HOW_NOT_RUN, why, 1000);
         return;
     }
@@ -379,6 +400,8 @@
 static bool
 give_away(struct entry *e, uint64_t now, struct caller *c)
 {
+    struct str job = job_of(path_of(c));
+
     if (e->s->conf->platform.resend_ms < GIVE_RESEND_MS ||
         closed_for(e, now) != NULL ||
         !rl_give(&e->relay, now, c, host_of(c), path_of(c), body_of(c),
@@ -386,6 +409,7 @@
         return false;
     }
     e->given++;
+    log_event(LOG_LEVEL_INFO, "request_given", "job=%.*s", (int)job.n, job.p);
     return true;
 }
 
@@ -428,8 +452,13 @@
     void *ctx, void *handle, dw_how how, struct str reason, uint32_t retry_ms)
 {
     char text[64];
+    struct str job = job_of(path_of(handle));
 
     str_copy(text, sizeof(text), reason);
+    if (how == DW_HOW_GAVE_UP) {
+        log_event(LOG_LEVEL_WARN, "request_ended", "job=%.*s why=%s",
+            (int)job.n, job.p, text);
+    }
     answer(ctx, handle, how, text, retry_ms);
 }
 
@@ -457,12 +486,8 @@
 static void
 turn_away(struct entry *e, struct caller *c, const char *why)
 {
-    struct str path = path_of(c);
-
     e->turned_away++;
-    log_event(LOG_LEVEL_WARN, "request_refused",
-        "path=%.*s why=%s waiting=%zu wait_us=%.0f", (int)path.n, path.p, why,
-        it_count(&e->intake), it_wait_us(&e->intake));
+    note_refused(e, path_of(c), why);
     answer(e, c, DW_HOW_NOT_RUN, "behind", BEHIND_RETRY_MS);
 }
 
@@ -493,8 +518,7 @@
         return;
     }
     if (is_stale(e, now)) {
-        log_event(LOG_LEVEL_WARN, "request_refused", "path=%s why=paused",
-            web_path(r));
+        note_refused(e, str_of(web_path(r)), "paused");
         reply_not_run(r, "paused", 1000);
         return;
     }
--- a/log.c
+++ b/log.c
@@ -37,7 +37,8 @@
     unsigned left_out;
 };
 
-static const char *const samples[] = {"job_done", "run_done", "run_full"};
+static const char *const samples[] = {
+    "job_done", "run_done", "run_full", "request_given"};
 
 static struct kind kinds[KINDS_MAX];
 static size_t kind_count;
--- a/relay.c
+++ b/relay.c
@@ -56,7 +56,7 @@
         void *handle = t->given->handle;
 
         remove_given(t, t->given);
-        r->ops->answer(r->ctx, handle, DW_HOW_GAVE_UP, STR("relay"), 0);
+        r->ops->answer(r->ctx, handle, DW_HOW_GAVE_UP, STR("taker_lost"), 0);
     }
 }
 
