--- a/test/world.cc
+++ b/test/world.cc
@@ -272,7 +272,6 @@
         c->caller = nullptr;
         e->answers.push_back([e, c, id, how] { e->w->answered(c, id, how); });
     }
-    delete who;
 }
 
 /* --- requests given to other entries --- */
@@ -282,7 +281,7 @@
 {
     FakeEntry *e = static_cast<FakeEntry *>(ctx);
     Call *c = e->w->calls.at(strtoull(t->path, nullptr, 10)).get();
-    FakeCaller *who = new FakeCaller{c, t};
+    FakeCaller *who = e->w->new_caller(c, t);
 
     t->data = who;
     e->w->given++;
@@ -296,7 +295,6 @@
     FakeCaller *who = static_cast<FakeCaller *>(t->data);
 
     co_leave(&e->c, e->w->now, who);
-    delete who;
 }
 
 void
@@ -970,7 +968,7 @@
             if (now >= c->deadline) {
                 return;
             }
-            c->caller = new FakeCaller{c, nullptr};
+            c->caller = new_caller(c, nullptr);
             std::string path = std::to_string(c->id);
             if (give_part > 0 && chance() < give_part &&
                 rl_give(&e->r, now, c->caller, STR("host"),
@@ -992,13 +990,20 @@
                 if (c->caller != nullptr && !rl_drop(&e->r, c->caller)) {
                     co_leave(&e->c, now, c->caller);
                 }
-                delete c->caller;
                 c->caller = nullptr;
             });
         }
     });
 }
 
+/* Kept to the end, as entries die with what waits in them. */
+FakeCaller *
+World::new_caller(Call *c, rl_taken *t)
+{
+    callers.push_back(std::make_unique<FakeCaller>(FakeCaller{c, t}));
+    return callers.back().get();
+}
+
 void
 World::submit_at(FakeEntry *e, Call *c, FakeCaller *who)
 {
--- a/test/world.hh
+++ b/test/world.hh
@@ -131,6 +131,7 @@
     std::vector<std::unique_ptr<FakeWorker>> workers;
     std::vector<std::unique_ptr<FakeAgent>> agents;
     std::vector<std::unique_ptr<FakeEntry>> entries;
+    std::vector<std::unique_ptr<FakeCaller>> callers;
     std::map<uint64_t, std::unique_ptr<Call>> calls;
     std::vector<std::string> broken; /* promises, in words */
     uint64_t starts = 0;
@@ -157,6 +158,7 @@
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
     void end_entry(size_t i, uint64_t for_ms, bool dark);
+    FakeCaller *new_caller(Call *c, rl_taken *t);
     void submit_at(FakeEntry *e, Call *c, FakeCaller *who);
     void answered(Call *c, uint64_t entry_id, co_outcome how);
     void worker_tick(FakeWorker &w);
