lag tells what is given and whether there is time, once for daemon and simulation

entrycall.c and simentry.c had the same count of requests due to be given, and entryd.c and simentry.c the same bound of a busy process twice. lg_gives() and lg_has_time() serve both.

--- a/entrycall.c
+++ b/entrycall.c
@@ -413,15 +413,6 @@
     return true;
 }
 
-/* As many of those that come as lag says. */
-static bool
-is_to_be_given(struct entry *e)
-{
-    e->give_credit = e->give_credit >= 1 ? e->give_credit - 1 : e->give_credit;
-    e->give_credit += lg_give_part(&e->lag);
-    return e->give_credit >= 1;
-}
-
 static void
 begin_taken(void *ctx, struct rl_taken *t)
 {
@@ -525,7 +516,7 @@
     c = dw_zero(1, sizeof(*c));
     c->req = r;
     web_set_ctx(r, c);
-    if (is_to_be_given(e) && give_away(e, now, c)) {
+    if (lg_gives(&e->lag) && give_away(e, now, c)) {
         return;
     }
     if (it_add(&e->intake, proc_now_us(), c)) {
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -31,7 +31,6 @@
     struct follow *operators;
     struct follow *members;
     struct relay relay;
-    double give_credit; /* requests due to be given away */
     uint64_t given;
     uint64_t taken;
     struct news news;
--- a/entryd.c
+++ b/entryd.c
@@ -19,10 +19,6 @@
 #define STALE_WINDOW_MS 40U
 /* Runs of the web server in which that is read, however long they take. */
 #define STALE_RUNS 4U
-/* Part of the time busy below which requests of others are welcome, and above
- * which others may soon be needed. */
-#define WILLING_BUSY 0.5
-#define NEED_BUSY 0.5
 #define CALLERS_MAX 3000U
 #define BODY_MAX (1U << 20)
 #define IDLE_S 30U
@@ -182,11 +178,11 @@
 static void
 tend_relay(struct entry *e, uint64_t now)
 {
-    struct rl_state state = {is_ready(e) && e->lag.busy < WILLING_BUSY,
+    struct rl_state state = {is_ready(e) && lg_has_time(&e->lag),
         (uint32_t)(e->lag.busy * 1000), e->routes.version};
 
     rl_tell(&e->relay, &state);
-    if (e->lag.busy > NEED_BUSY) {
+    if (!lg_has_time(&e->lag)) {
         rl_need(&e->relay, now);
     }
     rl_tick(&e->relay, now);
@@ -220,7 +216,7 @@
     struct entry *e = s->state;
 
     /* A request that comes while there is time is begun in this pass. */
-    if (e->lag.busy < NEED_BUSY) {
+    if (lg_has_time(&e->lag)) {
         ec_run(e);
     }
     ec_begin(e, now);
--- a/lag.c
+++ b/lag.c
@@ -26,6 +26,8 @@
 #define OUT_MAX_US 10000000U
 /* us in rotation after a time out, unless the process is slow. */
 #define IN_MIN_US 20000000U
+/* Part of the time busy below which there is time for others. */
+#define HAS_TIME 0.5
 /* Part of the time busy from which on agents are asked to report less, and
  * steps between there and BEHIND, so that they are not told of each little
  * change. */
@@ -140,6 +142,12 @@
     return l->probes >= PROBES_MIN && l->probe_us > SLOW * l->usual_us;
 }
 
+bool
+lg_has_time(const struct lag *l)
+{
+    return l->busy < HAS_TIME;
+}
+
 /* How far it is from a part of the time busy to being behind, 0 to 1. */
 static double
 toward_behind(const struct lag *l, double from)
@@ -153,6 +161,17 @@
     return l->out && lg_is_slow(l) ? 1 : toward_behind(l, GIVE_FROM);
 }
 
+bool
+lg_gives(struct lag *l)
+{
+    l->give_due += lg_give_part(l);
+    if (l->give_due < 1) {
+        return false;
+    }
+    l->give_due -= 1;
+    return true;
+}
+
 uint32_t
 lg_pause_ms(const struct lag *l)
 {
--- a/lag.h
+++ b/lag.h
@@ -31,6 +31,7 @@
     uint64_t ended_us; /* the pass before; 0: none yet */
     double busy;       /* part of the time spent in passes, lately */
     uint32_t probes;
+    double give_due; /* requests that should have been given */
     double probe_us; /* what an item of the probe takes, lately */
     double usual_us; /* and usually */
     uint64_t probed_us;
@@ -49,11 +50,17 @@
 /* A piece of work that is done regularly took this long for so many items. */
 void lg_probe(struct lag *l, uint64_t now_us, uint64_t took_us, size_t items);
 
+/* A request has come; true if another entry had better begin it. */
+bool lg_gives(struct lag *l);
+
 /* Queries, as of the last pass. */
 /* Out of the balancer's rotation. */
 bool lg_is_out(const struct lag *l);
 /* Far slower than usual. */
 bool lg_is_slow(const struct lag *l);
+/* Less than half of the time busy: requests of others are welcome, and others
+ * need not begin ours. */
+bool lg_has_time(const struct lag *l);
 /* The part of the requests that come which others had better begin. */
 double lg_give_part(const struct lag *l);
 /* ms that agents are asked to leave between reports on their room. */
--- a/sim-int.h
+++ b/sim-int.h
@@ -133,7 +133,6 @@
     bool working;     /* a pass is due or under way */
     uint64_t tick_us; /* when it is due next */
     double spent_us;  /* of this pass, so far */
-    double give_credit;
     uint32_t missed_looks; /* of the balancer */
 };
 
--- a/simentry.c
+++ b/simentry.c
@@ -22,10 +22,6 @@
 /* us between the balancer's looks, and how many have to fail. */
 #define LOOK_US 1000000U
 #define LOOKS_TO_LEAVE 2U
-/* Part of the time busy below which requests of others are welcome, and above
- * which others may soon be needed. */
-#define WILLING_BUSY 0.5
-#define NEED_BUSY 0.5
 
 static const dw_how hows[] = {
     [CO_COMPLETED] = DW_HOW_COMPLETED,
@@ -286,14 +282,6 @@
     return true;
 }
 
-static bool
-is_to_be_given(struct sim_entry *e)
-{
-    e->give_credit = e->give_credit >= 1 ? e->give_credit - 1 : e->give_credit;
-    e->give_credit += lg_give_part(&e->lag);
-    return e->give_credit >= 1;
-}
-
 /* --- passes of its loop --- */
 
 static void
@@ -324,7 +312,7 @@
         return; /* its caller has left */
     }
     who = new_caller(e, j, NULL);
-    if (is_to_be_given(e) && give(e, who)) {
+    if (lg_gives(&e->lag) && give(e, who)) {
         return;
     }
     if (!it_add(&e->intake, present_us(e), who) && !give(e, who)) {
@@ -359,13 +347,13 @@
 static void
 tick(struct sim_entry *e)
 {
-    struct rl_state state = {e->lag.busy < WILLING_BUSY && !lg_is_out(&e->lag),
+    struct rl_state state = {lg_has_time(&e->lag) && !lg_is_out(&e->lag),
         (uint32_t)(e->lag.busy * 1000), 0};
     uint64_t now = sim_ms(e->s);
     double before = e->spent_us;
 
     rl_tell(&e->relay, &state);
-    if (e->lag.busy > NEED_BUSY && !e->s->d->entries_keep) {
+    if (!lg_has_time(&e->lag) && !e->s->d->entries_keep) {
         rl_need(&e->relay, now);
     }
     rl_tick(&e->relay, now);
