One word for how a job ended, from coord to relay and back

coord's outcomes, the messages' and the relay's were turned into one another in entrycall.c, simentry.c (there and back) and test/world.cc. relay.c speaks coord's and turns them at its messages alone; so coord's answer serves the relay too, in the simulation and the test's world as it is. What a peer says that is none of them counts as given up, as it may have run; before, it was an index past a table. rl_reply() had an argument, and rl_given_count() no caller: gone.

--- a/entrycall.c
+++ b/entrycall.c
@@ -106,18 +106,19 @@
 }
 
 static void
-reply_to(struct web_req *r, dw_how how, const char *reason, uint32_t retry_ms)
+reply_to(struct web_req *r, enum co_outcome how, const char *reason,
+    uint32_t retry_ms)
 {
     static const struct {
         unsigned status;
         const char *text;
     } replies[] = {
-        [DW_HOW_COMPLETED] = {200, "{\"state\":\"completed\"}"},
-        [DW_HOW_FAILED] = {200, "{\"state\":\"failed\"}"},
-        [DW_HOW_GAVE_UP] = {504, "{\"error\":\"gave_up\"}"},
+        [CO_COMPLETED] = {200, "{\"state\":\"completed\"}"},
+        [CO_FAILED] = {200, "{\"state\":\"failed\"}"},
+        [CO_GAVE_UP] = {504, "{\"error\":\"gave_up\"}"},
     };
 
-    if (how == DW_HOW_NOT_RUN) {
+    if (how == CO_NOT_RUN) {
         reply_not_run(r, reason, retry_ms);
     }
     else {
@@ -126,35 +127,24 @@
 }
 
 static void
-answer(struct entry *e, struct caller *c, dw_how how, const char *reason,
+answer(void *ctx, void *handle, enum co_outcome how, const char *reason,
     uint32_t retry_ms)
 {
+    struct caller *c = handle;
+
+    (void)ctx;
     if (c->req != NULL) {
         web_set_ctx(c->req, NULL);
         reply_to(c->req, how, reason, retry_ms);
     }
     else {
-        rl_reply(&e->relay, c->taken, how, reason, retry_ms);
+        rl_reply(c->taken, how, reason, retry_ms);
     }
     free(c);
 }
 
-static void
-answer_job(void *ctx, void *handle, enum co_outcome outcome,
-    const char *reason, uint32_t retry_ms)
-{
-    static const dw_how hows[] = {
-        [CO_COMPLETED] = DW_HOW_COMPLETED,
-        [CO_FAILED] = DW_HOW_FAILED,
-        [CO_GAVE_UP] = DW_HOW_GAVE_UP,
-        [CO_NOT_RUN] = DW_HOW_NOT_RUN,
-    };
-
-    answer(ctx, handle, hows[outcome], reason, retry_ms);
-}
-
 const struct co_ops ec_co_ops = {
-    send_message, answer_job, note_job, note_refusal, note_run, note_agent};
+    send_message, answer, note_job, note_refusal, note_run, note_agent};
 
 /* --- callers --- */
 
@@ -197,7 +187,7 @@
     struct web_req *r = c->req;
 
     if (r == NULL) {
-        answer(e, c, DW_HOW_NOT_RUN, "bad_job", 0);
+        answer(e, c, CO_NOT_RUN, "bad_job", 0);
         return;
     }
     web_set_ctx(r, NULL);
@@ -219,7 +209,7 @@
             "job=%016" PRIx64 " route=%s why=\"%s\"", id, route->name,
             why.msg);
         if (st == WIRE_UNSUPPORTED) {
-            answer(e, c, DW_HOW_NOT_RUN, "not_served", 5000);
+            answer(e, c, CO_NOT_RUN, "not_served", 5000);
         }
         else {
             answer_bad(e, c, why.msg);
@@ -313,7 +303,7 @@
 
     if (why != NULL) {
         note_refused(e, path, why);
-        answer(e, c, DW_HOW_NOT_RUN, why, 1000);
+        answer(e, c, CO_NOT_RUN, why, 1000);
         return;
     }
     route = find_route(e, host_of(c), path, &id);
@@ -321,7 +311,7 @@
         submit(e, now, c, route, id);
     }
     else if (c->req == NULL) {
-        answer(e, c, DW_HOW_NOT_RUN, "no_route", 1000);
+        answer(e, c, CO_NOT_RUN, "no_route", 1000);
     }
     else {
         web_set_ctx(c->req, NULL);
@@ -337,7 +327,7 @@
 
     if (given != NULL) {
         rl_drop(&e->relay, given);
-        answer(e, given, DW_HOW_FAILED, "cancelled", 0);
+        answer(e, given, CO_FAILED, "cancelled", 0);
         ec_reply(r, 200, "{}");
         return;
     }
@@ -423,7 +413,7 @@
     c->taken = t;
     t->data = c;
     if (!it_add(&e->intake, proc_now_us(), c)) {
-        answer(e, c, DW_HOW_NOT_RUN, "behind", BEHIND_RETRY_MS);
+        answer(e, c, CO_NOT_RUN, "behind", BEHIND_RETRY_MS);
     }
 }
 
@@ -439,18 +429,16 @@
 }
 
 static void
-answer_given(
-    void *ctx, void *handle, dw_how how, struct str reason, uint32_t retry_ms)
+answer_given(void *ctx, void *handle, enum co_outcome how, const char *reason,
+    uint32_t retry_ms)
 {
-    char text[64];
     struct str job = job_of(path_of(handle));
 
-    str_copy(text, sizeof(text), reason);
-    if (how == DW_HOW_GAVE_UP) {
+    if (how == CO_GAVE_UP) {
         log_event(LOG_LEVEL_WARN, "request_ended", "job=%.*s why=%s",
-            (int)job.n, job.p, text);
+            (int)job.n, job.p, reason);
     }
-    answer(ctx, handle, how, text, retry_ms);
+    answer(ctx, handle, how, reason, retry_ms);
 }
 
 static void
@@ -479,7 +467,7 @@
 {
     e->turned_away++;
     note_refused(e, path_of(c), why);
-    answer(e, c, DW_HOW_NOT_RUN, "behind", BEHIND_RETRY_MS);
+    answer(e, c, CO_NOT_RUN, "behind", BEHIND_RETRY_MS);
 }
 
 /* What is read first after the machine stood still has waited through it. */
--- a/relay.c
+++ b/relay.c
@@ -14,6 +14,28 @@
 
 #define PATH_SEED 0x70617468U
 
+/* Of a reply's reason, one word. */
+#define REASON_MAX 64U
+
+static const dw_how hows[] = {
+    [CO_COMPLETED] = DW_HOW_COMPLETED,
+    [CO_FAILED] = DW_HOW_FAILED,
+    [CO_GAVE_UP] = DW_HOW_GAVE_UP,
+    [CO_NOT_RUN] = DW_HOW_NOT_RUN,
+};
+
+/* What is not understood may have run. */
+static enum co_outcome
+outcome_of(dw_how how)
+{
+    for (size_t i = 0; i < sizeof(hows) / sizeof(hows[0]); i++) {
+        if (hows[i] == how) {
+            return (enum co_outcome)i;
+        }
+    }
+    return CO_GAVE_UP;
+}
+
 struct rl_given {
     uint64_t ref;
     void *handle;
@@ -56,7 +78,7 @@
         void *handle = t->given->handle;
 
         remove_given(t, t->given);
-        r->ops->answer(r->ctx, handle, DW_HOW_GAVE_UP, STR("taker_lost"), 0);
+        r->ops->answer(r->ctx, handle, CO_GAVE_UP, "taker_lost", 0);
     }
 }
 
@@ -215,6 +237,7 @@
 take_reply(struct relay *r, struct rl_taker *t, const dw_reply *reply)
 {
     struct rl_given *g;
+    char reason[REASON_MAX];
     void *handle;
 
     DL_FOREACH (t->given, g) {
@@ -227,8 +250,9 @@
     }
     handle = g->handle;
     remove_given(t, g);
-    r->ops->answer(r->ctx, handle, reply->how, str_bytes(&reply->reason),
-        reply->retry_ms);
+    str_copy(reason, sizeof(reason), str_bytes(&reply->reason));
+    r->ops->answer(
+        r->ctx, handle, outcome_of(reply->how), reason, reply->retry_ms);
 }
 
 void
@@ -495,14 +519,13 @@
 }
 
 void
-rl_reply(struct relay *r, struct rl_taken *t, dw_how how, const char *reason,
+rl_reply(struct rl_taken *t, enum co_outcome how, const char *reason,
     uint32_t retry_ms)
 {
     struct rl_giver *g = t->giver;
     dw_relayed *m;
     dw_reply *reply;
 
-    (void)r;
     if (g->batch == NULL) {
         g->batch = dw_zero(1, sizeof(*g->batch));
         g->batch->type = DW_RELAYED;
@@ -512,7 +535,7 @@
         m->replies.replies_val, (m->replies.replies_len + 1) * sizeof(*reply));
     reply = &m->replies.replies_val[m->replies.replies_len++];
     reply->ref = t->ref;
-    reply->how = how;
+    reply->how = hows[how];
     reply->retry_ms = retry_ms;
     reply->reason = str_to_bytes(str_of(reason));
     free_taken(t);
@@ -642,18 +665,3 @@
     }
     return true;
 }
-
-size_t
-rl_given_count(const struct relay *r)
-{
-    const struct rl_taker *t;
-    const struct rl_given *g;
-    size_t n = 0;
-
-    for (t = r->takers; t != NULL; t = t->hh.next) {
-        DL_FOREACH (t->given, g) {
-            n++;
-        }
-    }
-    return n;
-}
--- a/relay.h
+++ b/relay.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "coord.h"
 #include "proto.h"
 #include "sess.h"
 #include "str.h"
@@ -94,8 +95,8 @@
     /* Nobody waits for it any more; it must not be used after. */
     void (*leave)(void *ctx, struct rl_taken *t);
     /* The answer to a request that was given away. */
-    void (*answer)(void *ctx, void *handle, dw_how how, struct str reason,
-        uint32_t retry_ms);
+    void (*answer)(void *ctx, void *handle, enum co_outcome how,
+        const char *reason, uint32_t retry_ms);
     void (*note)(void *ctx, uint64_t entry, const char *what, uint64_t ms);
 };
 
@@ -135,8 +136,8 @@
 /* Its caller has left; false if it was not given away. */
 bool rl_drop(struct relay *r, const void *handle);
 /* The answer to a request that was taken; t must not be used after. */
-void rl_reply(struct relay *r, struct rl_taken *t, dw_how how,
-    const char *reason, uint32_t retry_ms);
+void rl_reply(struct rl_taken *t, enum co_outcome how, const char *reason,
+    uint32_t retry_ms);
 void rl_take(struct relay *r, uint64_t now, uint64_t from, const dw_relay *m);
 void rl_replies(
     struct relay *r, uint64_t now, uint64_t from, const dw_relayed *m);
@@ -149,7 +150,6 @@
 /* Queries. */
 /* Every giver has been told of every end. */
 bool rl_done(const struct relay *r);
-size_t rl_given_count(const struct relay *r);
 
 #ifdef __cplusplus
 }
--- a/simentry.c
+++ b/simentry.c
@@ -23,13 +23,6 @@
 #define LOOK_US 1000000U
 #define LOOKS_TO_LEAVE 2U
 
-static const dw_how hows[] = {
-    [CO_COMPLETED] = DW_HOW_COMPLETED,
-    [CO_FAILED] = DW_HOW_FAILED,
-    [CO_GAVE_UP] = DW_HOW_GAVE_UP,
-    [CO_NOT_RUN] = DW_HOW_NOT_RUN,
-};
-
 /* --- its processor --- */
 
 static bool
@@ -112,7 +105,7 @@
     struct sim_answer *a;
 
     if (who->taken != NULL) {
-        rl_reply(&e->relay, who->taken, hows[how], reason, retry_ms);
+        rl_reply(who->taken, how, reason, retry_ms);
         free_caller(e, who);
         return;
     }
@@ -225,7 +218,7 @@
 
     t->data = who;
     if (!it_add(&e->intake, present_us(e), who)) {
-        rl_reply(&e->relay, t, DW_HOW_NOT_RUN, "behind", 1000);
+        rl_reply(t, CO_NOT_RUN, "behind", 1000);
         free_caller(e, who);
     }
 }
@@ -241,18 +234,6 @@
     free_caller(e, t->data);
 }
 
-static void
-answer_given(
-    void *ctx, void *handle, dw_how how, struct str reason, uint32_t retry_ms)
-{
-    (void)reason;
-    for (int i = 0; i <= CO_NOT_RUN; i++) {
-        if (hows[i] == how) {
-            entry_answer(ctx, handle, (enum co_outcome)i, "", retry_ms);
-        }
-    }
-}
-
 static void
 note_relay(void *ctx, uint64_t entry, const char *what, uint64_t ms)
 {
@@ -263,7 +244,7 @@
 }
 
 static const struct rl_ops rl_ops = {
-    entry_send, begin_taken, leave_taken, answer_given, note_relay};
+    entry_send, begin_taken, leave_taken, entry_answer, note_relay};
 
 static bool
 give(struct sim_entry *e, struct sim_caller *who)
--- a/test/world.cc
+++ b/test/world.cc
@@ -266,7 +266,7 @@
     uint64_t id = e->id;
 
     if (who->taken != nullptr) {
-        rl_reply(&e->r, who->taken, (dw_how)how, "", 0);
+        rl_reply(who->taken, how, "", 0);
     }
     else {
         c->caller = nullptr;
@@ -297,12 +297,6 @@
     co_leave(&e->c, e->w->now, who);
 }
 
-void
-relay_answer(void *ctx, void *handle, dw_how how, struct str, uint32_t)
-{
-    entry_answer(ctx, handle, (co_outcome)how, "", 0);
-}
-
 void
 relay_note(void *ctx, uint64_t entry, const char *what, uint64_t)
 {
@@ -312,7 +306,7 @@
 }
 
 const rl_ops relay_ops = {
-    entry_send, relay_begin, relay_leave, relay_answer, relay_note};
+    entry_send, relay_begin, relay_leave, entry_answer, relay_note};
 
 void
 entry_note(void *, const co_job *, const char *)
