--- a/sim-int.h
+++ b/sim-int.h
@@ -130,9 +130,9 @@
     struct intake intake;
     struct sim_input *inputs;
     struct sim_input **inputs_tail;
-    bool working;     /* a pass is due or under way */
-    uint64_t tick_us; /* when it is due next */
-    double spent_us;  /* of this pass, so far */
+    bool working;          /* a pass is due or under way */
+    uint64_t tick_us;      /* when it is due next */
+    double spent_us;       /* of this pass, so far */
     uint32_t missed_looks; /* of the balancer */
 };
 
