sess: sending again is written once

coord.c and relay.c had the same loop over what is due again; agent.c keeps its own, as it fills each report anew. 66 unit tests of sessions, entries, agents, the served path and the simulation passed.

--- a/coord.c
+++ b/coord.c
@@ -838,17 +838,6 @@
     }
 }
 
-static void
-resend(struct coord *c, uint64_t now, struct fl_agent *a)
-{
-    dw_msg *m;
-
-    for (m = sess_again(&a->sess, now, NULL); m != NULL;
-         m = sess_again(&a->sess, now, m)) {
-        c->ops->send(c->ctx, a->id, m);
-    }
-}
-
 /* False if the job has ended. */
 static bool
 tend_job(struct coord *c, uint64_t now, struct co_job *j)
@@ -911,7 +900,7 @@
     }
     HASH_ITER (hh, c->fleet.agents, a, a_tmp) {
         tend_session(c, now, a);
-        resend(c, now, a);
+        sess_resend(&a->sess, now, a->id, c->ops->send, c->ctx);
         if (!a->member && !a->live) {
             fl_remove(&c->fleet, a);
         }
--- a/relay.c
+++ b/relay.c
@@ -295,16 +295,6 @@
     r->ops->send(r->ctx, t->id, &m);
 }
 
-static void
-resend(struct relay *r, uint64_t now, uint64_t to, struct sess *s)
-{
-    dw_msg *m;
-
-    for (m = sess_again(s, now, NULL); m != NULL; m = sess_again(s, now, m)) {
-        r->ops->send(r->ctx, to, m);
-    }
-}
-
 static void
 tend_taker(struct relay *r, uint64_t now, struct rl_taker *t)
 {
@@ -328,7 +318,7 @@
     if (now - t->sess.sent_ms >= RL_BEAT_MS) {
         send_beat(r, now, t);
     }
-    resend(r, now, t->id, &t->sess);
+    sess_resend(&t->sess, now, t->id, r->ops->send, r->ctx);
 }
 
 /* Each entry asks others in an order of its own. */
@@ -558,7 +548,7 @@
         end_giver(r, now, g, "giver_silent");
         return;
     }
-    resend(r, now, g->id, &g->sess);
+    sess_resend(&g->sess, now, g->id, r->ops->send, r->ctx);
     if (sess_beat_due(&g->sess, now)) {
         send_state(r, now, g);
     }
--- a/sess.c
+++ b/sess.c
@@ -114,6 +114,17 @@
     return it->msg;
 }
 
+void
+sess_resend(struct sess *s, uint64_t now, uint64_t to,
+    void (*send)(void *ctx, uint64_t to, const dw_msg *msg), void *ctx)
+{
+    dw_msg *m;
+
+    for (m = sess_again(s, now, NULL); m != NULL; m = sess_again(s, now, m)) {
+        send(ctx, to, m);
+    }
+}
+
 enum sess_verdict
 sess_take(struct sess *s, uint64_t now, const dw_head *head)
 {
--- a/sess.h
+++ b/sess.h
@@ -63,6 +63,9 @@
 void sess_keep(struct sess *s, uint64_t now, dw_msg *msg);
 /* The next message to send again, after msg or the first; NULL when done. */
 dw_msg *sess_again(struct sess *s, uint64_t now, const dw_msg *msg);
+/* Send again all that is due, to a peer. */
+void sess_resend(struct sess *s, uint64_t now, uint64_t to,
+    void (*send)(void *ctx, uint64_t to, const dw_msg *msg), void *ctx);
 enum sess_verdict sess_take(struct sess *s, uint64_t now, const dw_head *head);
 
 /* Queries. */
