simentry: entries that are down are nobody's takers

Their id is 0, and a busy entry counted that as another entry to ask; the message went nowhere, but one of its four takers was lost to it for a second.

--- a/simentry.c
+++ b/simentry.c
@@ -529,7 +529,9 @@
         a->member = true;
     }
     for (uint32_t i = 0; i < e->s->d->entries; i++) {
-        rl_entry_in(&e->relay, e->s->entries[i].id);
+        if (e->s->entries[i].id != 0) {
+            rl_entry_in(&e->relay, e->s->entries[i].id);
+        }
     }
     tell_withdrawn(e);
 }
