A request that is given away leaves with the next pass

Cause: requests are read at the end of a pass, after messages were sent; one for another entry waited for whatever woke the loop next, up to a tick (20 ms), where one to be begun here asked for a pass at once. Found by reading.

Change: both ask for it.

--- a/entrycall.c
+++ b/entrycall.c
@@ -504,13 +504,12 @@
     c = dw_zero(1, sizeof(*c));
     c->req = r;
     web_set_ctx(r, c);
+    /* It is read at the end of a pass: the next begins it or sends it on. */
+    want_pass(e);
     if (lg_gives(&e->lag) && give_away(e, now, c)) {
         return;
     }
-    if (it_add(&e->intake, proc_now_us(), c)) {
-        want_pass(e);
-    }
-    else if (!give_away(e, now, c)) {
+    if (!it_add(&e->intake, proc_now_us(), c) && !give_away(e, now, c)) {
         turn_away(e, c, "would_wait");
     }
 }
