--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,8 @@
 LDFLAGS = $(SAN)
 
 # Deciding modules: no I/O, no clock, no state of their own.
-DECIDE = str err act subkey contract view member sync place host job jobadmit jobhandover \
-	quota own ownmap front node route sess fleet coord runner agent opstate estimate slack inflow rank qpolicy intake lag relay
+DECIDE = str err act subkey contract schedconf view member sync place host job jobadmit jobhandover \
+	quota own ownmap front node route sess fleet coord coplace comove runner agent opstate estimate slack inflow rank qpolicy intake lag relay
 # What carries their actions out.
 IO = log hist proc base64 httpc store frame link web trail backend actexec api ops metric serve \
 	entryd entrycall entrystore agentd platform/wire platform/kv platform/follow
--- a/conf.c
+++ b/conf.c
@@ -102,6 +102,11 @@
             NULL                                                              \
     }
 
+#define CHOICE(k, field, names)                                               \
+    {                                                                         \
+        k, KIND_CHOICE, OFFSET(field), 0, 0, REQ_OPTIONAL, names, NULL, NULL  \
+    }
+
 static const struct setting settings[] = {
     {"process.role", KIND_CHOICE, OFFSET(node.me.role), 0, 0, REQ_ALWAYS,
         role_names, NULL, NULL},
@@ -176,6 +181,13 @@
     TEXT("platform.service", platform.service, REQ_OPTIONAL, NULL, "a text"),
     SECONDS("platform.grace_s", platform.grace_ms, 1, 3600),
     NUMBER("platform.resend_ms", platform.caller_resend_ms, 1, 3600000),
+    CHOICE("scheduling.demand", sched.demand, sc_demand_names),
+    CHOICE("scheduling.admission", sched.admission, sc_admission_names),
+    CHOICE("scheduling.shares", sched.shares, sc_shares_names),
+    CHOICE("scheduling.balance", sched.balance, sc_balance_names),
+    CHOICE("scheduling.reach", sched.reach, sc_reach_names),
+    CHOICE("scheduling.moves", sched.moves, sc_moves_names),
+    CHOICE("scheduling.placement", sched.placement, sc_placement_names),
 };
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
--- a/conf.h
+++ b/conf.h
@@ -12,6 +12,7 @@
 #include "err.h"
 #include "log.h"
 #include "node.h"
+#include "schedconf.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -63,6 +64,7 @@
     uint32_t trail_events_max;       /* submission events kept for explain */
     struct node_cfg node;
     struct conf_platform platform;
+    struct sc_settings sched; /* section [scheduling], for an entry */
 };
 
 enum conf_status {
--- a/coord-int.h
+++ b/coord-int.h
@@ -1,5 +1,8 @@
 /*
- * coord-int - parts of coord that qpolicy shares
+ * coord-int - internal interface of the coordinator
+ *
+ * coord.c keeps the jobs, coplace.c places their tasks and sends messages to
+ * agents, comove.c moves runs from slow workers.
  */
 #ifndef COORD_INT_H
 #define COORD_INT_H
@@ -10,11 +13,6 @@
  * tasks could not end in time even there cannot be served. */
 #define CO_FASTEST_PERCENT 75U
 
-/* Ends a job without a result: CO_NOT_RUN if no run of it was ordered, else
- * CO_GAVE_UP. */
-void co_give_up(
-    struct coord *c, uint64_t now, struct co_job *j, const char *reason);
-
 /* Estimated ms of the job's longest task on the fastest workers. */
 static inline uint64_t
 co_fastest_ms(const struct co_job *j)
@@ -29,4 +27,29 @@
     return (uint64_t)t->spec.millicores * t->spec.est_ms;
 }
 
+/* --- coord.c --- */
+/* The job with this id, or NULL. */
+struct co_job *co_find_job(const struct coord *c, uint64_t id);
+/* Changes a task's state and the counts and the queue that depend on it. */
+void co_set_state(struct coord *c, struct co_job *j, struct co_task *t,
+    enum co_task_state state);
+/* Refuses the jobs that cannot be served in time. */
+void co_shed(struct coord *c, uint64_t now);
+
+/* --- coplace.c --- */
+/* Adds an order to stop a run to the agent's batch. */
+void co_add_stop(
+    struct fl_agent *a, uint64_t job, uint32_t index, uint64_t run);
+/* Sends a message without orders: the demand, and this entry's address. */
+void co_send_heartbeat(struct coord *c, uint64_t now, struct fl_agent *a);
+/* What a run of the task requires of a worker. */
+struct fl_requirements co_task_requirements(
+    const struct co_job *j, const struct co_task *t);
+
+/* --- comove.c --- */
+/* Sets what may be moved in this tick, given the fleet's totals. */
+void co_set_move_budget(struct coord *c, const struct fl_totals *sum);
+/* Stops runs of the job that would end sooner on another worker. */
+void co_move_runs(struct coord *c, uint64_t now, struct co_job *j);
+
 #endif
--- a/coord.c
+++ b/coord.c
@@ -8,16 +8,10 @@
 #include "num.h"
 #include "qpolicy.h"
 
-/* ms that a run may wait at the agent for cores that another entry's run still
- * holds. */
-#define AGENT_QUEUE_MS 40U
 /* Added to a run number that the worker rejects as outdated.  Run numbers
  * start at wall-clock ms, so this exceeds the difference of two entries'
  * clocks. */
 #define RUN_NUMBER_SKIP 5000U
-/* Jobs that cannot be placed before a placement pass ends: job sizes are
- * similar, so the following jobs are unlikely to fit either. */
-#define MAX_PLACEMENT_FAILURES 4U
 /* ms for which completed jobs are kept to answer late copies of a request. */
 #define ENDED_RETENTION_MS 20000U
 /* ms without any worker, after a start or a loss, for which jobs are accepted
@@ -63,8 +57,8 @@
     }
 }
 
-static void
-set_state(struct coord *c, struct co_job *j, struct co_task *t,
+void
+co_set_state(struct coord *c, struct co_job *j, struct co_task *t,
     enum co_task_state state)
 {
     if (t->state == CO_WAITING) {
@@ -88,99 +82,6 @@
     }
 }
 
-/* --- messages to agents --- */
-
-static dw_orders *
-get_batch(struct fl_agent *a)
-{
-    if (a->batch == NULL) {
-        a->batch = dw_zero(1, sizeof(*a->batch));
-        a->batch->type = DW_ORDERS;
-    }
-    return &a->batch->dw_msg_u.orders;
-}
-
-static void
-add_stop(struct fl_agent *a, uint64_t job, uint32_t index, uint64_t run)
-{
-    dw_orders *o = get_batch(a);
-    dw_run_ref *ref;
-
-    o->stops.stops_val = dw_grow(o->stops.stops_val,
-        (o->stops.stops_len + 1) * sizeof(*o->stops.stops_val));
-    ref = &o->stops.stops_val[o->stops.stops_len++];
-    ref->job = job;
-    ref->index = index;
-    ref->run = run;
-}
-
-static dw_run_group *
-get_run_group(dw_orders *o, const struct co_job *j)
-{
-    dw_run_group *g;
-
-    if (o->groups.groups_len > 0) {
-        g = &o->groups.groups_val[o->groups.groups_len - 1];
-        if (g->job == j->id) {
-            return g;
-        }
-    }
-    o->groups.groups_val = dw_grow(o->groups.groups_val,
-        (o->groups.groups_len + 1) * sizeof(*o->groups.groups_val));
-    g = &o->groups.groups_val[o->groups.groups_len++];
-    memset(g, 0, sizeof(*g));
-    g->job = j->id;
-    g->priority = j->priority;
-    g->spec = str_to_bytes(str_make(j->spec, j->spec_len));
-    return g;
-}
-
-static void
-add_run(struct fl_agent *a, const struct co_job *j, uint32_t index)
-{
-    const struct co_task *t = &j->tasks[index];
-    dw_run_group *g = get_run_group(get_batch(a), j);
-    dw_run *run;
-
-    g->runs.runs_val =
-        dw_grow(g->runs.runs_val, (g->runs.runs_len + 1) * sizeof(*run));
-    run = &g->runs.runs_val[g->runs.runs_len++];
-    run->index = index;
-    run->run = t->run;
-    run->millicores = t->spec.millicores;
-    run->memory_mb = t->spec.memory_mb;
-    run->gpus = t->spec.gpus;
-    run->est_ms = t->spec.est_ms;
-    run->wait_ms = AGENT_QUEUE_MS;
-}
-
-static void
-send_heartbeat(struct coord *c, uint64_t now, struct fl_agent *a)
-{
-    dw_msg m;
-
-    memset(&m, 0, sizeof(m));
-    m.type = DW_ORDERS;
-    m.dw_msg_u.orders.address.dw_bytes_val = c->address;
-    m.dw_msg_u.orders.address.dw_bytes_len = (u_int)strlen(c->address);
-    m.dw_msg_u.orders.port = c->port;
-    m.dw_msg_u.orders.want = a->demand;
-    sess_fill_head(&a->sess, now, &m);
-    c->ops->send(c->ctx, a->id, &m);
-}
-
-static void
-send_batch(struct coord *c, uint64_t now, struct fl_agent *a)
-{
-    dw_msg *m = a->batch;
-
-    a->batch = NULL;
-    m->dw_msg_u.orders.want = a->demand;
-    sess_enqueue(&a->sess, now, m);
-    c->ops->send(c->ctx, a->id, m);
-    fl_batch_sent(a, a->sess.send_seq);
-}
-
 /* --- ending a job --- */
 
 static void
@@ -192,7 +93,7 @@
 
         if (t->state == CO_DISPATCHED && a != NULL && a->session_open &&
             a->sess.number == t->session) {
-            add_stop(a, j->id, i, t->run);
+            co_add_stop(a, j->id, i, t->run);
         }
     }
 }
@@ -217,7 +118,7 @@
 free_job(struct coord *c, struct co_job *j)
 {
     for (uint32_t i = 0; i < j->task_count; i++) {
-        set_state(c, j, &j->tasks[i], CO_DONE);
+        co_set_state(c, j, &j->tasks[i], CO_DONE);
     }
     dequeue(c, j);
     HASH_DEL(c->jobs, j);
@@ -255,17 +156,24 @@
     free_job(c, j);
 }
 
-/* Not CO_FAILED: no task of the job has failed max_attempts times. */
-void
-co_give_up(struct coord *c, uint64_t now, struct co_job *j, const char *reason)
+/* Ends a job without a result: CO_NOT_RUN if no run of it was ordered, else
+ * CO_GAVE_UP.  Not CO_FAILED: no task of it has failed max_attempts times. */
+static void
+give_up(struct coord *c, uint64_t now, struct co_job *j, const char *reason)
 {
     end_job(c, now, j, j->started ? CO_GAVE_UP : CO_NOT_RUN, reason);
 }
 
+void
+co_shed(struct coord *c, uint64_t now)
+{
+    qp_shed(c, now, give_up);
+}
+
 /* --- callers --- */
 
-static struct co_job *
-find_job(const struct coord *c, uint64_t id)
+struct co_job *
+co_find_job(const struct coord *c, uint64_t id)
 {
     struct co_job *j;
 
@@ -364,7 +272,7 @@
         j->tasks[i].spec.est_ms = est->run_ms;
         j->tasks[i].run = s->wall_ms;
         j->tasks[i].state = CO_DONE;
-        set_state(c, j, &j->tasks[i], CO_WAITING);
+        co_set_state(c, j, &j->tasks[i], CO_WAITING);
     }
     return j;
 }
@@ -373,7 +281,7 @@
 co_submit(
     struct coord *c, uint64_t now, const struct co_submit *s, void *handle)
 {
-    struct co_job *j = find_job(c, s->id);
+    struct co_job *j = co_find_job(c, s->id);
     struct co_ended *e = NULL;
     struct es_input input = {longest_declared_ms(s), s->timeout_ms};
     struct es_model *model;
@@ -438,14 +346,14 @@
     }
     if (j != NULL && j->waiters == NULL) {
         c->stats.caller_left++;
-        co_give_up(c, now, j, "caller_gone");
+        give_up(c, now, j, "caller_gone");
     }
 }
 
 bool
 co_cancel(struct coord *c, uint64_t now, uint64_t id)
 {
-    struct co_job *j = find_job(c, id);
+    struct co_job *j = co_find_job(c, id);
 
     if (j == NULL) {
         return false;
@@ -467,13 +375,13 @@
     }
     c->stats.retried++;
     c->ops->log_run(c->ctx, j, (uint32_t)(t - j->tasks), "run_failed");
-    set_state(c, j, t, CO_WAITING);
+    co_set_state(c, j, t, CO_WAITING);
 }
 
 static void
 run_done(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
 {
-    set_state(c, j, t, CO_DONE);
+    co_set_state(c, j, t, CO_DONE);
     j->done_count++;
     if (j->done_count == j->task_count) {
         if (j->model != NULL && !j->ran_slow) {
@@ -490,7 +398,7 @@
     (void)now;
     c->stats.lost++;
     c->ops->log_run(c->ctx, j, (uint32_t)(t - j->tasks), "run_again");
-    set_state(c, j, t, CO_WAITING);
+    co_set_state(c, j, t, CO_WAITING);
 }
 
 static void
@@ -507,7 +415,7 @@
 {
     (void)now;
     c->stats.rejected++;
-    set_state(c, j, t, CO_WAITING);
+    co_set_state(c, j, t, CO_WAITING);
 }
 
 typedef void (*outcome_fn)(
@@ -538,7 +446,7 @@
 handle_run_end(
     struct coord *c, uint64_t now, struct fl_agent *a, const dw_run_end *end)
 {
-    struct co_job *j = find_job(c, end->ref.job);
+    struct co_job *j = co_find_job(c, end->ref.job);
     struct co_task *t;
 
     fl_run_ended(a, now, end->how);
@@ -568,7 +476,7 @@
             struct co_task *t = &j->tasks[i];
 
             if (t->state == CO_DISPATCHED && t->agent == a->id) {
-                set_state(c, j, t, CO_LOST);
+                co_set_state(c, j, t, CO_LOST);
                 t->retry_at_ms = retry_at_ms;
             }
         }
@@ -646,173 +554,6 @@
     }
 }
 
-/* --- placement --- */
-
-static struct fl_requirements
-task_requirements(const struct co_job *j, const struct co_task *t)
-{
-    struct fl_requirements req = {j->load->service, t->spec.millicores,
-        t->spec.memory_mb, t->spec.gpus, t->spec.est_ms, 0, t->failures > 0,
-        false, t->avoid_agent};
-
-    return req;
-}
-
-/* Orders a run of a task; false if no worker has free capacity for it. */
-static bool
-place_task(struct coord *c, uint64_t now, struct co_job *j, uint32_t index)
-{
-    struct co_task *t = &j->tasks[index];
-    struct fl_requirements req = task_requirements(j, t);
-    struct fl_agent *a;
-
-    req.waited_ms = (uint32_t)(now - j->arrived_ms);
-    a = fl_pick(&c->fleet, now, &req);
-
-    if (a == NULL) {
-        return false;
-    }
-    t->run++;
-    t->agent = a->id;
-    t->session = a->sess.number;
-    t->sent_ms = now;
-    t->moving = false;
-    j->started = true;
-    c->stats.runs++;
-    add_run(a, j, index);
-    fl_reserve(a, now, &req);
-    set_state(c, j, t, CO_DISPATCHED);
-    return true;
-}
-
-static bool
-place_job(struct coord *c, uint64_t now, struct co_job *j)
-{
-    for (uint32_t i = 0; i < j->task_count; i++) {
-        if (j->tasks[i].state == CO_WAITING && !place_task(c, now, j, i)) {
-            return false;
-        }
-    }
-    return true;
-}
-
-static void
-place_all(struct coord *c, uint64_t now)
-{
-    struct qp_capacity capacity = {0};
-    struct co_job *j;
-    struct co_job *tmp;
-    uint32_t failures = 0;
-
-    for (int cls = 0; cls < QP_COUNT; cls++) {
-        DL_FOREACH_SAFE (c->queue, j, tmp) {
-            if (qp_class_of(j, now) != (enum qp_class)cls) {
-                continue;
-            }
-            qp_update_capacity(&capacity, c, now, j);
-            if (qp_must_hold_back(&capacity, now, j)) {
-                continue;
-            }
-            if (!place_job(c, now, j) &&
-                ++failures >= MAX_PLACEMENT_FAILURES) {
-                return;
-            }
-            capacity.load = NULL; /* outdated by the placement */
-        }
-    }
-}
-
-void
-co_flush(struct coord *c, uint64_t now)
-{
-    struct fl_agent *a;
-    const char *service = NULL;
-    dw_want demand = {0, 0, 0, 0};
-
-    if (c->has_new_jobs) {
-        c->has_new_jobs = false;
-        qp_shed(c, now);
-    }
-    if (c->queue != NULL) {
-        place_all(c, now);
-    }
-    for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
-        bool report;
-
-        /* Agents of one service are mostly adjacent in the list. */
-        if (service == NULL || strcmp(service, a->service) != 0) {
-            service = a->service;
-            demand = qp_demand(c, now, service);
-        }
-        report = qp_must_report_demand(a, now, &demand);
-        if (report || a->batch != NULL) {
-            a->demand = demand;
-            a->demand_sent_ms = now;
-        }
-        if (a->batch != NULL) {
-            send_batch(c, now, a);
-        }
-        else if (report) {
-            send_heartbeat(c, now, a);
-        }
-    }
-}
-
-/* --- runs on slow workers --- */
-
-/*
- * A run on a worker that has become slow or stalled would end far too late.
- * It is stopped and restarted on another worker if that one has free capacity
- * and is expected to finish earlier by more than the error of estimates.
- */
-/* Remaining time on the slow worker, in percent of the time elsewhere. */
-#define MOVE_MIN_GAIN_PERCENT 130U
-/* ms to stop a run and start it elsewhere. */
-#define MOVE_COST_MS 40U
-/* An entry moves runs into 1 / MOVE_CAPACITY_DIVISOR of the free capacity per
- * tick, as other entries see the same free capacity. */
-#define MOVE_CAPACITY_DIVISOR 4
-
-static bool
-faster_elsewhere(const struct co_task *t, const struct fl_agent *a,
-    uint32_t speed_permille, uint64_t now)
-{
-    uint64_t slow_ms =
-        (uint64_t)t->spec.est_ms * 1000 / num_max(a->status.pace_permille, 1);
-    uint64_t remaining_ms = num_sub_sat(slow_ms, now - t->sent_ms);
-    uint64_t elsewhere_ms =
-        (uint64_t)t->spec.est_ms * 1000 / num_max(speed_permille, 1);
-
-    return remaining_ms * 100 >
-           (elsewhere_ms + MOVE_COST_MS) * MOVE_MIN_GAIN_PERCENT;
-}
-
-static void
-move_runs(struct coord *c, uint64_t now, struct co_job *j)
-{
-    for (uint32_t i = 0; i < j->task_count; i++) {
-        struct co_task *t = &j->tasks[i];
-        struct fl_agent *a = fl_find(&c->fleet, t->agent);
-        struct fl_requirements req = task_requirements(j, t);
-
-        req.fast_only = true;
-        req.avoid_agent = t->agent;
-        if (t->state != CO_DISPATCHED || t->moving || a == NULL ||
-            a->sess.number != t->session || !fl_is_slow(&c->fleet, a) ||
-            !faster_elsewhere(t, a, c->fleet.median_speed_permille, now) ||
-            c->move_budget < (int64_t)req.millicores ||
-            fl_pick(&c->fleet, now, &req) == NULL) {
-            continue;
-        }
-        t->moving = true;
-        t->avoid_agent = t->agent;
-        c->move_budget -= req.millicores;
-        c->stats.moved++;
-        c->ops->log_run(c->ctx, j, i, "run_moved");
-        add_stop(a, j->id, i, t->run);
-    }
-}
-
 /* --- timeouts --- */
 
 static void
@@ -843,10 +584,10 @@
     }
     if (!a->session_open && now - a->open_sent_ms >= FL_OPEN_RETRY_MS) {
         a->open_sent_ms = now;
-        send_heartbeat(c, now, a);
+        co_send_heartbeat(c, now, a);
     }
     else if (a->session_open && sess_heartbeat_due(&a->sess, now)) {
-        send_heartbeat(c, now, a);
+        co_send_heartbeat(c, now, a);
     }
 }
 
@@ -855,11 +596,11 @@
 tick_job(struct coord *c, uint64_t now, struct co_job *j)
 {
     if (now >= j->deadline_ms) {
-        co_give_up(c, now, j, "deadline");
+        give_up(c, now, j, "deadline");
         return false;
     }
     if (!j->started && now + co_fastest_ms(j) >= j->deadline_ms) {
-        co_give_up(c, now, j, "too_late");
+        give_up(c, now, j, "too_late");
         return false;
     }
     for (uint32_t i = 0; i < j->task_count; i++) {
@@ -907,7 +648,7 @@
     fl_update_stats(&c->fleet, now);
     /* Other entries see the same free capacity. */
     sum = fl_total(&c->fleet, now, NULL, 1);
-    c->move_budget = sum.free / MOVE_CAPACITY_DIVISOR;
+    co_set_move_budget(c, &sum);
     if (c->last_capacity_ms == 0 || sum.capacity > 0) {
         c->last_capacity_ms = now;
     }
@@ -918,13 +659,13 @@
             fl_remove(&c->fleet, a);
         }
     }
-    qp_shed(c, now);
+    co_shed(c, now);
     HASH_ITER (hh, c->jobs, j, j_tmp) {
         if (paused) {
-            co_give_up(c, now, j, "paused");
+            give_up(c, now, j, "paused");
         }
         else if (tick_job(c, now, j)) {
-            move_runs(c, now, j);
+            co_move_runs(c, now, j);
         }
     }
     expire_completed(c, now);
@@ -967,7 +708,7 @@
 bool
 co_has_job(const struct coord *c, uint64_t id)
 {
-    return find_job(c, id) != NULL;
+    return co_find_job(c, id) != NULL;
 }
 
 size_t
--- a/coord.h
+++ b/coord.h
@@ -20,6 +20,7 @@
 #include "inflow.h"
 #include "proto.h"
 #include "runner.h"
+#include "schedconf.h"
 #include "slack.h"
 #include "str.h"
 
@@ -183,6 +184,7 @@
 struct coord {
     const struct co_ops *ops;
     void *ctx;
+    struct sc_settings settings; /* all default after co_init() */
     struct fleet fleet;
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
--- a/dwsim.c
+++ b/dwsim.c
@@ -54,7 +54,7 @@
 
 /* --- experiment files --- */
 
-enum key_kind { KEY_U32, KEY_U64, KEY_REAL, KEY_BOOL };
+enum key_kind { KEY_U32, KEY_U64, KEY_REAL, KEY_BOOL, KEY_CHOICE };
 
 /* A key of experiment files. */
 struct key {
@@ -63,49 +63,67 @@
     enum key_kind kind;
     double min;
     double max;
+    const char *const *choices; /* KEY_CHOICE: stored as the index */
 };
 
 #define RANGES_OFFSET(field) offsetof(struct experiment, ranges.field)
 
 static const struct key keys[] = {
-    {"days", offsetof(struct experiment, days), KEY_U64, 1, DAYS_MAX},
-    {"seed", offsetof(struct experiment, seed), KEY_U64, 0, 1e9},
-    {"length_ms", RANGES_OFFSET(length_ms), KEY_U32, 14000, 600000},
+    {"days", offsetof(struct experiment, days), KEY_U64, 1, DAYS_MAX, NULL},
+    {"seed", offsetof(struct experiment, seed), KEY_U64, 0, 1e9, NULL},
+    {"length_ms", RANGES_OFFSET(length_ms), KEY_U32, 14000, 600000, NULL},
     {"machines.workers_min", RANGES_OFFSET(workers_min), KEY_U32, 1,
-        SIM_WORKERS_MAX},
+        SIM_WORKERS_MAX, NULL},
     {"machines.workers_max", RANGES_OFFSET(workers_max), KEY_U32, 1,
-        SIM_WORKERS_MAX},
+        SIM_WORKERS_MAX, NULL},
     {"machines.domains_max", RANGES_OFFSET(domains_max), KEY_U32, 2,
-        SIM_DOMAINS_MAX},
-    {"machines.entries_min", RANGES_OFFSET(entries_min), KEY_U32, 1, 12},
-    {"machines.entries_max", RANGES_OFFSET(entries_max), KEY_U32, 1, 12},
+        SIM_DOMAINS_MAX, NULL},
+    {"machines.entries_min", RANGES_OFFSET(entries_min), KEY_U32, 1, 12, NULL},
+    {"machines.entries_max", RANGES_OFFSET(entries_max), KEY_U32, 1, 12, NULL},
     {"machines.cores_least", RANGES_OFFSET(entry_cores_min), KEY_REAL, 0.001,
-        64},
+        64, NULL},
     {"machines.cores_most", RANGES_OFFSET(entry_cores_max), KEY_REAL, 0.001,
-        64},
-    {"ways.entries_keep", RANGES_OFFSET(no_forwarding), KEY_BOOL, 0, 1},
-    {"ways.entries_stay", RANGES_OFFSET(always_in_rotation), KEY_BOOL, 0, 1},
-    {"load.least", RANGES_OFFSET(load_min), KEY_REAL, 0.01, 3},
-    {"load.most", RANGES_OFFSET(load_max), KEY_REAL, 0.01, 3},
-    {"load.burst_most", RANGES_OFFSET(burst_factor_max), KEY_REAL, 1.2, 10},
+        64, NULL},
+    {"ways.entries_keep", RANGES_OFFSET(no_forwarding), KEY_BOOL, 0, 1, NULL},
+    {"ways.entries_stay", RANGES_OFFSET(always_in_rotation), KEY_BOOL, 0, 1,
+        NULL},
+    {"ways.demand", RANGES_OFFSET(settings.demand), KEY_CHOICE, 0, 0,
+        sc_demand_names},
+    {"ways.admission", RANGES_OFFSET(settings.admission), KEY_CHOICE, 0, 0,
+        sc_admission_names},
+    {"ways.shares", RANGES_OFFSET(settings.shares), KEY_CHOICE, 0, 0,
+        sc_shares_names},
+    {"ways.balance", RANGES_OFFSET(settings.balance), KEY_CHOICE, 0, 0,
+        sc_balance_names},
+    {"ways.reach", RANGES_OFFSET(settings.reach), KEY_CHOICE, 0, 0,
+        sc_reach_names},
+    {"ways.moves", RANGES_OFFSET(settings.moves), KEY_CHOICE, 0, 0,
+        sc_moves_names},
+    {"ways.placement", RANGES_OFFSET(settings.placement), KEY_CHOICE, 0, 0,
+        sc_placement_names},
+    {"load.least", RANGES_OFFSET(load_min), KEY_REAL, 0.01, 3, NULL},
+    {"load.most", RANGES_OFFSET(load_max), KEY_REAL, 0.01, 3, NULL},
+    {"load.burst_most", RANGES_OFFSET(burst_factor_max), KEY_REAL, 1.2, 10,
+        NULL},
     {"load.requests_most", RANGES_OFFSET(requests_per_s_max), KEY_REAL, 1,
-        10000},
+        10000, NULL},
     {"load.task_millicores_least", RANGES_OFFSET(task_millicores_min), KEY_U32,
-        1, 16000},
+        1, 16000, NULL},
     {"load.task_millicores_most", RANGES_OFFSET(task_millicores_max), KEY_U32,
-        1, 16000},
-    {"goal.whole", RANGES_OFFSET(weights.day), KEY_REAL, 0, 1},
-    {"goal.windows", RANGES_OFFSET(weights.windows), KEY_REAL, 0, 1},
-    {"goal.kind", RANGES_OFFSET(weights.kind), KEY_REAL, 0, 1},
-    {"goal.served_nines", RANGES_OFFSET(weights.served_nines), KEY_REAL, 0, 1},
-    {"troubles.least", RANGES_OFFSET(faults_min), KEY_U32, 0, 5},
-    {"troubles.most", RANGES_OFFSET(faults_max), KEY_U32, 0, 5},
+        1, 16000, NULL},
+    {"goal.whole", RANGES_OFFSET(weights.day), KEY_REAL, 0, 1, NULL},
+    {"goal.windows", RANGES_OFFSET(weights.windows), KEY_REAL, 0, 1, NULL},
+    {"goal.kind", RANGES_OFFSET(weights.kind), KEY_REAL, 0, 1, NULL},
+    {"goal.served_nines", RANGES_OFFSET(weights.served_nines), KEY_REAL, 0, 1,
+        NULL},
+    {"troubles.least", RANGES_OFFSET(faults_min), KEY_U32, 0, 5, NULL},
+    {"troubles.most", RANGES_OFFSET(faults_max), KEY_U32, 0, 5, NULL},
     {"patience.of_work", RANGES_OFFSET(patience_drawn[SIM_PATIENCE_OF_WORK]),
-        KEY_BOOL, 0, 1},
+        KEY_BOOL, 0, 1, NULL},
     {"patience.fixed", RANGES_OFFSET(patience_drawn[SIM_PATIENCE_FIXED]),
-        KEY_BOOL, 0, 1},
+        KEY_BOOL, 0, 1, NULL},
     {"patience.loose", RANGES_OFFSET(patience_drawn[SIM_PATIENCE_LOOSE]),
-        KEY_BOOL, 0, 1},
+        KEY_BOOL, 0, 1, NULL},
 };
 
 #define KEY_COUNT (sizeof(keys) / sizeof(keys[0]))
@@ -157,7 +175,30 @@
     case KEY_BOOL:
         *(bool *)field = value != 0;
         break;
+    case KEY_CHOICE:
+        *(uint32_t *)field = (uint32_t)value;
+        break;
+    }
+}
+
+static enum conf_status
+set_choice(struct experiment *x, const struct key *k,
+    const struct toml_value *v, struct err *e)
+{
+    struct buf expected = {0};
+    enum conf_status st;
+
+    for (uint32_t i = 0; k->choices[i] != NULL; i++) {
+        if (v->kind == TOML_TEXT && strcmp(v->text, k->choices[i]) == 0) {
+            set_key(x, k, i);
+            buf_free(&expected);
+            return CONF_OK;
+        }
+        buf_addf(&expected, "%s\"%s\"", i > 0 ? " or " : "", k->choices[i]);
     }
+    st = bad_value(v, e, expected.p);
+    buf_free(&expected);
+    return st;
 }
 
 static bool
@@ -190,6 +231,9 @@
         if (strcmp(k->name, v->key) != 0) {
             continue;
         }
+        if (k->kind == KEY_CHOICE) {
+            return set_choice(x, k, v, e);
+        }
         if (!has_kind(k, v)) {
             return bad_value(v, e, expected[k->kind]);
         }
--- a/entryd.c
+++ b/entryd.c
@@ -98,6 +98,7 @@
     ec_open(e);
     co_init(&e->coord, &ec_co_ops, e, s->seed, s->conf->node.me.domain,
         s->conf->node.me.addr, s->conf->node.me.port);
+    e->coord.settings = s->conf->sched;
     if (open_web(e, &e->callers, p->callers_listen, ec_request, ec_caller_left,
             err) != 0 ||
         open_web(e, &e->ready, p->readiness_listen, on_ready_check,
--- a/proto.h
+++ b/proto.h
@@ -56,6 +56,11 @@
 	DW_NEWS = 26,
 	DW_RELAY = 27,
 	DW_RELAYED = 28,
+	DW_DEMAND = 29,
+	DW_SUPPLY = 30,
+	DW_WAITS = 31,
+	DW_RESERVE = 32,
+	DW_RESERVED = 33,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -615,6 +620,77 @@
 };
 typedef struct dw_relayed dw_relayed;
 
+struct dw_backlog {
+	u_int urgency;
+	u_int priority;
+	u_int work;
+	u_int millicores;
+};
+typedef struct dw_backlog dw_backlog;
+
+struct dw_demand {
+	u_quad_t session;
+	u_int seq;
+	u_int held;
+	u_int agents;
+	struct {
+		u_int rows_len;
+		dw_backlog *rows_val;
+	} rows;
+};
+typedef struct dw_demand dw_demand;
+
+struct dw_supply {
+	u_quad_t session;
+	u_int seq;
+	u_int age_ms;
+	u_int entries;
+	u_int waiting;
+	u_int held;
+	u_int free_millicores;
+	u_int soon_millicores;
+	struct {
+		u_int rows_len;
+		dw_backlog *rows_val;
+	} rows;
+};
+typedef struct dw_supply dw_supply;
+
+struct dw_wait {
+	dw_bytes service;
+	u_int priority;
+	u_int wait_ms;
+};
+typedef struct dw_wait dw_wait;
+
+struct dw_waits {
+	u_quad_t session;
+	u_int seq;
+	struct {
+		u_int rows_len;
+		dw_wait *rows_val;
+	} rows;
+};
+typedef struct dw_waits dw_waits;
+
+struct dw_reserve {
+	u_quad_t session;
+	u_int seq;
+	u_int millicores;
+	u_int least;
+	u_int urgency;
+	u_int hold_ms;
+};
+typedef struct dw_reserve dw_reserve;
+
+struct dw_reserved {
+	u_quad_t session;
+	u_int seq;
+	u_int millicores;
+	u_int valid_ms;
+};
+typedef struct dw_reserved dw_reserved;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -645,6 +721,11 @@
 		dw_news news;
 		dw_relay relay;
 		dw_relayed relayed;
+		dw_demand demand;
+		dw_supply supply;
+		dw_waits waits;
+		dw_reserve reserve;
+		dw_reserved reserved;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -722,6 +803,13 @@
 extern  bool_t xdr_dw_how (XDR *, dw_how*);
 extern  bool_t xdr_dw_reply (XDR *, dw_reply*);
 extern  bool_t xdr_dw_relayed (XDR *, dw_relayed*);
+extern  bool_t xdr_dw_backlog (XDR *, dw_backlog*);
+extern  bool_t xdr_dw_demand (XDR *, dw_demand*);
+extern  bool_t xdr_dw_supply (XDR *, dw_supply*);
+extern  bool_t xdr_dw_wait (XDR *, dw_wait*);
+extern  bool_t xdr_dw_waits (XDR *, dw_waits*);
+extern  bool_t xdr_dw_reserve (XDR *, dw_reserve*);
+extern  bool_t xdr_dw_reserved (XDR *, dw_reserved*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -782,6 +870,13 @@
 extern bool_t xdr_dw_how ();
 extern bool_t xdr_dw_reply ();
 extern bool_t xdr_dw_relayed ();
+extern bool_t xdr_dw_backlog ();
+extern bool_t xdr_dw_demand ();
+extern bool_t xdr_dw_supply ();
+extern bool_t xdr_dw_wait ();
+extern bool_t xdr_dw_waits ();
+extern bool_t xdr_dw_reserve ();
+extern bool_t xdr_dw_reserved ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -44,7 +44,12 @@
     DW_REPORT = 25,
     DW_NEWS = 26,
     DW_RELAY = 27,
-    DW_RELAYED = 28
+    DW_RELAYED = 28,
+    DW_DEMAND = 29,
+    DW_SUPPLY = 30,
+    DW_WAITS = 31,
+    DW_RESERVE = 32,
+    DW_RESERVED = 33
 };
 
 /* State of a submission, in an answer. */
@@ -552,6 +557,79 @@
     dw_reply replies<DW_MAX_ITEMS>;
 };
 
+/*
+ * Unplaced work of one urgency and priority.  The urgency is that of the
+ * job's objective, as a bucket of the time that is left; see demand.h.
+ */
+struct dw_backlog {
+    unsigned int urgency;
+    unsigned int priority;
+    unsigned int work;       /* millicores x s */
+    unsigned int millicores; /* of the tasks */
+};
+
+/*
+ * Entry to agent: the entry's unplaced work divided by the number of agents
+ * that it is reported to, so that sums over agents count it once.  Ignored
+ * unless it is newer than the last one of the session.
+ */
+struct dw_demand {
+    unsigned hyper session;
+    unsigned int seq;    /* rises within the session */
+    unsigned int held;   /* millicores of the entry's dispatched tasks, divided
+                          * likewise */
+    unsigned int agents; /* that it is reported to */
+    dw_backlog rows<64>;
+};
+
+/* Agent to entry: sums over all entries, and its worker's cores. */
+struct dw_supply {
+    unsigned hyper session;
+    unsigned int seq;     /* rises within the session */
+    unsigned int age_ms;  /* of the oldest report in the sums */
+    unsigned int entries; /* that reported demand */
+    unsigned int waiting; /* of these, that have unplaced work */
+    unsigned int held;    /* sum of dw_demand.held */
+    unsigned int free_millicores;
+    unsigned int soon_millicores; /* expected to come free within 100 ms */
+    dw_backlog rows<64>;
+};
+
+/* Predicted wait of a job that arrives now at the sender. */
+struct dw_wait {
+    dw_bytes service;
+    unsigned int priority;
+    unsigned int wait_ms;
+};
+
+/* Peer entry to origin entry: predicted waits. */
+struct dw_waits {
+    unsigned hyper session;
+    unsigned int seq; /* rises within the session */
+    dw_wait rows<64>;
+};
+
+/*
+ * Entry to agent that it keeps no orders at: a request to reserve cores for
+ * tasks, or to extend or return a reservation.
+ */
+struct dw_reserve {
+    unsigned hyper session;
+    unsigned int seq;        /* rises within the session */
+    unsigned int millicores; /* wanted; 0: return what is reserved */
+    unsigned int least;      /* the smallest task, millicores */
+    unsigned int urgency;    /* of the most urgent task */
+    unsigned int hold_ms;    /* longest time that the request may wait */
+};
+
+/* Agent to entry: cores reserved for it. */
+struct dw_reserved {
+    unsigned hyper session;
+    unsigned int seq;        /* of the request */
+    unsigned int millicores; /* reserved; 0: none */
+    unsigned int valid_ms;   /* from receipt of the request's answer */
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -580,6 +658,11 @@
 case DW_NEWS: dw_news news;
 case DW_RELAY: dw_relay relay;
 case DW_RELAYED: dw_relayed relayed;
+case DW_DEMAND: dw_demand demand;
+case DW_SUPPLY: dw_supply supply;
+case DW_WAITS: dw_waits waits;
+case DW_RESERVE: dw_reserve reserve;
+case DW_RESERVED: dw_reserved reserved;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1617,6 +1617,335 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_backlog (XDR *xdrs, dw_backlog *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->urgency))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->work))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->urgency);
+			IXDR_PUT_U_LONG(buf, objp->priority);
+			IXDR_PUT_U_LONG(buf, objp->work);
+			IXDR_PUT_U_LONG(buf, objp->millicores);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->urgency))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->priority))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->work))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+		} else {
+			objp->urgency = IXDR_GET_U_LONG(buf);
+			objp->priority = IXDR_GET_U_LONG(buf);
+			objp->work = IXDR_GET_U_LONG(buf);
+			objp->millicores = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->urgency))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->work))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_demand (XDR *xdrs, dw_demand *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seq))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->agents))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->seq);
+		IXDR_PUT_U_LONG(buf, objp->held);
+		IXDR_PUT_U_LONG(buf, objp->agents);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+			sizeof (dw_backlog), (xdrproc_t) xdr_dw_backlog))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seq))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->agents))
+				 return FALSE;
+
+		} else {
+		objp->seq = IXDR_GET_U_LONG(buf);
+		objp->held = IXDR_GET_U_LONG(buf);
+		objp->agents = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+			sizeof (dw_backlog), (xdrproc_t) xdr_dw_backlog))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->agents))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+		sizeof (dw_backlog), (xdrproc_t) xdr_dw_backlog))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_supply (XDR *xdrs, dw_supply *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seq))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->entries))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->soon_millicores))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->seq);
+		IXDR_PUT_U_LONG(buf, objp->age_ms);
+		IXDR_PUT_U_LONG(buf, objp->entries);
+		IXDR_PUT_U_LONG(buf, objp->waiting);
+		IXDR_PUT_U_LONG(buf, objp->held);
+		IXDR_PUT_U_LONG(buf, objp->free_millicores);
+		IXDR_PUT_U_LONG(buf, objp->soon_millicores);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+			sizeof (dw_backlog), (xdrproc_t) xdr_dw_backlog))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 7 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seq))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->entries))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->waiting))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->held))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->free_millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->soon_millicores))
+				 return FALSE;
+
+		} else {
+		objp->seq = IXDR_GET_U_LONG(buf);
+		objp->age_ms = IXDR_GET_U_LONG(buf);
+		objp->entries = IXDR_GET_U_LONG(buf);
+		objp->waiting = IXDR_GET_U_LONG(buf);
+		objp->held = IXDR_GET_U_LONG(buf);
+		objp->free_millicores = IXDR_GET_U_LONG(buf);
+		objp->soon_millicores = IXDR_GET_U_LONG(buf);
+		}
+		 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+			sizeof (dw_backlog), (xdrproc_t) xdr_dw_backlog))
+			 return FALSE;
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->entries))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->waiting))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->held))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->free_millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->soon_millicores))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+		sizeof (dw_backlog), (xdrproc_t) xdr_dw_backlog))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_wait (XDR *xdrs, dw_wait *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_dw_bytes (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->priority))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->wait_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_waits (XDR *xdrs, dw_waits *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, 64,
+		sizeof (dw_wait), (xdrproc_t) xdr_dw_wait))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_reserve (XDR *xdrs, dw_reserve *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seq))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->least))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->urgency))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->seq);
+			IXDR_PUT_U_LONG(buf, objp->millicores);
+			IXDR_PUT_U_LONG(buf, objp->least);
+			IXDR_PUT_U_LONG(buf, objp->urgency);
+			IXDR_PUT_U_LONG(buf, objp->hold_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->session))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->seq))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->millicores))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->least))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->urgency))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->hold_ms))
+				 return FALSE;
+		} else {
+			objp->seq = IXDR_GET_U_LONG(buf);
+			objp->millicores = IXDR_GET_U_LONG(buf);
+			objp->least = IXDR_GET_U_LONG(buf);
+			objp->urgency = IXDR_GET_U_LONG(buf);
+			objp->hold_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->least))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->urgency))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->hold_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_reserved (XDR *xdrs, dw_reserved *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->millicores))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->valid_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -1733,6 +2062,26 @@
 		 if (!xdr_dw_relayed (xdrs, &objp->dw_msg_u.relayed))
 			 return FALSE;
 		break;
+	case DW_DEMAND:
+		 if (!xdr_dw_demand (xdrs, &objp->dw_msg_u.demand))
+			 return FALSE;
+		break;
+	case DW_SUPPLY:
+		 if (!xdr_dw_supply (xdrs, &objp->dw_msg_u.supply))
+			 return FALSE;
+		break;
+	case DW_WAITS:
+		 if (!xdr_dw_waits (xdrs, &objp->dw_msg_u.waits))
+			 return FALSE;
+		break;
+	case DW_RESERVE:
+		 if (!xdr_dw_reserve (xdrs, &objp->dw_msg_u.reserve))
+			 return FALSE;
+		break;
+	case DW_RESERVED:
+		 if (!xdr_dw_reserved (xdrs, &objp->dw_msg_u.reserved))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -222,7 +222,8 @@
 /* Refuses jobs of one class and adds the others to the work ahead. */
 static void
 shed_class(struct coord *c, uint64_t now, enum qp_class cls,
-    const struct co_service_load *l, struct backlog *backlog)
+    const struct co_service_load *l, struct backlog *backlog,
+    qp_refuse_fn refuse)
 {
     struct co_job *j;
     struct co_job *tmp;
@@ -234,7 +235,7 @@
             continue;
         }
         if (cannot_be_served(backlog, now, j)) {
-            co_give_up(c, now, j, "no_turn");
+            refuse(c, now, j, "no_turn");
             continue;
         }
         w = waiting_tasks(j);
@@ -251,7 +252,7 @@
  * caller can do something else.
  */
 void
-qp_shed(struct coord *c, uint64_t now)
+qp_shed(struct coord *c, uint64_t now, qp_refuse_fn refuse)
 {
     const struct co_service_load *l;
 
@@ -263,7 +264,7 @@
         }
         backlog = get_backlog(c, now, l);
         for (int cls = 0; cls < QP_COUNT && backlog.cores > 0; cls++) {
-            shed_class(c, now, (enum qp_class)cls, l, &backlog);
+            shed_class(c, now, (enum qp_class)cls, l, &backlog, refuse);
         }
     }
 }
--- a/qpolicy.h
+++ b/qpolicy.h
@@ -52,8 +52,11 @@
 void qp_record_job(
     uint64_t now, struct co_job *j, const struct es_estimate *est);
 
-/* Refuses the jobs that cannot be served in time. */
-void qp_shed(struct coord *c, uint64_t now);
+/* Ends a job that has not started; its caller is told that it has not run. */
+typedef void (*qp_refuse_fn)(
+    struct coord *c, uint64_t now, struct co_job *j, const char *reason);
+/* Calls refuse for each job that cannot be served in time. */
+void qp_shed(struct coord *c, uint64_t now, qp_refuse_fn refuse);
 
 /* ms after which a caller that is refused now should retry. */
 uint32_t qp_retry_after_ms(
--- a/sim.h
+++ b/sim.h
@@ -17,6 +17,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "schedconf.h"
 #include "str.h"
 
 #ifdef __cplusplus
@@ -116,6 +117,7 @@
     double entry_cores[SIM_ENTRIES_MAX]; /* 0: its processing takes no time */
     bool no_forwarding;                  /* between entries */
     bool always_in_rotation; /* overloaded entries stay with the balancer */
+    struct sc_settings settings; /* of all entries */
     struct sim_kind kind[SIM_KINDS_MAX];
     struct sim_fault fault[SIM_FAULTS_MAX];
     double requests_per_s;
@@ -193,6 +195,7 @@
     double entry_cores_max; /* 0: processing in entries takes no time */
     bool no_forwarding;
     bool always_in_rotation;
+    struct sc_settings settings;
     double burst_factor_max; /* of the request rate, in SIM_BURST */
     uint32_t faults_min;     /* drawn faults per day */
     uint32_t faults_max;
--- a/simdraw.c
+++ b/simdraw.c
@@ -272,6 +272,7 @@
 {
     d->no_forwarding = r->no_forwarding;
     d->always_in_rotation = r->always_in_rotation;
+    d->settings = r->settings;
     for (uint32_t i = 0; r->entry_cores_max > 0 && i < d->entry_count; i++) {
         d->entry_cores[i] =
             log_uniform_between(rng, r->entry_cores_min, r->entry_cores_max);
--- a/simentry.c
+++ b/simentry.c
@@ -602,6 +602,7 @@
     e->intake = (struct intake){0};
     co_init(
         &e->coord, &entry_ops, e, gsl_rng_get(s->rng), domain, "10.0.0.1", 1);
+    e->coord.settings = s->d->settings;
     rl_init(&e->relay, &rl_ops, e, e->id);
     fl_set_rank(&e->coord.fleet, e->index / s->d->domain_count, e->index);
     sim_schedule(s, READ_STORE_US, sim_read_store, sim_process_ref(e->id));
--- a/test/world.cc
+++ b/test/world.cc
@@ -344,7 +344,9 @@
 
 /* --- the world --- */
 
-World::World(uint64_t seed, size_t entry_count, size_t agent_count) : rng(seed)
+World::World(uint64_t seed, size_t entry_count, size_t agent_count,
+    const sc_settings &sched)
+    : settings(sched), rng(seed)
 {
     for (size_t i = 0; i < agent_count; i++) {
         workers.push_back(std::make_unique<FakeWorker>());
@@ -516,6 +518,7 @@
     e->frozen_until = 0;
     e->unread.clear();
     co_init(&e->coord_state, &entry_ops, e, rng(), "d0", "10.0.0.1", 1);
+    e->coord_state.settings = settings;
     rl_init(&e->relay_state, &relay_ops, e, e->id);
     for (auto &other : entries) {
         if (other->up && other->id != e->id) {
--- a/test/world.hh
+++ b/test/world.hh
@@ -110,7 +110,8 @@
 };
 
 struct World {
-    explicit World(uint64_t seed, size_t entries, size_t agents);
+    explicit World(uint64_t seed, size_t entries, size_t agents,
+        const sc_settings &settings = {});
     ~World();
 
     /* Faults.  A killed process is restarted after for_ms. */
@@ -144,6 +145,7 @@
     /* Share of requests that an entry forwards to another. */
     double forward_share = 0;
 
+    sc_settings settings; /* of all entries */
     uint64_t now = 1000;
     std::vector<std::unique_ptr<FakeWorker>> workers;
     std::vector<std::unique_ptr<FakeAgent>> agents;
