demand: estimate the unplaced work of all entries

An entry knows only its own queue, so that it predicts waits and refuses jobs without knowing what the entries that share its agents have waiting.

With scheduling.demand = "fleet", entries report their unplaced work by urgency and priority to their agents (DW_DEMAND), agents return the sums over their entries (DW_SUPPLY), and dm_estimate() scales these to the service. The entry's own work is left out of the scaled sums and added once: it is reported to exactly the agents whose sums are read, and would otherwise count as many times as the fleet is larger than the selection. Agents offer scarce cores in the order of the rows; without rows, as before.

Three rules keep the bytes of an agent down: a row below a quarter of the entry's unplaced cores sends no report by its change alone; nor does a change while fewer than two messages with orders went to the agent; and the interval of DW_SUPPLY grows with the number of entries (80 ms for each, 200 to 500 ms).

--- a/agent.c
+++ b/agent.c
@@ -69,26 +69,35 @@
     return e->offered_ms != 0 && now - e->offered_ms > AG_OFFER_MS;
 }
 
+/* Capacity is offered to entry x before e, both with demand or e without. */
+static bool
+precedes(const struct ag_entry *x, const struct ag_entry *e, uint64_t now)
+{
+    bool urgent = x->demand.urgent > 0;
+    uint32_t rank = dm_source_rank(&x->source, now);
+    uint32_t other_rank = dm_source_rank(&e->source, now);
+    uint64_t wanted = urgent ? x->demand.urgent : x->demand.late;
+    uint64_t other_wanted = urgent ? e->demand.urgent : e->demand.late;
+
+    if (urgent != (e->demand.urgent > 0)) {
+        return urgent;
+    }
+    if (rank != other_rank && other_wanted > 0) {
+        return rank < other_rank;
+    }
+    return wanted > other_wanted || (wanted == other_wanted && x->id < e->id);
+}
+
 /* Millicores of demand of x that are served before entry e, 0 if none. */
 static uint64_t
 claim_ahead(const struct ag_entry *x, const struct ag_entry *e, uint64_t now,
     int64_t free_millicores)
 {
-    bool first;
-
     if (x == e || !x->open || is_offer_unused(x, now) ||
-        free_millicores < (int64_t)x->demand.least) {
+        free_millicores < (int64_t)x->demand.least || !precedes(x, e, now)) {
         return 0;
     }
-    if (x->demand.urgent > 0) {
-        first = x->demand.urgent > e->demand.urgent ||
-                (x->demand.urgent == e->demand.urgent && x->id < e->id);
-        return first ? x->demand.urgent : 0;
-    }
-    first = e->demand.urgent == 0 &&
-            (x->demand.late > e->demand.late ||
-                (x->demand.late == e->demand.late && x->id < e->id));
-    return first ? x->demand.late : 0;
+    return x->demand.urgent > 0 ? x->demand.urgent : x->demand.late;
 }
 
 /* The part of the free capacity that entry e may use. */
@@ -245,6 +254,7 @@
     }
     e->open = false;
     e->closed_ms = now;
+    e->source = (struct dm_source){0};
     msg_free(e->batch);
     e->batch = NULL;
     sess_end(&e->sess);
@@ -311,6 +321,21 @@
     }
 }
 
+void
+ag_handle_demand(
+    struct agent *a, uint64_t now, uint64_t from, const dw_demand *d)
+{
+    struct ag_entry *e = find_entry(a, from, false);
+
+    if (e != NULL && e->open && e->sess.number == d->session &&
+        dm_source_receive(&e->source, now, d)) {
+        a->demand_received++;
+    }
+    else {
+        a->demand_ignored++;
+    }
+}
+
 void
 ag_entry_dead(struct agent *a, uint64_t now, uint64_t id)
 {
@@ -349,6 +374,43 @@
     }
 }
 
+static void
+sum_demand(const struct agent *a, uint64_t now, struct dm_sums *sums)
+{
+    const struct ag_entry *e;
+
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        dm_sums_add(sums, &e->source, now);
+    }
+}
+
+static void
+send_supplies(struct agent *a, uint64_t now)
+{
+    struct dm_sums sums = {0};
+    bool summed = false;
+    struct ag_entry *e;
+
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        dw_msg *m;
+
+        if (!dm_supply_possible(&e->source, now)) {
+            continue;
+        }
+        if (!summed) {
+            sum_demand(a, now, &sums);
+            summed = true;
+        }
+        if (dm_supply_due(&e->source, now, &sums)) {
+            m = dm_make_supply(
+                &e->source, now, e->sess.number, &sums, &a->runner);
+            a->ops->send(a->ctx, e->id, m);
+            a->supply_sent++;
+            msg_free(m);
+        }
+    }
+}
+
 void
 ag_tick(struct agent *a, uint64_t now)
 {
@@ -361,6 +423,7 @@
             free_entry(a, e);
         }
     }
+    send_supplies(a, now);
     rn_tick(&a->runner, now);
 }
 
--- a/agent.h
+++ b/agent.h
@@ -11,7 +11,8 @@
  * their demand (work that they could not place), and while demand exceeds
  * free capacity, an agent offers capacity only to entries with demand: first
  * for jobs that can meet their objective, and among those to the entry with
- * the most of them, which balances the queues of the entries.
+ * the most of them, which balances the queues of the entries.  Entries that
+ * report their unplaced work by urgency (demand.h) are ordered by that first.
  *
  * An overloaded entry requests fewer reports that only show changed capacity,
  * and gets outcomes of runs in fewer reports.
@@ -25,6 +26,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "demand.h"
 #include "proto.h"
 #include "runner.h"
 #include "sess.h"
@@ -62,6 +64,7 @@
     int64_t reported_millicores; /* free, as last reported to the entry */
     uint64_t offered_ms;         /* since when it has been offered capacity for
                                     its demand; 0: no offer */
+    struct dm_source source;     /* its unplaced work by urgency */
     dw_msg *batch;               /* report with outcomes, not sent yet */
     UT_hash_handle hh;
 };
@@ -87,8 +90,11 @@
     void *ctx; /* passed to ops */
     struct runner runner;
     struct ag_entry *entries;
-    uint32_t open_count; /* entries with an open session */
-    bool leaving;        /* shutting down */
+    uint32_t open_count;      /* entries with an open session */
+    bool leaving;             /* shutting down */
+    uint64_t demand_received; /* DW_DEMAND that counted, since the start */
+    uint64_t demand_ignored;  /* DW_DEMAND that were duplicate or late */
+    uint64_t supply_sent;     /* DW_SUPPLY */
 };
 
 void ag_init(
@@ -98,6 +104,9 @@
  * ends the former one. */
 void ag_handle_orders(
     struct agent *a, uint64_t now, uint64_t from, const dw_orders *o);
+/* Handles an entry's unplaced work by urgency; only in an open session. */
+void ag_handle_demand(
+    struct agent *a, uint64_t now, uint64_t from, const dw_demand *d);
 /* The entry's process is dead: ends its session. */
 void ag_entry_dead(struct agent *a, uint64_t now, uint64_t id);
 /* Sends what is due, ends expired sessions; call periodically. */
--- a/agentd.c
+++ b/agentd.c
@@ -276,6 +276,9 @@
         update_peer_address(ad, from, &m->dw_msg_u.orders);
         ag_handle_orders(&ad->agent, now, from, &m->dw_msg_u.orders);
     }
+    else if (m->type == DW_DEMAND) {
+        ag_handle_demand(&ad->agent, now, from, &m->dw_msg_u.demand);
+    }
 }
 
 static void
@@ -454,6 +457,9 @@
         {"dw_runs_orphans", st->orphans},
         {"dw_runs_full", st->no_capacity},
         {"dw_runs_active", rn_active_count(&ad->agent.runner)},
+        {"dw_demand_received", ad->agent.demand_received},
+        {"dw_demand_ignored", ad->agent.demand_ignored},
+        {"dw_supply_sent", ad->agent.supply_sent},
         {"dw_worker_reborn", st->worker_restarts},
         {"dw_worker_speed_permille", ad->agent.runner.speed_permille},
     };
--- a/coord.c
+++ b/coord.c
@@ -701,6 +701,7 @@
         free(l->service);
         free(l);
     }
+    dm_view_free(&c->demand);
     es_free(&c->run_times);
     fl_free(&c->fleet);
 }
--- a/coord.h
+++ b/coord.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "demand.h"
 #include "fleet.h"
 #include "estimate.h"
 #include "inflow.h"
@@ -186,6 +187,7 @@
     void *ctx;
     struct sc_settings settings; /* all default after co_init() */
     struct fleet fleet;
+    struct dm_view demand; /* unplaced work of all entries */
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
     struct co_ended *ended;
--- a/entryd.c
+++ b/entryd.c
@@ -145,6 +145,26 @@
 /* ms between log lines with the fleet's load as this entry knows it. */
 #define LOAD_LOG_INTERVAL_MS 1000U
 
+/* Records the estimates of the fleet's unplaced work, one line a service. */
+static void
+log_demand(const struct entry *e, uint64_t now)
+{
+    const struct dm_view *v = &e->coord.demand;
+    const struct dm_service *s;
+
+    for (s = v->services; s != NULL; s = s->hh.next) {
+        struct dm_estimate est = dm_estimate(v, now, s->name);
+
+        if (est.known) {
+            log_event(LOG_LEVEL_INFO, "demand",
+                "service=%s age_ms=%u entries=%.1f cores=%.0f held=%.0f"
+                " free=%.0f soon=%.0f own=%.3f",
+                s->name, est.age_ms, est.waiting_entries, est.cores, est.held,
+                est.free, est.soon_free, est.own_part);
+        }
+    }
+}
+
 /* Records the capacity on which admission decisions were based. */
 static void
 log_load(struct entry *e, uint64_t now)
@@ -164,6 +184,7 @@
             " free=%" PRId64,
             jobs, co_unstarted_count(c), co_queued_ms(c, now), sum.capacity,
             sum.free);
+        log_demand(e, now);
     }
 }
 
@@ -246,6 +267,9 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_SUPPLY) {
+        dm_handle_supply(&e->coord, now, from, &m->dw_msg_u.supply);
+    }
     else if (m->type == DW_RELAY) {
         rl_receive_requests(&e->relay, now, from, &m->dw_msg_u.relay);
     }
@@ -317,6 +341,9 @@
         {"dw_runs_retried", st->retried},
         {"dw_runs_moved", st->moved},
         {"dw_choice_widened", st->widened},
+        {"dw_demand_sent", e->coord.demand.stats.sent},
+        {"dw_supply_received", e->coord.demand.stats.received},
+        {"dw_supply_ignored", e->coord.demand.stats.ignored},
         {"dw_config_version", e->routes.version},
         {"dw_requests_waiting", it_count(&e->intake)},
         {"dw_requests_turned_away", e->shed_requests},
--- a/frame.c
+++ b/frame.c
@@ -10,7 +10,8 @@
 frame_may_be_datagram(dw_mtype type)
 {
     return type == DW_PING || type == DW_PING_ACK || type == DW_PING_REQ ||
-           type == DW_PULL || type == DW_STATE;
+           type == DW_PULL || type == DW_STATE || type == DW_DEMAND ||
+           type == DW_SUPPLY;
 }
 
 static bool
--- a/sim.c
+++ b/sim.c
@@ -173,6 +173,10 @@
             &a->agent, sim_now_ms(s), m->from, &m->msg->dw_msg_u.orders);
         ag_flush(&a->agent, sim_now_ms(s));
     }
+    else if (a != NULL && m->msg->type == DW_DEMAND) {
+        ag_handle_demand(
+            &a->agent, sim_now_ms(s), m->from, &m->msg->dw_msg_u.demand);
+    }
     msg_free(m->msg);
     free(m);
 }
--- a/simentry.c
+++ b/simentry.c
@@ -278,6 +278,9 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_SUPPLY) {
+        dm_handle_supply(&e->coord, now, from, &m->dw_msg_u.supply);
+    }
     else if (m->type == DW_RELAY) {
         rl_receive_requests(&e->relay, now, from, &m->dw_msg_u.relay);
     }
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -209,6 +209,69 @@
     EXPECT_EQ(s.reported(2), 6000);
 }
 
+/* The entry with the longest queue would get all scarce cores, also those for
+ * work of others that is due earlier. */
+TEST(Agent, EntryWithMostUrgentRowsComesFirst)
+{
+    const struct {
+        dw_backlog small; /* of entry 1, which has less demand */
+        dw_backlog large; /* of entry 2 */
+        uint64_t first;
+    } cases[] = {
+        {{1, 2, 30, 1000}, {4, 0, 60, 2000}, 1},
+        {{4, 0, 30, 1000}, {1, 2, 60, 2000}, 2},
+        {{2, 0, 30, 1000}, {2, 1, 60, 2000}, 1},
+        {{2, 1, 30, 1000}, {2, 1, 60, 2000}, 2}, /* equal: by amount */
+        {{0, 0, 90, 1000}, {4, 2, 60, 2000}, 2}, /* 90 ms in under 50 ms */
+        {{8, 0, 30, 1000}, {4, 2, 60, 2000}, 2},
+    };
+
+    for (auto &c : cases) {
+        Sessions s;
+        dw_demand d = {};
+
+        s.set_free(0);
+        s.heartbeat(1, {1000, 0, 1000, 0});
+        s.heartbeat(2, {2000, 0, 1000, 0});
+        d.session = 7;
+        d.seq = 1;
+        d.rows.rows_len = 1;
+        d.rows.rows_val = const_cast<dw_backlog *>(&c.small);
+        ag_handle_demand(&s.a, s.now, 1, &d);
+        d.rows.rows_val = const_cast<dw_backlog *>(&c.large);
+        ag_handle_demand(&s.a, s.now, 2, &d);
+        s.flush();
+        s.now++;
+        s.set_free(1000);
+        s.flush();
+        EXPECT_EQ(s.reported(c.first), 1000);
+        EXPECT_LE(s.reported(3 - c.first), 0);
+    }
+}
+
+/* Rows of an ended session belong to a process that may be gone. */
+TEST(Agent, RowsEndWithTheirSession)
+{
+    Sessions s;
+    dw_backlog row = {0, 0, 30, 1000};
+    dw_demand d = {};
+
+    s.heartbeat(1);
+    d.session = 6;
+    d.seq = 1;
+    d.rows.rows_len = 1;
+    d.rows.rows_val = &row;
+    ag_handle_demand(&s.a, s.now, 1, &d);
+    ag_handle_demand(&s.a, s.now, 2, &d);
+    EXPECT_EQ(s.a.demand_ignored, 2u) << "other session, unknown entry";
+    d.session = 7;
+    ag_handle_demand(&s.a, s.now, 1, &d);
+    EXPECT_EQ(s.a.demand_received, 1u);
+    EXPECT_EQ(dm_source_rank(&s.a.entries->source, s.now), 0u);
+    ag_entry_dead(&s.a, s.now, 1);
+    EXPECT_EQ(dm_source_rank(&s.a.entries->source, s.now), DM_RANK_UNKNOWN);
+}
+
 TEST(Agent, CapacityIsReportedToAllWithoutDemand)
 {
     Sessions s;
--- a/test/world.cc
+++ b/test/world.cc
@@ -567,6 +567,12 @@
                         &p->coord_state, now, from, &copy->dw_msg_u.report);
                 });
             }
+            else if (p->up && p->id == to && copy->type == DW_SUPPLY) {
+                on_entry(p, [this, p, from, copy] {
+                    dm_handle_supply(
+                        &p->coord_state, now, from, &copy->dw_msg_u.supply);
+                });
+            }
             else if (p->up && p->id == to && copy->type == DW_RELAY) {
                 on_entry(p, [this, p, from, copy] {
                     rl_receive_requests(
@@ -588,6 +594,12 @@
                         &p->agent_state, now, from, &copy->dw_msg_u.orders);
                 });
             }
+            else if (p->up && p->id == to && copy->type == DW_DEMAND) {
+                on_agent(p, [this, p, from, copy] {
+                    ag_handle_demand(
+                        &p->agent_state, now, from, &copy->dw_msg_u.demand);
+                });
+            }
         }
     });
 }
