shares: routes share the order of refusal while cores lack

Cause: while jobs wait for cores, load shedding refuses the last ones by class and objective, so that a burst of one route and short jobs decide which routes and sizes are refused.

Change: with scheduling.shares = "routes", and while jobs of a service with unlike routes have waited for 100 ms (until none has for 500 ms), qp_shed() goes through them by weighted deficit round robin over the routes (work; half the weight for each step of priority; half of the cores in equal parts as a floor). The first large job of a route goes first while the largest tenth is served less often than it should. Jobs are placed by objective as before, and deficits are not carried from one order to the next: both served fewer requests in time. qp_shed() goes through an array in the order of before where shares are not in effect.

--- a/coord-int.h
+++ b/coord-int.h
@@ -2,7 +2,8 @@
  * coord-int - internal interface of the coordinator
  *
  * coord.c keeps the jobs, coplace.c places their tasks and sends messages to
- * agents, comove.c moves runs from slow workers.
+ * agents, comove.c moves runs from slow workers, coshare.c orders waiting
+ * jobs.
  */
 #ifndef COORD_INT_H
 #define COORD_INT_H
@@ -46,6 +47,18 @@
 struct fl_requirements co_task_requirements(
     const struct co_job *j, const struct co_task *t);
 
+/* --- coshare.c --- */
+/* Adds a job to its route, or removes it. */
+void co_share_arrived(struct coord *c, uint64_t now, struct co_job *j,
+    const struct co_submit *s);
+void co_share_ended(struct co_job *j, enum co_outcome outcome);
+/* Whether each service lacks cores; to be called after placement. */
+void co_update_sharing(struct coord *c, uint64_t now);
+/* The jobs of a service with waiting tasks, the last to be refused first.
+ * Valid until the next call. */
+const struct sh_item *co_order(struct coord *c, uint64_t now,
+    const struct co_service_load *l, size_t *count);
+
 /* --- comove.c --- */
 /* Sets what may be moved in this tick, given the fleet's totals. */
 void co_set_move_budget(struct coord *c, const struct fl_totals *sum);
--- a/coord.c
+++ b/coord.c
@@ -140,6 +140,7 @@
     uint32_t retry_ms;
 
     ++*counts[outcome];
+    co_share_ended(j, outcome);
     retry_ms = outcome == CO_NOT_RUN ? qp_retry_after_ms(c, now, j->load) : 0;
     stop_runs(c, j);
     c->ops->log_job(c->ctx, j, reason);
@@ -311,6 +312,7 @@
         return;
     }
     j = admit(c, now, s, &est, handle);
+    co_share_arrived(c, now, j, s);
     qp_record_job(now, j, &est);
     j->model = model;
     j->input = input;
@@ -699,8 +701,10 @@
     HASH_ITER (hh, c->loads, l, l_tmp) {
         HASH_DEL(c->loads, l);
         free(l->service);
+        free(l->shares);
         free(l);
     }
+    free(c->order);
     es_free(&c->run_times);
     fl_free(&c->fleet);
 }
--- a/coord.h
+++ b/coord.h
@@ -21,6 +21,7 @@
 #include "proto.h"
 #include "runner.h"
 #include "schedconf.h"
+#include "shares.h"
 #include "slack.h"
 #include "str.h"
 
@@ -106,6 +107,7 @@
     uint64_t dispatched_millicores; /* of dispatched tasks */
     struct sl_histogram slack;      /* recent work by slack */
     struct in_flow inflow;          /* arriving work, in millicores x ms */
+    struct sh_shares *shares;       /* of its routes; NULL: not in use */
     UT_hash_handle hh;
 };
 
@@ -130,6 +132,9 @@
     bool ran_slow;            /* a run was on a slow worker: learn nothing */
     bool started;             /* a run of it has been ordered */
     bool queued;              /* in coord.queue */
+    struct sh_route *share;   /* of its route; NULL: shares are not in use */
+    bool large;               /* one of the largest of its route */
+    enum sh_turn turn;        /* floor that decided its place */
     struct co_task *tasks;
     uint32_t task_count;
     uint32_t done_count;
@@ -191,8 +196,10 @@
     struct co_ended *ended;
     struct es_table run_times;     /* learned run times, by route */
     struct co_service_load *loads; /* by service */
-    bool has_new_jobs;             /* since the last flush */
-    uint32_t report_interval_ms;   /* between an agent's capacity reports */
+    struct sh_item *order;         /* buffer of co_order() */
+    size_t order_size;
+    bool has_new_jobs;           /* since the last flush */
+    uint32_t report_interval_ms; /* between an agent's capacity reports */
     int64_t move_budget; /* millicores that may be moved in this tick */
     uint64_t last_tick_ms;
     uint64_t last_capacity_ms; /* when a worker was last usable; at first, the
@@ -224,6 +231,10 @@
 /* Places waiting tasks, sends the collected orders and reports demand. */
 void co_flush(struct coord *c, uint64_t now);
 
+/* The configuration has changed: drops the shares of routes for which keep()
+ * is false. */
+void co_remove_routes(struct coord *c, sh_keep_fn keep, void *ctx);
+
 /* Queries. */
 /* The job is in progress here. */
 bool co_has_job(const struct coord *c, uint64_t id);
@@ -233,6 +244,8 @@
 size_t co_unstarted_count(const struct coord *c);
 /* Waiting work in ms of the whole fleet's capacity. */
 uint64_t co_queued_ms(const struct coord *c, uint64_t now);
+/* Sums over the services. */
+struct sh_stats co_share_stats(const struct coord *c);
 
 #ifdef __cplusplus
 }
--- a/coplace.c
+++ b/coplace.c
@@ -197,6 +197,7 @@
     if (c->queue != NULL) {
         place_all(c, now);
     }
+    co_update_sharing(c, now);
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
         bool report;
 
--- a/entryd.c
+++ b/entryd.c
@@ -167,6 +167,22 @@
     }
 }
 
+/* Sharing switches at most twice in SH_OFF_MS per service. */
+static void
+log_sharing(struct entry *e, uint64_t now)
+{
+    const struct co_service_load *l;
+
+    for (l = e->coord.loads; l != NULL; l = l->hh.next) {
+        if (l->shares != NULL && sh_take_switch(l->shares)) {
+            log_event(LOG_LEVEL_INFO,
+                l->shares->sharing ? "sharing_on" : "sharing_off",
+                "service=%s jobs=%zu waiting_ms=%" PRIu64, l->service,
+                co_unstarted_count(&e->coord), co_queued_ms(&e->coord, now));
+        }
+    }
+}
+
 static void
 log_overload(struct entry *e)
 {
@@ -210,6 +226,7 @@
         FL_SELECTED_MAX + co_job_count(&e->coord));
     en_save_estimates(e, now);
     log_load(e, now);
+    log_sharing(e, now);
     if (ost_request_due(&e->opstate, now)) {
         en_query_peers(e);
     }
@@ -302,6 +319,7 @@
 {
     const struct entry *e = s->state;
     const struct co_stats *st = &e->coord.stats;
+    struct sh_stats shares = co_share_stats(&e->coord);
     const struct sv_metric rows[] = {
         {"dw_jobs_submitted", st->submitted},
         {"dw_jobs_attached", st->attached},
@@ -317,6 +335,9 @@
         {"dw_runs_retried", st->retried},
         {"dw_runs_moved", st->moved},
         {"dw_choice_widened", st->widened},
+        {"dw_sharing_switches", shares.switches},
+        {"dw_jobs_floor", shares.floor_jobs},
+        {"dw_jobs_large_floor", shares.large_jobs},
         {"dw_config_version", e->routes.version},
         {"dw_requests_waiting", it_count(&e->intake)},
         {"dw_requests_turned_away", e->shed_requests},
--- a/entrystore.c
+++ b/entrystore.c
@@ -22,6 +22,20 @@
 #define CONFIG_KEY "op/config"
 #define EVACUATE_PREFIX "op/evacuate/"
 
+/* The name is cut off after SH_NAME_MAX - 1 bytes. */
+static bool
+has_route(void *ctx, const char *name)
+{
+    const struct rt_table *t = ctx;
+
+    for (size_t i = 0; i < t->count; i++) {
+        if (strncmp(t->routes[i].name, name, SH_NAME_MAX - 1) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 apply_config(struct entry *e, struct str text)
 {
@@ -40,6 +54,7 @@
     }
     version = loaded.version;
     if (rt_replace(&e->routes, &loaded)) {
+        co_remove_routes(&e->coord, has_route, &e->routes);
         log_event(LOG_LEVEL_INFO, "config_in_force",
             "version=%" PRIu64 " routes=%zu", version, e->routes.count);
     }
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -219,21 +219,18 @@
     return end_ms > (double)num_min(j->deadline_ms, j->useful_until_ms);
 }
 
-/* Refuses jobs of one class and adds the others to the work ahead. */
+/* Refuses jobs of one service and adds the others to the work ahead. */
 static void
-shed_class(struct coord *c, uint64_t now, enum qp_class cls,
-    const struct co_service_load *l, struct backlog *backlog,
-    qp_refuse_fn refuse)
+shed_service(struct coord *c, uint64_t now, const struct co_service_load *l,
+    struct backlog *backlog, qp_refuse_fn refuse)
 {
-    struct co_job *j;
-    struct co_job *tmp;
+    size_t count;
+    const struct sh_item *order = co_order(c, now, l, &count);
 
-    DL_FOREACH_SAFE (c->queue, j, tmp) {
+    for (size_t i = 0; i < count; i++) {
+        struct co_job *j = order[i].job;
         struct waiting w;
 
-        if (j->load != l || qp_class_of(j, now) != cls) {
-            continue;
-        }
         if (cannot_be_served(backlog, now, j)) {
             refuse(c, now, j, "no_turn");
             continue;
@@ -263,8 +260,8 @@
             continue;
         }
         backlog = get_backlog(c, now, l);
-        for (int cls = 0; cls < QP_COUNT && backlog.cores > 0; cls++) {
-            shed_class(c, now, (enum qp_class)cls, l, &backlog, refuse);
+        if (backlog.cores > 0) {
+            shed_service(c, now, l, &backlog, refuse);
         }
     }
 }
