--- a/coplace.c
+++ b/coplace.c
@@ -198,6 +198,7 @@
         place_all(c, now);
     }
     dm_flush(c, now);
+    co_update_sharing(c, now);
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
         bool report;
 
