dwsim: draw heavy tails of run times and unequal speeds

Real routes have a few tasks that take many times as long as the others, and fleets have workers of unequal speed. Neither was drawn, so that dwsim could not show that long tasks are taken for slow workers.

--- a/sim.h
+++ b/sim.h
@@ -122,6 +122,8 @@
     struct sim_fault fault[SIM_FAULTS_MAX];
     double requests_per_s;
     double task_log_sigma; /* of task run times within a job */
+    double tail_share; /* of the tasks, that take tail_factor times as long */
+    double tail_factor;
     /* One-way latencies. */
     uint32_t cross_domain_latency_us;
     uint32_t local_latency_us;  /* within a failure domain */
@@ -191,6 +193,10 @@
     double requests_per_s_max;
     uint32_t task_millicores_min;
     uint32_t task_millicores_max;
+    double speed_min;  /* of a worker */
+    double speed_max;  /* 0: two sizes of workers, the larger up to 1.4 */
+    double tail_share; /* of the tasks; 0: no run times are drawn longer */
+    double tail_factor;
     double entry_cores_min; /* per entry */
     double entry_cores_max; /* 0: processing in entries takes no time */
     bool no_forwarding;
--- a/simcaller.c
+++ b/simcaller.c
@@ -29,6 +29,15 @@
 
 /* --- requests --- */
 
+/* Without tails, nothing is drawn: the day is the same as before. */
+static double
+draw_tail_factor(struct sim *s)
+{
+    return s->d->tail_share > 0 && sim_random(s) < s->d->tail_share
+               ? s->d->tail_factor
+               : 1;
+}
+
 static uint32_t
 draw_task_count(struct sim *s, uint32_t kind)
 {
@@ -108,6 +117,7 @@
         j->task_us[i] = (uint32_t)(run_us * gsl_ran_lognormal(s->rng, 0,
                                                 s->d->task_log_sigma)) +
                         1000;
+        j->task_us[i] = (uint32_t)(j->task_us[i] * draw_tail_factor(s));
     }
     declared = run_us / 1000 * k->declared_ratio *
                gsl_ran_lognormal(s->rng, 0, k->declared_log_sigma);
--- a/simdraw.c
+++ b/simdraw.c
@@ -27,6 +27,7 @@
     r->requests_per_s_max = 500;
     r->task_millicores_min = 500;
     r->task_millicores_max = 8000;
+    r->tail_factor = 1;
     r->weights = (struct sim_weights){0.35, 0.5, 0.15, 0};
     r->burst_factor_max = 1.8;
     r->faults_min = 1;
@@ -91,6 +92,9 @@
         d->speed[i] = larger ? 1 + 0.4 * unevenness : 1;
         d->millicores[i] =
             cores * 1000 * (larger && unevenness > 0.5 ? 3 : 2) / 2;
+        if (r->speed_max > 0) {
+            d->speed[i] = uniform_between(rng, r->speed_min, r->speed_max);
+        }
     }
     d->local_latency_us = 200;
     d->cross_domain_latency_us = (uint32_t)log_uniform_between(rng, 500, 3000);
@@ -182,6 +186,9 @@
         draw_kind(&d->kind[i], rng, r, declared_sigma);
         d->kind[i].priority = i;
     }
+    d->tail_share = r->tail_share;
+    d->tail_factor = r->tail_factor;
+    load /= 1 + r->tail_share * (r->tail_factor - 1);
     set_rates_and_values(d, rng, load * total_cores(d), r->requests_per_s_max);
     d->task_log_sigma = uniform_between(rng, 0.05, 0.25);
     d->run_failure_share = uniform_between(rng, 0, 0.005);
