tail: tell long tasks from slow workers before moving runs

An agent's pace averages the runs on its worker.

With moves = "distribution", an entry learns per route how run times relate to estimates (decaying, bounded, from a wide prior) and adds up the evidence against each worker: runs that ended there, runs in progress, and the agent's report, whose pace must be explained by a share of long runs if the worker is sound. The job in question is left out. A run is moved if its expected time elsewhere is shorter and serves its callers better, no job in time wants the cores, and the budget of moves allows it. Moved runs show whether the second run was as long, which changes the trust in the evidence. A worker also counts as slow for placement only if there is evidence besides its pace.

--- a/comove.c
+++ b/comove.c
@@ -35,6 +35,18 @@
            (elsewhere_ms + MOVE_COST_MS) * MOVE_MIN_GAIN_PERCENT;
 }
 
+/* By the settings' rule, the run would end sooner on another worker. */
+static bool
+should_move(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t,
+    struct fl_agent *a)
+{
+    if (c->settings.moves == SC_MOVES_DISTRIBUTION) {
+        return co_tail_should_move(c, now, j, t, a);
+    }
+    return fl_is_slow(&c->fleet, a) &&
+           faster_elsewhere(t, a, c->fleet.median_speed_permille, now);
+}
+
 void
 co_move_runs(struct coord *c, uint64_t now, struct co_job *j)
 {
@@ -46,10 +58,10 @@
         req.fast_only = true;
         req.avoid_agent = t->agent;
         if (t->state != CO_DISPATCHED || t->moving || a == NULL ||
-            a->sess.number != t->session || !fl_is_slow(&c->fleet, a) ||
-            !faster_elsewhere(t, a, c->fleet.median_speed_permille, now) ||
+            a->sess.number != t->session || !should_move(c, now, j, t, a) ||
             c->move_budget < (int64_t)req.millicores ||
-            fl_pick(&c->fleet, now, &req) == NULL) {
+            fl_pick(&c->fleet, now, &req) == NULL ||
+            !co_tail_take_move(c, now, j, t, a)) {
             continue;
         }
         t->moving = true;
--- a/coord-int.h
+++ b/coord-int.h
@@ -2,7 +2,8 @@
  * coord-int - internal interface of the coordinator
  *
  * coord.c keeps the jobs, coplace.c places their tasks and sends messages to
- * agents, comove.c moves runs from slow workers.
+ * agents, comove.c moves runs from slow workers, cotail.c finds them with
+ * moves = "distribution".
  */
 #ifndef COORD_INT_H
 #define COORD_INT_H
@@ -52,4 +53,20 @@
 /* Stops runs of the job that would end sooner on another worker. */
 void co_move_runs(struct coord *c, uint64_t now, struct co_job *j);
 
+/* --- cotail.c; without effect unless moves = "distribution" --- */
+/* Finds the distribution of run times of the job's route. */
+void co_tail_admit(struct coord *c, struct co_job *j, const char *route);
+/* Learns from a run that succeeded. */
+void co_tail_run_done(struct coord *c, uint64_t now, struct fl_agent *a,
+    struct co_job *j, struct co_task *t, uint32_t ran_ms);
+/* Judges which workers are slow. */
+void co_tail_judge(struct coord *c, uint64_t now);
+/* A second run on another worker would serve the job's callers better, and no
+ * job in time wants the cores.  Stores the forecast in the task. */
+bool co_tail_should_move(struct coord *c, uint64_t now, const struct co_job *j,
+    struct co_task *t, const struct fl_agent *a);
+/* Counts the move; false if the budget is exhausted. */
+bool co_tail_take_move(struct coord *c, uint64_t now, const struct co_job *j,
+    struct co_task *t, const struct fl_agent *a);
+
 #endif
--- a/coord.c
+++ b/coord.c
@@ -27,6 +27,7 @@
     c->ops = ops;
     c->ctx = ctx;
     fl_init(&c->fleet, seed, domain);
+    tl_init(&c->tail);
     str_copy(c->address, sizeof(c->address), str_of(address));
     c->port = port;
 }
@@ -313,6 +314,7 @@
     j = admit(c, now, s, &est, handle);
     qp_record_job(now, j, &est);
     j->model = model;
+    co_tail_admit(c, j, s->route_name);
     j->input = input;
     c->has_new_jobs = true;
 }
@@ -457,6 +459,7 @@
     if (t->state == CO_DISPATCHED && t->run == end->ref.run &&
         t->agent == a->id) {
         if (end->how == DW_END_DONE) {
+            co_tail_run_done(c, now, a, j, t, end->ran_ms);
             record_run_time(c, a, j, end->ran_ms);
         }
         outcome_handlers[end->how](c, now, j, t);
@@ -649,6 +652,7 @@
     /* Other entries see the same free capacity. */
     sum = fl_total(&c->fleet, now, NULL, 1);
     co_set_move_budget(c, &sum);
+    co_tail_judge(c, now);
     if (c->last_capacity_ms == 0 || sum.capacity > 0) {
         c->last_capacity_ms = now;
     }
@@ -702,6 +706,7 @@
         free(l);
     }
     es_free(&c->run_times);
+    tl_free(&c->tail);
     fl_free(&c->fleet);
 }
 
--- a/coord.h
+++ b/coord.h
@@ -23,6 +23,7 @@
 #include "schedconf.h"
 #include "slack.h"
 #include "str.h"
+#include "tail.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -89,8 +90,12 @@
     uint64_t retry_at_ms; /* CO_LOST: when the last run has certainly ended */
     uint64_t sent_ms;     /* when the last run was sent */
     uint32_t failures;
-    uint64_t avoid_agent; /* where it failed or ran too slowly; 0: none */
-    bool moving;          /* being stopped, to run on another worker */
+    uint64_t avoid_agent;   /* where it failed or ran too slowly; 0: none */
+    bool moving;            /* being stopped, to run on another worker */
+    uint64_t moved_ms;      /* when it was last moved, with moves =
+                             * "distribution"; 0: never */
+    uint32_t moved_rest_ms; /* expected then, had it not been moved */
+    double moved_ratio;     /* of its time to the estimate, then */
 };
 
 /* A caller that waits for a job's answer. */
@@ -124,6 +129,7 @@
     uint64_t deadline_ms;     /* when its caller stops waiting */
     uint64_t longest_task_ms; /* estimated run time of its longest task */
     struct es_model *model;   /* run times of its route; NULL: none */
+    struct tl_route *ratios;  /* of run times to estimates; NULL: none */
     struct es_input input;    /* what the estimate was made from */
     uint32_t slack_ms;        /* how long it could wait on arrival */
     uint32_t longest_run_ms;  /* longest run so far, scaled to usual speed */
@@ -177,7 +183,15 @@
     uint64_t rejected; /* returned by an agent without free capacity */
     uint64_t retried;  /* after a failure */
     uint64_t moved;    /* stopped on a slow worker to run on another */
-    uint64_t widened;  /* times that no selected agent could hold a task */
+    /* With moves = "distribution": */
+    uint64_t moved_report;  /* of moved: the agent's report sufficed */
+    uint64_t moved_runs;    /* of moved: this entry's runs were needed */
+    uint64_t moved_run_ms;  /* run time that was thrown away */
+    uint64_t moves_of_use;  /* ended before the first run was expected to */
+    uint64_t moves_as_long; /* the second run took as long as the first */
+    uint64_t moves_wanted;  /* not made: cores wanted by jobs in time */
+    uint64_t moves_budget;  /* not made: budget exhausted */
+    uint64_t widened; /* times that no selected agent could hold a task */
 };
 
 /* An entry's coordinator. */
@@ -193,6 +207,7 @@
     struct co_service_load *loads; /* by service */
     bool has_new_jobs;             /* since the last flush */
     uint32_t report_interval_ms;   /* between an agent's capacity reports */
+    struct tl_state tail;
     int64_t move_budget; /* millicores that may be moved in this tick */
     uint64_t last_tick_ms;
     uint64_t last_capacity_ms; /* when a worker was last usable; at first, the
--- a/fleet.c
+++ b/fleet.c
@@ -86,6 +86,7 @@
     a->session_open = false;
     a->demand = (dw_want){0, 0, 0, 0};
     a->active_runs = 0;
+    a->tail = (struct tl_worker){0};
     memset(&a->status, 0, sizeof(a->status));
     sess_end(&a->sess);
 }
@@ -500,7 +501,8 @@
 fl_is_slow(const struct fleet *f, const struct fl_agent *a)
 {
     return (uint64_t)a->status.pace_permille * 100 <=
-           (uint64_t)f->median_speed_permille * SLOW_PERCENT;
+               (uint64_t)f->median_speed_permille * SLOW_PERCENT &&
+           (!f->slow_by_evidence || a->tail.suspect);
 }
 
 /*
--- a/fleet.h
+++ b/fleet.h
@@ -15,6 +15,7 @@
 
 #include "proto.h"
 #include "sess.h"
+#include "tail.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -88,6 +89,7 @@
     uint64_t probation_until_ms; /* no run is sent until then */
     uint32_t probation_ms;   /* length of the last probation; 0: none since a
                               * run succeeded */
+    struct tl_worker tail;   /* with moves = "distribution" */
     dw_want demand;          /* unplaced work, as last sent to the agent */
     uint64_t demand_sent_ms; /* when it was sent */
     dw_msg *batch;           /* orders collected since the last flush */
@@ -109,6 +111,7 @@
     bool all_selected;            /* all agents are selected now */
     uint32_t mean_fail_permille;  /* failed runs, mean of usable workers */
     uint32_t median_speed_permille; /* median of usable workers */
+    bool slow_by_evidence; /* a slow pace alone makes no worker slow */
 };
 
 /* Requirements of a run on the worker that it is placed on. */
@@ -176,7 +179,8 @@
     struct fleet *f, uint64_t now, const struct fl_requirements *req);
 
 /* Queries. */
-/* The worker's present pace is far below the median speed. */
+/* The worker's present pace is far below the median speed; with
+ * slow_by_evidence, this is also not due to long tasks. */
 bool fl_is_slow(const struct fleet *f, const struct fl_agent *a);
 /* The agent holds no run of this entry, and no message to it is collected or
  * unacknowledged. */
