admit: refusal on arrival by the predicted wait

With scheduling.admission = "arrival", co_submit() predicts the wait from the work ahead and the expected cores; a job that cannot start on time is predicted to wait until the work ahead drains beside what arrives. By route, a decaying distribution of actual over predicted wait corrects it; jobs given up after waiting count as censored. A job is refused (reason `admission`) if a quarter of such waits is already too long, unless free cores beyond the reserve suffice for it, where it is placed. An admitted job that can meet its objective is refused only if cores were lost (`capacity_lost`); one that missed it, as today (`no_turn`).

The inflow leaves out refused jobs, the histogram of slack does not: without them, the reserve for urgent jobs shrank as they were refused.

--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,11 @@
 
 # Deciding modules: no I/O, no clock, no state of their own.
 DECIDE = str err act subkey contract schedconf view member sync place host job jobadmit jobhandover \
-	quota own ownmap front node route sess fleet coord coplace comove runner agent opstate estimate slack inflow rank qpolicy intake lag relay
+	quota own ownmap front node route sess fleet coord coplace coadmit comove runner agent opstate estimate slack inflow rank qpolicy admit intake lag relay
 # What carries their actions out.
-IO = log hist proc base64 httpc store frame link web trail backend actexec api ops metric serve \
+IO = log proc base64 httpc store frame link web trail backend actexec api ops metric serve \
 	entryd entrycall entrystore agentd platform/wire platform/kv platform/follow
-COMMON = $(DECIDE) conf proto_xdr
+COMMON = $(DECIDE) conf proto_xdr hist
 LIBS = -ltirpc -lev -lmicrohttpd -lcurl -lpopt -llog4c -ljansson -lxxhash \
 	-lnettle -lm
 
@@ -60,10 +60,10 @@
 
 TESTS = unit-test work-test link-test quota-test path-test member-test matrix-test \
 	property-test fleet world serve-test wire-test route-test sess-test runner-test agent-test \
-	coord-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
+	coord-test opstate-test estimate-test slack-test inflow-test admit-test rank-test lag-test fleet-test kv-test \
 	web-test log-test sim-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
-$(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/hist.o $(B)/web.o \
+$(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/web.o \
 	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(SIM_PARTS)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lgsl -lgslcblas -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
--- a/coord-int.h
+++ b/coord-int.h
@@ -46,6 +46,22 @@
 struct fl_requirements co_task_requirements(
     const struct co_job *j, const struct co_task *t);
 
+/* Places the job's waiting tasks; false if one finds no capacity. */
+bool co_place_job(struct coord *c, uint64_t now, struct co_job *j);
+
+/* --- coadmit.c: all without effect unless admission is "arrival" --- */
+/* Decides on a job that has just arrived: 0 if it is admitted, else ms after
+ * which its caller should retry. */
+uint32_t co_admit_arrival(struct coord *c, uint64_t now, struct co_job *j);
+/* Why a job that cannot be served in time is refused; NULL: it is kept or was
+ * placed. */
+const char *co_admit_shed_reason(
+    struct coord *c, uint64_t now, struct co_job *j, double cores);
+/* All tasks of the job have been placed, or it was given up before. */
+void co_admit_placed(struct coord *c, uint64_t now, struct co_job *j);
+void co_admit_given_up(
+    struct coord *c, uint64_t now, struct co_job *j, const char *reason);
+
 /* --- comove.c --- */
 /* Sets what may be moved in this tick, given the fleet's totals. */
 void co_set_move_budget(struct coord *c, const struct fl_totals *sum);
--- a/coord.c
+++ b/coord.c
@@ -128,8 +128,8 @@
 }
 
 static void
-end_job(struct coord *c, uint64_t now, struct co_job *j,
-    enum co_outcome outcome, const char *reason)
+end_job_retry(struct coord *c, uint64_t now, struct co_job *j,
+    enum co_outcome outcome, const char *reason, uint32_t retry_ms)
 {
     uint64_t *counts[] = {
         [CO_COMPLETED] = &c->stats.completed,
@@ -137,10 +137,9 @@
         [CO_GAVE_UP] = &c->stats.gave_up,
         [CO_NOT_RUN] = &c->stats.not_run,
     };
-    uint32_t retry_ms;
 
     ++*counts[outcome];
-    retry_ms = outcome == CO_NOT_RUN ? qp_retry_after_ms(c, now, j->load) : 0;
+    co_admit_given_up(c, now, j, reason);
     stop_runs(c, j);
     c->ops->log_job(c->ctx, j, reason);
     while (j->waiters != NULL) {
@@ -156,6 +155,14 @@
     free_job(c, j);
 }
 
+static void
+end_job(struct coord *c, uint64_t now, struct co_job *j,
+    enum co_outcome outcome, const char *reason)
+{
+    end_job_retry(c, now, j, outcome, reason,
+        outcome == CO_NOT_RUN ? qp_retry_after_ms(c, now, j->load) : 0);
+}
+
 /* Ends a job without a result: CO_NOT_RUN if no run of it was ordered, else
  * CO_GAVE_UP.  Not CO_FAILED: no task of it has failed max_attempts times. */
 static void
@@ -287,6 +294,7 @@
     struct es_model *model;
     struct es_estimate est;
     const char *reason;
+    uint32_t retry_ms;
 
     c->stats.submitted++;
     if (j != NULL) {
@@ -314,6 +322,12 @@
     qp_record_job(now, j, &est);
     j->model = model;
     j->input = input;
+    retry_ms = co_admit_arrival(c, now, j);
+    if (retry_ms != 0) {
+        end_job_retry(c, now, j, CO_NOT_RUN, "admission", retry_ms);
+        return;
+    }
+    qp_record_inflow(now, j, &est);
     c->has_new_jobs = true;
 }
 
@@ -701,6 +715,7 @@
         free(l->service);
         free(l);
     }
+    am_free(&c->admission);
     es_free(&c->run_times);
     fl_free(&c->fleet);
 }
--- a/coord.h
+++ b/coord.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "admit.h"
 #include "fleet.h"
 #include "estimate.h"
 #include "inflow.h"
@@ -127,9 +128,12 @@
     struct es_input input;    /* what the estimate was made from */
     uint32_t slack_ms;        /* how long it could wait on arrival */
     uint32_t longest_run_ms;  /* longest run so far, scaled to usual speed */
-    bool ran_slow;            /* a run was on a slow worker: learn nothing */
-    bool started;             /* a run of it has been ordered */
-    bool queued;              /* in coord.queue */
+    struct am_prediction prediction; /* wait_ms 0: no wait was expected */
+    bool wait_ended;       /* its wait was compared with the prediction */
+    double admitted_cores; /* expected when it was admitted */
+    bool ran_slow;         /* a run was on a slow worker: learn nothing */
+    bool started;          /* a run of it has been ordered */
+    bool queued;           /* in coord.queue */
     struct co_task *tasks;
     uint32_t task_count;
     uint32_t done_count;
@@ -189,6 +193,7 @@
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
     struct co_ended *ended;
+    struct am_state admission;     /* corrections and counters */
     struct es_table run_times;     /* learned run times, by route */
     struct co_service_load *loads; /* by service */
     bool has_new_jobs;             /* since the last flush */
--- a/coplace.c
+++ b/coplace.c
@@ -146,14 +146,15 @@
     return true;
 }
 
-static bool
-place_job(struct coord *c, uint64_t now, struct co_job *j)
+bool
+co_place_job(struct coord *c, uint64_t now, struct co_job *j)
 {
     for (uint32_t i = 0; i < j->task_count; i++) {
         if (j->tasks[i].state == CO_WAITING && !place_task(c, now, j, i)) {
             return false;
         }
     }
+    co_admit_placed(c, now, j);
     return true;
 }
 
@@ -174,7 +175,7 @@
             if (qp_must_hold_back(&capacity, now, j)) {
                 continue;
             }
-            if (!place_job(c, now, j) &&
+            if (!co_place_job(c, now, j) &&
                 ++failures >= MAX_PLACEMENT_FAILURES) {
                 return;
             }
--- a/entrycall.c
+++ b/entrycall.c
@@ -40,11 +40,15 @@
     log_event(done ? LOG_LEVEL_INFO : LOG_LEVEL_WARN,
         done ? "job_done" : "job_ended",
         "job=%016" PRIx64 " why=%s tasks=%u done=%u begun=%d ms=%" PRIu64
-        " objective_ms=%" PRIu64 " left_ms=%" PRIu64 " speed=%u",
+        " objective_ms=%" PRIu64 " left_ms=%" PRIu64
+        " speed=%u predicted_ms=%.0f corrected_ms=%.0f quantile=%u"
+        " estimate_age_ms=%d",
         j->id, why, j->task_count, j->done_count, j->started,
         now - j->arrived_ms, j->objective_ms - j->arrived_ms,
-        num_sub_sat(j->deadline_ms, now),
-        e->coord.fleet.median_speed_permille);
+        num_sub_sat(j->deadline_ms, now), e->coord.fleet.median_speed_permille,
+        j->prediction.wait_ms, j->prediction.corrected_ms,
+        AM_QUANTILE_PERMILLE,
+        j->prediction.estimated ? (int)j->prediction.age_ms : -1);
 }
 
 static void
--- a/entryd.c
+++ b/entryd.c
@@ -302,6 +302,7 @@
 {
     const struct entry *e = s->state;
     const struct co_stats *st = &e->coord.stats;
+    const struct am_state *am = &e->coord.admission;
     const struct sv_metric rows[] = {
         {"dw_jobs_submitted", st->submitted},
         {"dw_jobs_attached", st->attached},
@@ -322,12 +323,18 @@
         {"dw_requests_turned_away", e->shed_requests},
         {"dw_requests_given", e->forwarded_out},
         {"dw_requests_taken", e->forwarded_in},
+        {"dw_refused_admission", am->refused[AM_ADMISSION]},
+        {"dw_refused_capacity_lost", am->refused[AM_CAPACITY_LOST]},
+        {"dw_refused_no_turn", am->refused[AM_NO_TURN]},
+        {"dw_placed_instead", am->placed_instead},
         {"dw_busy_permille", (uint64_t)(e->lag.utilization * 1000)},
         {"dw_behind", lg_is_out_of_rotation(&e->lag)},
     };
 
     sv_add_metrics(b, rows, sizeof(rows) / sizeof(rows[0]));
     hist_format(&e->answer_ms, "dw_answer", b);
+    hist_format(&am->predicted, "dw_wait_predicted", b);
+    hist_format(&am->actual, "dw_wait_actual", b);
 }
 
 const struct sv_role sv_entry = {"entry", entry_open, entry_close, entry_tick,
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -111,16 +111,20 @@
 void
 qp_record_job(uint64_t now, struct co_job *j, const struct es_estimate *est)
 {
-    struct co_service_load *l = j->load;
-    double work;
-
     j->slack_ms = (uint32_t)num_sub_sat(est->objective_ms, est->run_ms);
     if (j->slack_ms == 0) {
         return; /* late already: it delays no job that is on time */
     }
-    work = waiting_tasks(j).work;
-    sl_record(&l->slack, now, j->slack_ms, work);
-    in_record(&l->inflow, now, est->objective_ms, work);
+    sl_record(&j->load->slack, now, j->slack_ms, waiting_tasks(j).work);
+}
+
+void
+qp_record_inflow(uint64_t now, struct co_job *j, const struct es_estimate *est)
+{
+    if (j->slack_ms != 0) {
+        in_record(
+            &j->load->inflow, now, est->objective_ms, waiting_tasks(j).work);
+    }
 }
 
 /* --- load shedding --- */
@@ -160,6 +164,16 @@
     return backlog;
 }
 
+double
+qp_expected_cores(const struct coord *c, uint64_t now,
+    const struct co_service_load *l, double *free_millicores)
+{
+    struct backlog backlog = get_backlog(c, now, l);
+
+    *free_millicores = (double)(backlog.sum.free + backlog.sum.recovering);
+    return backlog.cores;
+}
+
 /*
  * Estimated ms until the job is placed.  Work that arrives meanwhile with an
  * earlier objective is placed before it, too.
@@ -235,8 +249,13 @@
             continue;
         }
         if (cannot_be_served(backlog, now, j)) {
-            refuse(c, now, j, "no_turn");
-            continue;
+            const char *reason =
+                co_admit_shed_reason(c, now, j, backlog->cores);
+
+            if (reason != NULL) {
+                refuse(c, now, j, reason);
+                continue;
+            }
         }
         w = waiting_tasks(j);
         backlog->work += w.work;
--- a/qpolicy.h
+++ b/qpolicy.h
@@ -47,10 +47,13 @@
 bool qp_must_hold_back(
     const struct qp_capacity *capacity, uint64_t now, const struct co_job *j);
 
-/* Records the slack and work of an admitted job with estimate est, to predict
- * what will arrive. */
+/* Records the slack and work of a job with estimate est, to predict what will
+ * arrive. */
 void qp_record_job(
     uint64_t now, struct co_job *j, const struct es_estimate *est);
+/* Records what it will take of the cores, unless it is refused on arrival. */
+void qp_record_inflow(
+    uint64_t now, struct co_job *j, const struct es_estimate *est);
 
 /* Ends a job that has not started; its caller is told that it has not run. */
 typedef void (*qp_refuse_fn)(
@@ -58,6 +61,10 @@
 /* Calls refuse for each job that cannot be served in time. */
 void qp_shed(struct coord *c, uint64_t now, qp_refuse_fn refuse);
 
+/* Millicores that jobs of the service can expect, and free ones of these. */
+double qp_expected_cores(const struct coord *c, uint64_t now,
+    const struct co_service_load *l, double *free_millicores);
+
 /* ms after which a caller that is refused now should retry. */
 uint32_t qp_retry_after_ms(
     struct coord *c, uint64_t now, const struct co_service_load *load);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -466,6 +466,64 @@
         *e.callers.retry_times.begin() + *e.callers.retry_times.begin() / 2);
 }
 
+/* Guards against jobs that wait although their predicted wait is too long, and
+ * against their callers returning together. */
+TEST(Coord, AdmissionOnArrivalRefusesByThePredictedWait)
+{
+    Entry e;
+
+    e.c.settings.admission = SC_ADMIT_ARRIVAL;
+    e.submit(1, 10, &caller); /* all ten cores, for 100 ms */
+    e.set_free(0);
+    for (uint64_t id = 100; id < 500; id++) {
+        e.submit(id, 1, &caller);
+    }
+    ASSERT_GT(e.callers.answers.size(), 100u);
+    EXPECT_GT(co_unstarted_count(&e.c), 50u);
+    EXPECT_EQ(e.c.admission.refused[AM_ADMISSION], e.callers.answers.size());
+    for (size_t i = 0; i < e.callers.answers.size(); i++) {
+        EXPECT_EQ(e.callers.answers[i].second, CO_NOT_RUN);
+        EXPECT_EQ(e.callers.reasons[i], "admission");
+    }
+    EXPECT_GT(e.callers.retry_times.size(), 20u);
+}
+
+/* Guards against admitted jobs that are refused for another reason than a loss
+ * of capacity while they can meet their objective. */
+TEST(Coord, AdmittedJobsAreRefusedWhereCapacityWasLost)
+{
+    Entry e;
+
+    e.c.settings.admission = SC_ADMIT_ARRIVAL;
+    e.submit(1, 10, &caller);
+    e.set_free(0);
+    for (uint64_t id = 100; id < 130; id++) {
+        e.submit(id, 1, &caller, 1500, 100, 9000); /* objective of 1 s */
+    }
+    ASSERT_EQ(co_unstarted_count(&e.c), 30u);
+    co_tick(&e.c, e.now);
+    EXPECT_EQ(e.callers.answers.size(), 0u);
+    e.agent()->status.pace_permille = 50;
+    co_tick(&e.c, e.now);
+    ASSERT_GT(e.callers.reasons.size(), 0u);
+    EXPECT_EQ(e.callers.reasons[0], "capacity_lost");
+    EXPECT_LT(e.callers.reasons.size(), 30u);
+}
+
+/* Guards against a refusal while a worker has free cores on which the job
+ * would end in time, also if that worker is slow. */
+TEST(Coord, AdmissionRefusesNoJobWhileCoresAreFree)
+{
+    Entry e;
+
+    e.c.settings.admission = SC_ADMIT_ARRIVAL;
+    e.agent()->status.pace_permille = 400;
+    e.set_free(3000);
+    e.submit(1, 1, &caller);
+    EXPECT_EQ(e.callers.answers.size(), 0u);
+    EXPECT_EQ(e.c.stats.runs, 1u);
+}
+
 /* A fleet recovers from a power loss: one worker of eleven has answered, the
  * others are known from the store.  Work that exceeds this one's capacity is
  * kept. */
