--- a/coord.h
+++ b/coord.h
@@ -15,6 +15,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "admit.h"
 #include "demand.h"
 #include "fleet.h"
 #include "estimate.h"
@@ -142,6 +143,9 @@
     struct sh_route *share;   /* of its route; NULL: shares are not in use */
     bool large;               /* one of the largest of its route */
     enum sh_turn turn;        /* floor that decided its place */
+    struct am_prediction prediction; /* wait_ms 0: no wait was expected */
+    bool wait_ended;       /* its wait was compared with the prediction */
+    double admitted_cores; /* expected when it was admitted */
     struct co_task *tasks;
     uint32_t task_count;
     uint32_t done_count;
@@ -210,6 +214,7 @@
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
     struct co_ended *ended;
+    struct am_state admission;     /* corrections and counters */
     struct es_table run_times;     /* learned run times, by route */
     struct co_service_load *loads; /* by service */
     struct sh_item *order;         /* buffer of co_order() */
