--- a/test/admit-test.cc
+++ b/test/admit-test.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-const dm_estimate unknown = {};
+const struct dm_estimate unknown = {};
 
 /* A worker of 10 cores; work of one core-second is 1e6. */
 am_queue
@@ -18,10 +18,10 @@
     return {10000, ahead, on_time, urgent_rate, total_rate};
 }
 
-dm_estimate
+struct dm_estimate
 estimate_of(uint32_t urgency, double work, double cores)
 {
-    dm_estimate e = {};
+    struct dm_estimate e = {};
 
     e.known = true;
     e.age_ms = 120;
@@ -69,7 +69,7 @@
     am_job j = {1000, 3000, 1000}; /* urgency 5: from 800 to 1600 ms */
     struct {
         const char *name;
-        dm_estimate estimate;
+        struct dm_estimate estimate;
         double wait_ms;
     } cases[] = {
         {"more urgent", estimate_of(0, 1e7, 100000), 100},
