demand: leave the receiver out of the sums, and round without bias

An entry subtracted the rows that it had sent last from the sums of an agent, which contain the rows that the agent had at the time. Between a DW_DEMAND and the next DW_SUPPLY its own former work was therefore taken for that of others and scaled. Agents now leave the receiver's rows out of DW_SUPPLY; whether the message is due still depends on the sums over all entries.

Work was rounded up to one unit for each agent, so that small tasks were ranked as impossible to meet (one task of 100 millicores and 50 ms, 24 agents: rank 36 instead of 4) and counted several times (24 units instead of 5). The remainder of the division is now carried from agent to agent, and the rank goes by the least work that a rounded figure can stand for.

Deselected agents counted the last rows for up to a second, and so did the estimate the cores of agents that are withdrawn or do not serve. An agent that is no longer reported to now gets one empty report, and its reports do not count. Draining workers are treated likewise, as they take no new runs.

The new or extended tests (Agent.SupplyLeavesOutItsReceiver and four of Demand) fail on the code before.

--- a/agent.c
+++ b/agent.c
@@ -374,14 +374,19 @@
     }
 }
 
-static void
-sum_demand(const struct agent *a, uint64_t now, struct dm_sums *sums)
+/* Sums over all entries but `except` (NULL: over all). */
+static struct dm_sums
+sum_demand(const struct agent *a, uint64_t now, const struct ag_entry *except)
 {
+    struct dm_sums sums = {0};
     const struct ag_entry *e;
 
     for (e = a->entries; e != NULL; e = e->hh.next) {
-        dm_sums_add(sums, &e->source, now);
+        if (e != except) {
+            dm_sums_add(&sums, &e->source, now);
+        }
     }
+    return sums;
 }
 
 static void
@@ -398,12 +403,14 @@
             continue;
         }
         if (!summed) {
-            sum_demand(a, now, &sums);
+            sums = sum_demand(a, now, NULL);
             summed = true;
         }
         if (dm_supply_due(&e->source, now, &sums)) {
+            struct dm_sums others = sum_demand(a, now, e);
+
             m = dm_make_supply(
-                &e->source, now, e->sess.number, &sums, &a->runner);
+                &e->source, now, e->sess.number, &sums, &others, &a->runner);
             a->ops->send(a->ctx, e->id, m);
             a->supply_sent++;
             msg_free(m);
--- a/demand.c
+++ b/demand.c
@@ -87,11 +87,23 @@
     return x == 0 ? 0 : (uint32_t)num_min(num_max(q, 1), UINT32_MAX);
 }
 
+/* x / divisor, rounded down.  The remainder is kept in *carry and counts in
+ * the next call, so that the quotients of all calls add up to the whole. */
+static uint32_t
+divide_with_carry(uint64_t x, uint64_t divisor, uint64_t *carry)
+{
+    uint64_t sum = x + *carry;
+
+    *carry = sum % divisor;
+    return (uint32_t)num_min(sum / divisor, UINT32_MAX);
+}
+
 /* Puts the rows, divided by divisor, into a message's array.  Returns their
- * number. */
+ * number.  The millicores of a row are at least 1, so that an entry that waits
+ * is seen to wait; its work may be 0. */
 static u_int
-encode_rows(
-    const struct dm_rows *rows, uint32_t divisor, dw_backlog **out_rows)
+encode_rows(const struct dm_rows *rows, uint32_t divisor,
+    uint64_t carry[DM_URGENCIES][DM_PRIORITIES], dw_backlog **out_rows)
 {
     dw_backlog *out =
         dw_zero((size_t)DM_URGENCIES * DM_PRIORITIES, sizeof(*out));
@@ -103,7 +115,8 @@
                 continue;
             }
             out[n++] = (dw_backlog){u, p,
-                divide(rows->work[u][p], (uint64_t)divisor * MS_PER_S),
+                divide_with_carry(rows->work[u][p],
+                    (uint64_t)divisor * MS_PER_S, &carry[u][p]),
                 divide(rows->millicores[u][p], divisor)};
         }
     }
@@ -191,6 +204,21 @@
     }
 }
 
+/* The worker takes new runs; assumed of an agent without an open session. */
+static bool
+in_service(const struct fl_agent *a)
+{
+    return !a->withdrawn &&
+           (!a->session_open || (a->status.serving && !a->status.draining));
+}
+
+/* The agent gets the entry's unplaced work, and its reports count. */
+static bool
+is_reported_to(const struct fl_agent *a)
+{
+    return a->selected && a->session_open && in_service(a);
+}
+
 static void
 update_services(struct coord *c, uint64_t now)
 {
@@ -211,8 +239,8 @@
     }
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
         s = get_service(v, a->service);
-        s->agents += a->member && !a->withdrawn;
-        s->reported_to += a->selected && a->session_open;
+        s->agents += a->member && in_service(a);
+        s->reported_to += is_reported_to(a);
     }
 }
 
@@ -276,7 +304,7 @@
 send_demand(
     struct coord *c, uint64_t now, struct dm_peer *p, uint64_t last_order)
 {
-    const struct dm_service *s = p->service;
+    struct dm_service *s = p->service;
     dw_msg m;
     dw_demand *d = &m.dw_msg_u.demand;
 
@@ -285,14 +313,15 @@
     d->session = p->session;
     d->seq = ++p->seq;
     d->agents = s->reported_to;
-    d->held = divide(s->held, s->reported_to);
-    d->rows.rows_len = encode_rows(&s->own, s->reported_to, &d->rows.rows_val);
+    memset(&p->sent, 0, sizeof(p->sent));
+    if (p->reported_to) {
+        d->held = divide(s->held, s->reported_to);
+        d->rows.rows_len =
+            encode_rows(&s->own, s->reported_to, s->carry, &d->rows.rows_val);
+        p->sent = s->own;
+    }
     p->sent_ms = now;
     p->sent_order = last_order;
-    p->sent = s->own;
-    p->part_held = d->held;
-    memset(&p->part, 0, sizeof(p->part));
-    decode_rows(&p->part, d->rows.rows_val, d->rows.rows_len);
     c->demand.stats.sent++;
     c->ops->send(c->ctx, p->id, &m);
     free(d->rows.rows_val);
@@ -313,11 +342,15 @@
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
         struct dm_peer *p;
 
-        if (!a->selected || !a->session_open) {
+        if (!a->session_open) {
             continue;
         }
         p = get_peer(&c->demand, a);
-        if (demand_due(p, now, a->sess.send_seq)) {
+        p->reported_to = is_reported_to(a);
+        /* An agent that is no longer reported to gets an empty report, or it
+         * would count the last rows until they are DM_VALID_MS old. */
+        if (p->reported_to ? demand_due(p, now, a->sess.send_seq)
+                           : has_work(&p->sent)) {
             send_demand(c, now, p, a->sess.send_seq);
         }
     }
@@ -351,20 +384,18 @@
     decode_rows(&p->sums, s->rows.rows_val, s->rows.rows_len);
 }
 
-/* Adds an agent's sums without this entry's part. */
+/* Adds an agent's sums, which are those of the other entries. */
 static void
-add_others(struct dm_estimate *e, const struct dm_peer *p, uint64_t now)
+add_sums(struct dm_estimate *e, const struct dm_peer *p, uint64_t now)
 {
     for (uint32_t u = 0; u < DM_URGENCIES; u++) {
         for (uint32_t k = 0; k < DM_PRIORITIES; k++) {
-            e->work[u][k] +=
-                (double)num_sub_sat(p->sums.work[u][k], p->part.work[u][k]);
-            e->millicores[u][k] += (double)num_sub_sat(
-                p->sums.millicores[u][k], p->part.millicores[u][k]);
+            e->work[u][k] += (double)p->sums.work[u][k];
+            e->millicores[u][k] += (double)p->sums.millicores[u][k];
         }
     }
-    e->held += (double)num_sub_sat(p->held, p->part_held);
-    e->waiting_entries += (double)num_sub_sat(p->waiting, has_work(&p->part));
+    e->held += p->held;
+    e->waiting_entries += p->waiting;
     e->free += p->free_millicores;
     e->soon_free += p->soon_millicores;
     e->cores += p->capacity;
@@ -413,9 +444,9 @@
         return unknown;
     }
     for (p = v->peers; p != NULL; p = p->hh.next) {
-        if (p->service == s && p->supply_seq != 0 &&
+        if (p->service == s && p->reported_to && p->supply_seq != 0 &&
             now - p->supply_ms <= DM_VALID_MS) {
-            add_others(&e, p, now);
+            add_sums(&e, p, now);
             reports++;
         }
     }
@@ -429,11 +460,15 @@
 
 /* --- the agent's side --- */
 
-/* Tasks of the row can still end within their objective. */
+/* Tasks of the row can still end within their objective.  The work in a
+ * message is up to one unit more than the entry's part, which for small tasks
+ * is many times their run time; the least work that it can stand for counts.
+ */
 static bool
 can_be_met(const struct dm_rows *rows, uint32_t u, uint32_t p)
 {
-    uint64_t run_ms = rows->work[u][p] / rows->millicores[u][p];
+    uint64_t run_ms =
+        num_sub_sat(rows->work[u][p], MS_PER_S) / rows->millicores[u][p];
 
     return u == DM_URGENCY_LATE - 1 ||
            (u < DM_URGENCY_LATE - 1 && run_ms < (uint64_t)DM_URGENCY_FIRST_MS
@@ -545,8 +580,10 @@
 
 dw_msg *
 dm_make_supply(struct dm_source *s, uint64_t now, uint64_t session,
-    const struct dm_sums *sums, const struct runner *r)
+    const struct dm_sums *sums, const struct dm_sums *others,
+    const struct runner *r)
 {
+    uint64_t carry[DM_URGENCIES][DM_PRIORITIES] = {0};
     dw_msg *m = dw_zero(1, sizeof(*m));
     dw_supply *out = &m->dw_msg_u.supply;
     dw_room room;
@@ -555,16 +592,17 @@
     m->type = DW_SUPPLY;
     out->session = session;
     out->seq = ++s->supply_seq;
-    out->age_ms = sums->age_ms;
-    out->entries = sums->entries;
-    out->waiting = sums->waiting;
-    out->held = (u_int)num_min(sums->held, UINT32_MAX);
+    out->age_ms = others->age_ms;
+    out->entries = others->entries;
+    out->waiting = others->waiting;
+    out->held = (u_int)num_min(others->held, UINT32_MAX);
     if (room.serving) {
         out->free_millicores =
             room.free_millicores > 0 ? (u_int)room.free_millicores : 0;
         out->soon_millicores = (u_int)dm_soon_millicores(r, now);
     }
-    out->rows.rows_len = encode_rows(&sums->rows, 1, &out->rows.rows_val);
+    out->rows.rows_len =
+        encode_rows(&others->rows, 1, carry, &out->rows.rows_val);
     s->supplied_ms = now;
     s->supplied_waits = sums->waiting > 0;
     return m;
--- a/demand.h
+++ b/demand.h
@@ -2,12 +2,20 @@
  * demand - unplaced work of all entries, as seen by one entry
  *
  * An entry reports its unplaced work to the agents that it selected, divided
- * by their number; each agent returns the sums over its entries.  Scaled by
- * the agents of the service over the agents that reported, these sums estimate
- * the unplaced work of the whole service.
+ * by their number; each agent returns the sums over its other entries.  Scaled
+ * by the agents of the service over the agents that reported, and with the
+ * entry's own work, these sums estimate the unplaced work of the whole
+ * service.
  *
- * The entry's own part is not scaled: it is reported to exactly the agents
- * whose sums are received, and would be counted once per sample of the fleet.
+ * The agent leaves the entry's own rows out: the entry cannot subtract them,
+ * as it does not know from which of its reports the sums were made.  Its own
+ * work is not scaled, because it is reported to exactly the agents whose sums
+ * are received.
+ *
+ * Limits: an entry without unplaced work reports nothing.  What it holds
+ * dispatched is then missing from the estimate's `held`; and as agents answer
+ * only entries that report, its estimate becomes unknown DM_VALID_MS after its
+ * queue became empty.
  *
  * The entry's side acts only with scheduling.demand = "fleet"; the agent's
  * side only on messages that it receives.  Both sides may be lost, duplicated
@@ -78,7 +86,8 @@
     double work[DM_URGENCIES][DM_PRIORITIES];
     double millicores[DM_URGENCIES][DM_PRIORITIES]; /* of the tasks */
     double cores;           /* millicores of the workers in service */
-    double held;            /* millicores of dispatched tasks */
+    double held;            /* millicores of dispatched tasks, of this entry
+                             * and of those that wait */
     double free;            /* free millicores */
     double soon_free;       /* millicores that come free within 100 ms */
     double waiting_entries; /* entries that have unplaced work */
@@ -93,21 +102,22 @@
     struct dm_rows own;   /* this entry's unplaced work */
     uint64_t held;        /* millicores of its dispatched tasks */
     uint32_t agents;      /* members in service */
-    uint32_t reported_to; /* agents with an open session */
+    uint32_t reported_to; /* agents in service that get DW_DEMAND */
+    /* Work that the division by reported_to has left over. */
+    uint64_t carry[DM_URGENCIES][DM_PRIORITIES];
     UT_hash_handle hh;
 };
 
 /* An agent: what was reported to it, and its last report. */
 struct dm_peer {
     uint64_t id;
-    const struct dm_service *service;
+    struct dm_service *service;
+    bool reported_to;    /* selected, and its worker is in service */
     uint64_t session;    /* that seq and supply_seq belong to */
     uint32_t seq;        /* of the last DW_DEMAND; 0: none */
     uint64_t sent_ms;    /* when it was sent */
     uint64_t sent_order; /* the session's last order by then */
     struct dm_rows sent; /* whole rows on which it was based */
-    struct dm_rows part; /* the rows in it: divided by the number of agents */
-    uint32_t part_held;
     uint32_t supply_seq; /* of the last DW_SUPPLY; 0: none */
     uint64_t supply_ms;  /* when it was received */
     struct dm_rows sums; /* its contents */
@@ -189,9 +199,12 @@
 /* The sums must be sent to the entry now. */
 bool dm_supply_due(
     const struct dm_source *s, uint64_t now, const struct dm_sums *sums);
-/* Makes the message to the entry and records it as sent; msg_free() it. */
+/* Makes the message to the entry and records it as sent; msg_free() it.  It
+ * holds the sums over the other entries; whether it was due was decided by
+ * those over all. */
 dw_msg *dm_make_supply(struct dm_source *s, uint64_t now, uint64_t session,
-    const struct dm_sums *sums, const struct runner *r);
+    const struct dm_sums *sums, const struct dm_sums *others,
+    const struct runner *r);
 /* Millicores of the worker's runs that are expected to end within
  * DM_SOON_MS. */
 uint64_t dm_soon_millicores(const struct runner *r, uint64_t now);
--- a/proto.x
+++ b/proto.x
@@ -582,7 +582,7 @@
     dw_backlog rows<64>;
 };
 
-/* Agent to entry: sums over all entries, and its worker's cores. */
+/* Agent to entry: sums over all other entries, and its worker's cores. */
 struct dw_supply {
     unsigned hyper session;
     unsigned int seq;     /* rises within the session */
