dwsim: refused fraction of the worst entry

Entries that get too many callers or too few cores refuse up to four times as many requests as others; the tables only showed the mean over entries.

--- a/dwsim.c
+++ b/dwsim.c
@@ -21,8 +21,8 @@
 #define CSV_HEAD                                                              \
     "seed,worth,in_time,late,refused,lost,held_in_vain,refused_at_once,"      \
     "runs,bounced,moved,messages,run_error,broken,given,sessions_lost,"       \
-    "longest_pass_us"
-#define CSV_COLUMNS 17
+    "longest_pass_us,worst_entry"
+#define CSV_COLUMNS 18
 
 /* The contents of an experiment file. */
 struct experiment {
@@ -50,6 +50,7 @@
     uint64_t forwarded;
     uint64_t sessions_lost;
     uint64_t longest_pass_us;
+    double worst_entry; /* refused fraction over that of all entries */
 };
 
 /* --- experiment files --- */
@@ -350,7 +351,8 @@
         .estimate_error = r->estimate_error,
         .forwarded = r->forwarded,
         .sessions_lost = r->sessions_lost,
-        .longest_pass_us = r->longest_pass_us};
+        .longest_pass_us = r->longest_pass_us,
+        .worst_entry = r->worst_entry};
 
     for (size_t i = 0; i < r->violations.n; i++) {
         d.violations += r->violations.p[i] == '\n';
@@ -456,7 +458,7 @@
     for (uint64_t i = 0; i < n; i++) {
         fprintf(out,
             "%llu,%.6f,%.6f,%.6f,%.6f,%.6f,%llu,%llu,%llu,%llu,%llu,%llu,"
-            "%.6f,%llu,%llu,%llu,%llu\n",
+            "%.6f,%llu,%llu,%llu,%llu,%.6f\n",
             (unsigned long long)d[i].seed, d[i].score, d[i].in_time, d[i].late,
             d[i].refused, d[i].lost, (unsigned long long)d[i].refused_late,
             (unsigned long long)d[i].refused_early,
@@ -466,7 +468,7 @@
             d[i].estimate_error, (unsigned long long)d[i].violations,
             (unsigned long long)d[i].forwarded,
             (unsigned long long)d[i].sessions_lost,
-            (unsigned long long)d[i].longest_pass_us);
+            (unsigned long long)d[i].longest_pass_us, d[i].worst_entry);
     }
 }
 
@@ -500,12 +502,12 @@
         }
         if (sscanf(line,
                 "%lu,%lf,%lf,%lf,%lf,%lf,%lu,%lu,%lu,%lu,%lu,%lu,%lf,%lu,%lu,"
-                "%lu,%lu",
+                "%lu,%lu,%lf",
                 &d.seed, &d.score, &d.in_time, &d.late, &d.refused, &d.lost,
                 &d.refused_late, &d.refused_early, &d.runs, &d.rejected_full,
                 &d.moved, &d.messages, &d.estimate_error, &d.violations,
-                &d.forwarded, &d.sessions_lost,
-                &d.longest_pass_us) != CSV_COLUMNS) {
+                &d.forwarded, &d.sessions_lost, &d.longest_pass_us,
+                &d.worst_entry) != CSV_COLUMNS) {
             err_set(
                 e, "%s:%zu: want %d numbers", path, line_number, CSV_COLUMNS);
             goto out;
@@ -605,6 +607,12 @@
     return (double)d->longest_pass_us / 1000;
 }
 
+static double
+worst_entry_of(const struct day *d)
+{
+    return d->worst_entry;
+}
+
 static const struct column *
 columns_of(size_t *n)
 {
@@ -622,6 +630,7 @@
         {"forwarded requests", forwarded_of},
         {"sessions lost", sessions_lost_of},
         {"longest pass, ms", longest_pass_of},
+        {"refused, worst entry/all", worst_entry_of},
     };
 
     *n = sizeof(columns) / sizeof(columns[0]);
--- a/sim.h
+++ b/sim.h
@@ -162,9 +162,11 @@
     uint64_t forwarded; /* requests, from entry to entry */
     uint64_t sessions_lost;   /* of entries with agents that fell silent */
     uint64_t longest_pass_us; /* of an entry's event loop */
-    double estimate_error;    /* mean of |ln(estimated over true run time)| */
-    uint64_t estimates;       /* number of estimates in that mean */
-    struct buf violations;    /* of the scheduler's guarantees, one a line */
+    double worst_entry;    /* refused fraction of the worst entry over that of
+                            * all; 0: nothing was refused */
+    double estimate_error; /* mean of |ln(estimated over true run time)| */
+    uint64_t estimates;    /* number of estimates in that mean */
+    struct buf violations; /* of the scheduler's guarantees, one a line */
 };
 
 /* Draws a random deployment and its faults within the given ranges. */
--- a/simcaller.c
+++ b/simcaller.c
@@ -507,6 +507,29 @@
     return log(fmax(not_served, UNSERVED_MIN)) / log(UNSERVED_MIN);
 }
 
+/* Requests count at the entry of their last attempt. */
+static double
+worst_entry(const struct sim *s)
+{
+    struct sim_totals of[SIM_ENTRIES_MAX] = {{0}};
+    struct sim_totals all = {0};
+    double worst = 0;
+    const struct sim_job *j;
+
+    for (j = s->jobs; j != NULL; j = j->hh.next) {
+        if (j->entry_id != 0) {
+            add_job(&of[j->entry_id & (SIM_ENTRY_BIT - 1)], j);
+            add_job(&all, j);
+        }
+    }
+    for (uint32_t i = 0; i < s->d->entry_count; i++) {
+        worst = fmax(
+            worst, (double)of[i].refused / (double)num_max(of[i].requests, 1));
+    }
+    return all.refused > 0 ? worst * (double)all.requests / (double)all.refused
+                           : 0;
+}
+
 void
 sim_compute_result(struct sim *s)
 {
@@ -525,6 +548,7 @@
         add_job(
             &r->window[num_min(at_ms / SIM_WINDOW_MS, r->window_count)], j);
     }
+    r->worst_entry = worst_entry(s);
     for (uint32_t k = 0; k < s->d->kind_count; k++) {
         worst_kind = fmin(worst_kind, earned_share(&r->kind[k]));
     }
