balance: forward requests to an entry with a shorter wait

With scheduling.balance = "wait", an entry predicts the wait of a new job by service and priority from its queue (qp_predict_waits()) and reports it to its origins (DW_WAITS). A request that has just arrived from a caller is sent to the peer with the shortest wait if the own wait is twice as long and 100 ms longer; this ends at 1.2 times. Requests sent since a peer's report count as its queue. A copy of a request that a peer has goes to the same peer, and a job that is known here is never forwarded, so that none runs twice at a time. Only callers' requests are forwarded, and only to peers that accept requests and are expected to stay below half of their processor.

Waits are smoothed over 200 ms: those predicted from the cores that an entry holds at one moment differ twofold under equal load.

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 
 # Deciding modules: no I/O, no clock, no state of their own.
 DECIDE = str err act subkey contract schedconf view member sync place host job jobadmit jobhandover \
-	quota own ownmap front node route sess fleet coord coplace comove runner agent opstate estimate slack inflow rank qpolicy intake lag relay
+	quota own ownmap front node route sess fleet coord coplace comove runner agent opstate estimate slack inflow rank qpolicy intake lag balance relay
 # What carries their actions out.
 IO = log hist proc base64 httpc store frame link web trail backend actexec api ops metric serve \
 	entryd entrycall entrystore agentd platform/wire platform/kv platform/follow
@@ -60,7 +60,7 @@
 
 TESTS = unit-test work-test link-test quota-test path-test member-test matrix-test \
 	property-test fleet world serve-test wire-test route-test sess-test runner-test agent-test \
-	coord-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
+	coord-test opstate-test estimate-test slack-test inflow-test rank-test lag-test balance-test fleet-test kv-test \
 	web-test log-test sim-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/hist.o $(B)/web.o \
--- a/coord.c
+++ b/coord.c
@@ -711,6 +711,15 @@
     return co_find_job(c, id) != NULL;
 }
 
+bool
+co_knows_job(const struct coord *c, uint64_t id)
+{
+    struct co_ended *e;
+
+    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
+    return e != NULL || co_has_job(c, id);
+}
+
 size_t
 co_job_count(const struct coord *c)
 {
--- a/coord.h
+++ b/coord.h
@@ -227,6 +227,9 @@
 /* Queries. */
 /* The job is in progress here. */
 bool co_has_job(const struct coord *c, uint64_t id);
+/* The job is in progress here, or ended here so recently that a copy of its
+ * request gets the same answer. */
+bool co_knows_job(const struct coord *c, uint64_t id);
 /* Jobs in progress here. */
 size_t co_job_count(const struct coord *c);
 /* Jobs with waiting tasks of which no run has been ordered. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -394,19 +394,48 @@
     (SESS_LEASE_MS + SESS_LEASE_MS + RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS +  \
         PEER_LATE_MS)
 
-static bool
-forward_request(struct entry *e, uint64_t now, struct caller *c)
+static void
+log_forwarded(struct entry *e, const struct caller *c)
 {
     struct str job = job_id_text(path_of(c));
 
+    e->forwarded_out++;
+    log_event(LOG_LEVEL_INFO, "request_given", "job=%.*s", (int)job.n, job.p);
+}
+
+static bool
+forward_request(struct entry *e, uint64_t now, struct caller *c)
+{
     if (e->s->conf->platform.caller_resend_ms < FORWARD_RESEND_MS ||
         refusal_reason(e, now) != NULL ||
         !rl_forward(&e->relay, now, c, host_of(c), path_of(c), body_of(c),
             left_ms(c->req))) {
         return false;
     }
-    e->forwarded_out++;
-    log_event(LOG_LEVEL_INFO, "request_given", "job=%.*s", (int)job.n, job.p);
+    log_forwarded(e, c);
+    return true;
+}
+
+/* Forwards a request that has just arrived to an entry with a shorter wait. */
+static bool
+forward_by_wait(struct entry *e, uint64_t now, struct caller *c)
+{
+    uint64_t id;
+    const struct rt_route *route;
+
+    if (e->coord.settings.balance != SC_BALANCE_WAIT ||
+        e->s->conf->platform.caller_resend_ms < FORWARD_RESEND_MS ||
+        refusal_reason(e, now) != NULL) {
+        return false;
+    }
+    route = find_route(e, host_of(c), path_of(c), &id);
+    if (route == NULL || id == 0 || co_knows_job(&e->coord, id) ||
+        !rl_forward_by_wait(&e->relay, now, c, str_of(route->service),
+            route->priority, host_of(c), path_of(c), body_of(c),
+            left_ms(c->req))) {
+        return false;
+    }
+    log_forwarded(e, c);
     return true;
 }
 
@@ -517,6 +546,9 @@
     if (lg_should_forward(&e->lag) && forward_request(e, now, c)) {
         return;
     }
+    if (forward_by_wait(e, now, c)) {
+        return;
+    }
     if (!it_add(&e->intake, proc_now_us(), c) && !forward_request(e, now, c)) {
         shed(e, c, "would_wait");
     }
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -42,6 +42,8 @@
     struct hist answer_ms; /* from the arrival of a request to its answer */
     uint64_t last_queried; /* entry whose operator state was requested last */
     uint64_t load_logged_ms;
+    uint64_t balance_logged; /* requests forwarded by wait, when logged */
+    uint64_t balance_logged_ms;
     bool accepting; /* new connections of callers */
     struct intake intake;
     struct lag lag;
--- a/entryd.c
+++ b/entryd.c
@@ -11,6 +11,7 @@
 #include "log.h"
 #include "num.h"
 #include "proc.h"
+#include "qpolicy.h"
 
 /* ms after SIGTERM during which new connections are accepted: the load
  * balancer sends them until two readiness checks, one second apart, failed. */
@@ -184,6 +185,37 @@
         e->lag.recent_us, e->lag.baseline_us, it_count(&e->intake));
 }
 
+static void
+add_wait(void *ctx, const char *service, uint32_t priority, double wait_ms)
+{
+    bl_add(ctx, str_of(service), priority, wait_ms);
+}
+
+static void
+update_waits(struct entry *e, uint64_t now)
+{
+    struct bl_waits waits = {.count = 0};
+
+    qp_predict_waits(&e->coord, now, add_wait, &waits);
+    rl_set_waits(&e->relay, now, &waits);
+}
+
+/* Logs how many requests were forwarded by wait since the last line. */
+static void
+log_balance(struct entry *e, uint64_t now)
+{
+    uint64_t given = e->relay.forwarded_by_wait - e->balance_logged;
+
+    if (given == 0 || now - e->balance_logged_ms < LOAD_LOG_INTERVAL_MS) {
+        return;
+    }
+    log_event(LOG_LEVEL_INFO, "balance",
+        "given=%" PRIu64 " wait_ms=%" PRIu32 " unstarted=%zu", given,
+        bl_longest_ms(&e->relay.own_waits), co_unstarted_count(&e->coord));
+    e->balance_logged = e->relay.forwarded_by_wait;
+    e->balance_logged_ms = now;
+}
+
 static void
 update_relay(struct entry *e, uint64_t now)
 {
@@ -194,6 +226,10 @@
     if (!lg_has_spare_time(&e->lag)) {
         rl_need_peers(&e->relay, now);
     }
+    if (e->coord.settings.balance == SC_BALANCE_WAIT) {
+        update_waits(e, now);
+        log_balance(e, now);
+    }
     rl_tick(&e->relay, now);
 }
 
@@ -252,6 +288,9 @@
     else if (m->type == DW_RELAYED) {
         rl_receive_replies(&e->relay, now, from, &m->dw_msg_u.relayed);
     }
+    else if (m->type == DW_WAITS) {
+        rl_receive_waits(&e->relay, now, from, &m->dw_msg_u.waits);
+    }
     else if (m->type == DW_NEWS) {
         en_operator_state(e, from, &m->dw_msg_u.news);
     }
@@ -322,6 +361,11 @@
         {"dw_requests_turned_away", e->shed_requests},
         {"dw_requests_given", e->forwarded_out},
         {"dw_requests_taken", e->forwarded_in},
+        {"dw_balance_given", e->relay.forwarded_by_wait},
+        {"dw_balance_wait_ms", bl_longest_ms(&e->relay.own_waits)},
+        {"dw_balance_reports_sent", e->relay.reports_sent},
+        {"dw_balance_reports_received", e->relay.reports_received},
+        {"dw_balance_reports_ignored", e->relay.reports_ignored},
         {"dw_busy_permille", (uint64_t)(e->lag.utilization * 1000)},
         {"dw_behind", lg_is_out_of_rotation(&e->lag)},
     };
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -269,6 +269,48 @@
     }
 }
 
+/* Adds the jobs of one class to the work ahead; a job like one of them that
+ * arrives now is placed after it. */
+static void
+predict_class(const struct coord *c, uint64_t now, enum qp_class cls,
+    struct backlog *backlog, const struct co_service_load *l, qp_wait_fn fn,
+    void *ctx)
+{
+    const struct co_job *j;
+
+    for (j = c->queue; j != NULL; j = j->next) {
+        struct waiting w;
+
+        if (j->load != l || qp_class_of(j, now) != cls) {
+            continue;
+        }
+        w = waiting_tasks(j);
+        backlog->work += w.work;
+        backlog->millicores += w.millicores;
+        if (cls != QP_STARTED) {
+            fn(ctx, l->service, j->priority, wait_ms(backlog, now, j));
+        }
+    }
+}
+
+void
+qp_predict_waits(const struct coord *c, uint64_t now, qp_wait_fn fn, void *ctx)
+{
+    const struct co_service_load *l;
+
+    for (l = c->loads; l != NULL; l = l->hh.next) {
+        struct backlog backlog;
+
+        if (l->queued_work == 0) {
+            continue;
+        }
+        backlog = get_backlog(c, now, l);
+        for (int cls = 0; cls < QP_STALE && backlog.cores > 0; cls++) {
+            predict_class(c, now, (enum qp_class)cls, &backlog, l, fn, ctx);
+        }
+    }
+}
+
 /*
  * The retry time is the time until the work that waits now is done, plus up to
  * as much jitter: callers that are refused together would otherwise retry
--- a/qpolicy.h
+++ b/qpolicy.h
@@ -58,6 +58,13 @@
 /* Calls refuse for each job that cannot be served in time. */
 void qp_shed(struct coord *c, uint64_t now, qp_refuse_fn refuse);
 
+/* Calls fn for each unstarted job that is still of use, with the wait of a job
+ * like it that arrives now. */
+typedef void (*qp_wait_fn)(
+    void *ctx, const char *service, uint32_t priority, double wait_ms);
+void qp_predict_waits(
+    const struct coord *c, uint64_t now, qp_wait_fn fn, void *ctx);
+
 /* ms after which a caller that is refused now should retry. */
 uint32_t qp_retry_after_ms(
     struct coord *c, uint64_t now, const struct co_service_load *load);
--- a/relay.c
+++ b/relay.c
@@ -14,6 +14,10 @@
  * the peer's next report. */
 #define FORWARDED_PERMILLE 10U
 
+/* Expected processor use up to which requests are forwarded to a peer because
+ * of its wait; at this use it stops accepting. */
+#define WAIT_BUSY_PERMILLE 500U
+
 #define PATH_HASH_SEED 0x70617468U
 
 /* Bytes of a reply's reason, which is one word, with its NUL. */
@@ -148,8 +152,15 @@
            (uint32_t)p->forwarded_since_report * FORWARDED_PERMILLE;
 }
 
-/* The least busy peer that accepts requests and whose configuration is not
- * older than this entry's. */
+/* It accepts requests and its configuration is not older than this entry's. */
+static bool
+is_usable(const struct relay *r, uint64_t now, const struct rl_peer *p)
+{
+    return p->session_open && p->accepting && sess_live(&p->sess, now) &&
+           p->config_version >= r->state.config_version;
+}
+
+/* The least busy peer that may be used. */
 static struct rl_peer *
 pick_peer(const struct relay *r, uint64_t now)
 {
@@ -157,8 +168,7 @@
     struct rl_peer *p;
 
     for (p = r->peers; p != NULL; p = p->hh.next) {
-        if (p->session_open && p->accepting && sess_live(&p->sess, now) &&
-            p->config_version >= r->state.config_version &&
+        if (is_usable(r, now, p) &&
             (best == NULL || expected_busy(p) < expected_busy(best))) {
             best = p;
         }
@@ -166,18 +176,14 @@
     return best;
 }
 
-bool
-rl_forward(struct relay *r, uint64_t now, void *handle, struct str host,
+static void
+forward_to(struct relay *r, struct rl_peer *p, void *handle, struct str host,
     struct str path, struct str body, uint32_t remaining_ms)
 {
-    struct rl_peer *p = pick_peer(r, now);
     struct rl_forwarded *f;
     dw_relay *m;
     dw_request *q;
 
-    if (p == NULL) {
-        return false;
-    }
     f = dw_zero(1, sizeof(*f));
     f->ref = ++r->next_ref;
     f->handle = handle;
@@ -193,9 +199,100 @@
     q->path = str_to_bytes(path);
     q->body = str_to_bytes(body);
     q->left_ms = remaining_ms;
+}
+
+bool
+rl_forward(struct relay *r, uint64_t now, void *handle, struct str host,
+    struct str path, struct str body, uint32_t remaining_ms)
+{
+    struct rl_peer *p = pick_peer(r, now);
+
+    if (p != NULL) {
+        forward_to(r, p, handle, host, path, body, remaining_ms);
+    }
+    return p != NULL;
+}
+
+/* The peer that has a forwarded request for this path, or NULL. */
+static struct rl_peer *
+holder_of(const struct relay *r, struct str path)
+{
+    uint64_t hash = str_hash(path, PATH_HASH_SEED);
+    struct rl_peer *p;
+    const struct rl_forwarded *f;
+
+    for (p = r->peers; p != NULL; p = p->hh.next) {
+        DL_FOREACH (p->forwarded, f) {
+            if (f->path_hash == hash) {
+                return p;
+            }
+        }
+    }
+    return NULL;
+}
+
+/* The peer with the shortest wait of those to which requests of this kind may
+ * be forwarded; peers with equal waits take turns. */
+static struct rl_peer *
+pick_by_wait(
+    const struct relay *r, uint64_t now, struct str service, uint32_t priority)
+{
+    struct rl_peer *best = NULL;
+    double best_ms = 0;
+    struct rl_peer *p;
+
+    for (p = r->peers; p != NULL; p = p->hh.next) {
+        double wait_ms = 0;
+
+        if (!is_usable(r, now, p) || expected_busy(p) >= WAIT_BUSY_PERMILLE ||
+            !bl_should_forward(
+                &p->waits, now, &r->own_waits, service, priority, &wait_ms)) {
+            continue;
+        }
+        if (best == NULL || wait_ms < best_ms ||
+            (wait_ms <= best_ms &&
+                mix64(r->next_ref, p->id) < mix64(r->next_ref, best->id))) {
+            best = p;
+            best_ms = wait_ms;
+        }
+    }
+    return best;
+}
+
+bool
+rl_forward_by_wait(struct relay *r, uint64_t now, void *handle,
+    struct str service, uint32_t priority, struct str host, struct str path,
+    struct str body, uint32_t remaining_ms)
+{
+    struct rl_peer *p = holder_of(r, path);
+
+    if (p == NULL) {
+        p = pick_by_wait(r, now, service, priority);
+    }
+    if (p == NULL) {
+        return false;
+    }
+    forward_to(r, p, handle, host, path, body, remaining_ms);
+    bl_forwarded(&p->waits, &r->own_waits, service, priority);
+    r->forwarded_by_wait++;
     return true;
 }
 
+void
+rl_receive_waits(
+    struct relay *r, uint64_t now, uint64_t from, const dw_waits *m)
+{
+    struct rl_peer *p = find_peer(r, from);
+
+    if (p != NULL && p->session_open &&
+        bl_receive(&p->waits, now, p->sess.number, m)) {
+        r->reports_received++;
+    }
+    else {
+        r->reports_ignored++;
+    }
+}
+
 void *
 rl_find(const struct relay *r, struct str path)
 {
@@ -356,6 +453,7 @@
 {
     bool needed =
         r->peers_needed_ms != 0 && now - r->peers_needed_ms < RL_IDLE_CLOSE_MS;
+    uint32_t limit = r->balancing ? RL_WAIT_PEERS_MAX : RL_PEERS_MAX;
     struct rl_peer *p;
     uint32_t selected = 0;
 
@@ -366,7 +464,7 @@
         }
         selected += p->selected;
     }
-    while (needed && selected < RL_PEERS_MAX) {
+    while (needed && selected < limit) {
         p = next_candidate(r, now);
         if (p == NULL) {
             break;
@@ -400,6 +498,7 @@
     o->ended_ms = now;
     msg_free(o->batch);
     o->batch = NULL;
+    bl_reset_report(&o->waits);
     sess_end(&o->sess);
     while (o->accepted != NULL) {
         r->ops->cancel(r->ctx, o->accepted);
@@ -414,6 +513,7 @@
         free_accepted(o->accepted);
     }
     msg_free(o->batch);
+    bl_reset_report(&o->waits);
     sess_end(&o->sess);
     HASH_DEL(r->origins, o);
     free(o);
@@ -553,6 +653,18 @@
                                           : o->started_ms;
 }
 
+static void
+report_waits(struct relay *r, uint64_t now, struct rl_origin *o)
+{
+    dw_msg m;
+
+    memset(&m, 0, sizeof(m));
+    bl_fill_report(&o->waits, now, &r->own_waits, o->sess.number, &m);
+    r->ops->send(r->ctx, o->id, &m);
+    free(m.dw_msg_u.waits.rows.rows_val);
+    r->reports_sent++;
+}
+
 static void
 tick_origin(struct relay *r, uint64_t now, struct rl_origin *o)
 {
@@ -567,6 +679,9 @@
     if (sess_heartbeat_due(&o->sess, now)) {
         send_state(r, now, o);
     }
+    if (r->balancing && bl_report_due(&o->waits, now, &r->own_waits)) {
+        report_waits(r, now, o);
+    }
 }
 
 /* --- both sides --- */
@@ -602,6 +717,16 @@
     r->state = *state;
 }
 
+void
+rl_set_waits(struct relay *r, uint64_t now, const struct bl_waits *waits)
+{
+    r->balancing = true;
+    bl_update(&r->own_waits, now, waits);
+    if (bl_longest_ms(&r->own_waits) >= BL_NEED_PEERS_MS) {
+        rl_need_peers(r, now);
+    }
+}
+
 void
 rl_process_dead(struct relay *r, uint64_t now, uint64_t id)
 {
--- a/relay.h
+++ b/relay.h
@@ -8,6 +8,10 @@
  * time: once it has been sent, only the peer may start it, and only the peer
  * can report that it has not run.
  *
+ * With scheduling.balance = "wait", peers also report their predicted waits
+ * (balance.h), and a request that has just arrived from a caller may go to a
+ * peer with a shorter one.
+ *
  * Origin and peer keep a session (sess.h).  A peer whose lease of the origin
  * expires ends the origin's jobs, as their callers may have lost their
  * connections and send again; an origin whose lease of the peer expires
@@ -22,6 +26,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "balance.h"
 #include "coord.h"
 #include "proto.h"
 #include "sess.h"
@@ -33,6 +38,8 @@
 
 /* Peers that an origin keeps sessions with. */
 #define RL_PEERS_MAX 4U
+/* The same if requests are also forwarded by wait. */
+#define RL_WAIT_PEERS_MAX 6U
 /* ms after the last need for peers until an origin closes its sessions. */
 #define RL_IDLE_CLOSE_MS 3000U
 /* ms between an origin's messages: it may read late, and the peer must get a
@@ -59,6 +66,7 @@
     uint64_t retry_at_ms;       /* not selected again before */
     uint64_t forwarded_since_report; /* requests since its last report */
     struct rl_forwarded *forwarded;  /* requests not answered yet */
+    struct bl_peer waits;            /* as last reported */
     dw_msg *batch;                   /* collected since the last flush */
     UT_hash_handle hh;
 };
@@ -86,6 +94,7 @@
     uint64_t started_ms; /* of the session */
     uint64_t ended_ms;
     struct rl_accepted *accepted; /* requests not answered yet */
+    struct bl_report waits;       /* as last reported to it */
     dw_msg *batch;                /* replies collected since the last flush */
     UT_hash_handle hh;
 };
@@ -118,6 +127,13 @@
     uint64_t next_ref;
     uint64_t peers_needed_ms; /* last call of rl_need_peers(); 0: never */
     struct rl_state state;
+    /* Forwarding by wait; see rl_set_waits(). */
+    bool balancing;
+    struct bl_waits own_waits;
+    uint64_t forwarded_by_wait; /* requests, since the start */
+    uint64_t reports_sent;
+    uint64_t reports_received;
+    uint64_t reports_ignored; /* late, doubled or of an ended session */
     struct rl_peer *peers;
     struct rl_origin *origins;
 };
@@ -136,6 +152,19 @@
  * accepts it. */
 bool rl_forward(struct relay *r, uint64_t now, void *handle, struct str host,
     struct str path, struct str body, uint32_t remaining_ms);
+/* Turns forwarding by wait on and updates the waits of this entry with those
+ * predicted now; to be called before each rl_tick(). */
+void rl_set_waits(struct relay *r, uint64_t now, const struct bl_waits *waits);
+/* Forwards a request that has just arrived, as rl_forward(), if a peer has a
+ * sufficiently shorter wait.  A copy of a forwarded request goes to the same
+ * peer, so that it does not run twice.  Never to be called for a request that
+ * was forwarded to this entry. */
+bool rl_forward_by_wait(struct relay *r, uint64_t now, void *handle,
+    struct str service, uint32_t priority, struct str host, struct str path,
+    struct str body, uint32_t remaining_ms);
+/* Handles a peer's report of its waits. */
+void rl_receive_waits(
+    struct relay *r, uint64_t now, uint64_t from, const dw_waits *m);
 /* The handle of a forwarded request for this path, or NULL. */
 void *rl_find(const struct relay *r, struct str path);
 /* Cancels a forwarded request, as its caller has disconnected; false if it was
--- a/simentry.c
+++ b/simentry.c
@@ -6,6 +6,7 @@
 #include <utlist.h>
 
 #include "num.h"
+#include "qpolicy.h"
 #include "sim-int.h"
 
 /* Time from an entry's start until it has read the store. */
@@ -221,7 +222,10 @@
     struct sim_waiter *waiter = new_waiter(e, j, forwarded);
 
     forwarded->data = waiter;
-    if (!it_add(&e->intake, loop_time_us(e), waiter)) {
+    if (!has_processor(e)) {
+        submit_job(e, waiter);
+    }
+    else if (!it_add(&e->intake, loop_time_us(e), waiter)) {
         rl_reply(forwarded, CO_NOT_RUN, "behind", 1000);
         free_waiter(e, waiter);
     }
@@ -250,6 +254,12 @@
 static const struct rl_ops rl_ops = {
     entry_send, begin_forwarded, cancel_forwarded, entry_answer, note_relay};
 
+static uint32_t
+remaining_ms(const struct sim_entry *e, const struct sim_job *j)
+{
+    return (uint32_t)(num_sub_sat(j->deadline_us, e->s->now_us) / 1000);
+}
+
 static bool
 forward(struct sim_entry *e, struct sim_waiter *waiter)
 {
@@ -258,15 +268,49 @@
     snprintf(path, sizeof(path), "%llu", (unsigned long long)waiter->job->id);
     if (e->s->d->no_forwarding ||
         !rl_forward(&e->relay, sim_now_ms(e->s), waiter, STR("host"),
-            str_of(path), STR("body"),
-            (uint32_t)(num_sub_sat(waiter->job->deadline_us, e->s->now_us) /
-                       1000))) {
+            str_of(path), STR("body"), remaining_ms(e, waiter->job))) {
+        return false;
+    }
+    e->s->result->forwarded++;
+    return true;
+}
+
+/* Forwards a request that has just arrived to an entry with a shorter wait. */
+static bool
+forward_by_wait(struct sim_entry *e, struct sim_waiter *waiter)
+{
+    const struct sim_job *j = waiter->job;
+    char path[32];
+
+    if (e->coord.settings.balance != SC_BALANCE_WAIT ||
+        e->s->d->no_forwarding || co_knows_job(&e->coord, j->id)) {
+        return false;
+    }
+    snprintf(path, sizeof(path), "%llu", (unsigned long long)j->id);
+    if (!rl_forward_by_wait(&e->relay, sim_now_ms(e->s), waiter,
+            STR(SIM_SERVICE), e->s->d->kind[j->kind].priority, STR("host"),
+            str_of(path), STR("body"), remaining_ms(e, j))) {
         return false;
     }
     e->s->result->forwarded++;
     return true;
 }
 
+static void
+add_wait(void *ctx, const char *service, uint32_t priority, double wait_ms)
+{
+    bl_add(ctx, str_of(service), priority, wait_ms);
+}
+
+static void
+update_waits(struct sim_entry *e, uint64_t now)
+{
+    struct bl_waits waits = {.count = 0};
+
+    qp_predict_waits(&e->coord, now, add_wait, &waits);
+    rl_set_waits(&e->relay, now, &waits);
+}
+
 /* --- event loop --- */
 
 static void
@@ -284,6 +328,9 @@
     else if (m->type == DW_RELAYED) {
         rl_receive_replies(&e->relay, now, from, &m->dw_msg_u.relayed);
     }
+    else if (m->type == DW_WAITS) {
+        rl_receive_waits(&e->relay, now, from, &m->dw_msg_u.waits);
+    }
     msg_free(m);
 }
 
@@ -300,6 +347,9 @@
     if (lg_should_forward(&e->lag) && forward(e, waiter)) {
         return;
     }
+    if (forward_by_wait(e, waiter)) {
+        return;
+    }
     if (!it_add(&e->intake, loop_time_us(e), waiter) && !forward(e, waiter)) {
         entry_answer(e, waiter, CO_NOT_RUN, "behind", 1000);
     }
@@ -342,6 +392,10 @@
     if (!lg_has_spare_time(&e->lag) && !e->s->d->no_forwarding) {
         rl_need_peers(&e->relay, now);
     }
+    if (e->coord.settings.balance == SC_BALANCE_WAIT &&
+        !e->s->d->no_forwarding) {
+        update_waits(e, now);
+    }
     rl_tick(&e->relay, now);
     use_core_us(e, TICK_COST_US);
     co_tick(&e->coord, now);
@@ -448,7 +502,11 @@
     struct sim_input *in;
 
     if (!has_processor(e)) {
-        submit_job(e, new_waiter(e, j, NULL));
+        struct sim_waiter *waiter = new_waiter(e, j, NULL);
+
+        if (!forward_by_wait(e, waiter)) {
+            submit_job(e, waiter);
+        }
         flush(e);
         return;
     }
--- a/test/world.cc
+++ b/test/world.cc
@@ -5,6 +5,8 @@
 #include <cstdlib>
 #include <cstring>
 
+#include "qpolicy.h"
+
 namespace {
 
 /* One-way latency of a call to a worker, and of a message between machines. */
@@ -12,6 +14,8 @@
 constexpr uint64_t MESSAGE_MS = 1;
 /* Time until a caller resends a request whose connection broke. */
 constexpr uint64_t RESEND_MS = 1300;
+/* Delay of a late report: several later ones arrive before it. */
+constexpr uint64_t LATE_WAITS_MS = 300;
 
 std::string
 task_of(const rn_key &key)
@@ -293,6 +297,7 @@
 
     forwarded->data = waiter;
     e->w->forwarded++;
+    e->w->forwards.push_back({e->w->now, c->entry, e->index});
     e->w->submit_at(e, c, waiter);
 }
 
@@ -475,6 +480,33 @@
     after(20, [this, a, id] { tick_agent(a, id); });
 }
 
+void
+World::update_waits(FakeEntry *e)
+{
+    bl_waits waits = {};
+
+    qp_predict_waits(
+        &e->coord_state, now,
+        [](void *ctx, const char *service, uint32_t priority, double wait_ms) {
+            bl_add(static_cast<bl_waits *>(ctx), str_of(service), priority,
+                wait_ms);
+        },
+        &waits);
+    rl_set_waits(&e->relay_state, now, &waits);
+}
+
+bool
+World::forward_by_wait(FakeEntry *e, Call *c)
+{
+    std::string path = std::to_string(c->id);
+
+    return e->coord_state.settings.balance == SC_BALANCE_WAIT &&
+           !co_knows_job(&e->coord_state, c->id) &&
+           rl_forward_by_wait(&e->relay_state, now, c->waiter, STR("s"), 0,
+               STR("host"), str_make(path.data(), path.size()), STR("body"),
+               (uint32_t)(c->deadline - now));
+}
+
 /* The relay first: requests of silent origin entries must be dropped before
  * coord places their tasks again. */
 void
@@ -486,6 +518,9 @@
     if (forward_share > 0) {
         rl_need_peers(&e->relay_state, now);
     }
+    if (e->coord_state.settings.balance == SC_BALANCE_WAIT) {
+        update_waits(e);
+    }
     rl_tick(&e->relay_state, now);
     co_tick(&e->coord_state, now);
 }
@@ -550,6 +585,35 @@
 
 /* --- the network --- */
 
+/* Entries of an older version do not know the message. */
+void
+World::deliver_waits(uint64_t from, uint64_t to, const dw_msg *m)
+{
+    std::shared_ptr<dw_msg> copy(msg_clone(m), msg_free);
+    int copies = doubled_waits > 0 && chance() < doubled_waits ? 2 : 1;
+
+    if (lost_waits > 0 && chance() < lost_waits) {
+        return;
+    }
+    for (int i = 0; i < copies; i++) {
+        bool late = late_waits > 0 && chance() < late_waits;
+
+        after(late ? LATE_WAITS_MS : MESSAGE_MS, [this, from, to, copy] {
+            for (auto &e : entries) {
+                FakeEntry *p = e.get();
+
+                if (p->up && p->id == to &&
+                    p->coord_state.settings.balance == SC_BALANCE_WAIT) {
+                    on_entry(p, [this, p, from, copy] {
+                        rl_receive_waits(
+                            &p->relay_state, now, from, &copy->dw_msg_u.waits);
+                    });
+                }
+            }
+        });
+    }
+}
+
 void
 World::deliver(uint64_t from, uint64_t to, const dw_msg *m)
 {
@@ -557,6 +621,10 @@
     if (dropped_links.count({from, to}) != 0) {
         return;
     }
+    if (m->type == DW_WAITS) {
+        deliver_waits(from, to, m);
+        return;
+    }
     std::shared_ptr<dw_msg> copy(msg_clone(m), msg_free);
     after(MESSAGE_MS, [this, from, to, copy] {
         for (auto &e : entries) {
@@ -968,6 +1036,9 @@
 World::send_call(Call *c)
 {
     size_t i = rng() % entries.size();
+    if (extra_share > 0 && chance() < extra_share) {
+        i = 0;
+    }
     FakeEntry *e = entries[i].get();
 
     c->sends++;
@@ -996,7 +1067,9 @@
                     (uint32_t)(c->deadline - now))) {
                 return;
             }
-            submit_at(e, c, c->waiter);
+            if (!forward_by_wait(e, c)) {
+                submit_at(e, c, c->waiter);
+            }
         });
     });
     /* The caller leaves at its deadline. */
--- a/test/world.hh
+++ b/test/world.hh
@@ -144,6 +144,13 @@
 
     /* Share of requests that an entry forwards to another. */
     double forward_share = 0;
+    /* Share of requests that go to entry 0, beyond its equal share. */
+    double extra_share = 0;
+    /* Shares of the reports of waits that are lost, doubled, or late by
+     * LATE_WAITS_MS. */
+    double lost_waits = 0;
+    double doubled_waits = 0;
+    double late_waits = 0;
 
     sc_settings settings; /* of all entries */
     uint64_t now = 1000;
@@ -156,6 +163,11 @@
     uint64_t starts = 0;
     uint64_t messages = 0;
     uint64_t forwarded = 0; /* requests between entries */
+    struct Forwarded {
+        uint64_t at;
+        size_t from, to; /* index of the entry */
+    };
+    std::vector<Forwarded> forwards; /* when they arrived at the peer */
 
     /* Used by the fakes. */
     struct Event {
@@ -174,6 +186,9 @@
     void worker_heartbeat(FakeAgent *a, uint64_t id);
     void tick_entry(FakeEntry *e, uint64_t id);
     void tick_both(FakeEntry *e);
+    void deliver_waits(uint64_t from, uint64_t to, const dw_msg *m);
+    void update_waits(FakeEntry *e);
+    bool forward_by_wait(FakeEntry *e, Call *c);
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
     void stop_entry(size_t i, uint64_t for_ms, bool power_loss);
