balance: entries without workers count as the longest wait

An entry that knows no workers of a service refuses its jobs, so that none waits there and its wait was predicted as 0: it kept its callers' requests while peers had workers, and looked like the best peer for a service of which it has no workers. It now reports 10 s for all priorities of the service. The simulated entry accepts requests by the daemon's rule (only with workers) when it balances.

--- a/balance.c
+++ b/balance.c
@@ -16,6 +16,8 @@
  * so many ms, which is the interval between predictions. */
 #define CHANGE_FRACTION 0.25
 #define CHANGE_MS 20.0
+/* ms that a forwarded request adds to the peer's wait if none waits here. */
+#define ADDED_MS 10.0
 /* Time constant in ms of smoothed waits.  The wait that is predicted from the
  * cores which an entry holds at one moment varies by more than BEGIN_RATIO
  * while the load of all entries is equal. */
@@ -27,8 +29,8 @@
     return r->priority == priority && str_eq(service, str_of(r->service));
 }
 
-const struct bl_row *
-bl_find(const struct bl_waits *w, struct str service, uint32_t priority)
+static const struct bl_row *
+find_exact(const struct bl_waits *w, struct str service, uint32_t priority)
 {
     for (size_t i = 0; i < w->count; i++) {
         if (is_row(&w->rows[i], service, priority)) {
@@ -38,6 +40,14 @@
     return NULL;
 }
 
+const struct bl_row *
+bl_find(const struct bl_waits *w, struct str service, uint32_t priority)
+{
+    const struct bl_row *r = find_exact(w, service, BL_ANY_PRIORITY);
+
+    return r != NULL ? r : find_exact(w, service, priority);
+}
+
 uint32_t
 bl_longest_ms(const struct bl_waits *w)
 {
@@ -53,7 +63,7 @@
 static struct bl_row *
 get_row(struct bl_waits *w, struct str service, uint32_t priority)
 {
-    struct bl_row *r = (struct bl_row *)bl_find(w, service, priority);
+    struct bl_row *r = (struct bl_row *)find_exact(w, service, priority);
 
     if (r == NULL && w->count < BL_ROWS_MAX && service.n < BL_NAME_MAX) {
         r = &w->rows[w->count++];
@@ -96,7 +106,8 @@
     for (size_t i = 0; i < w->count; i++) {
         struct bl_row *r = &w->rows[i];
 
-        move_row(r, bl_find(predicted, str_of(r->service), r->priority), part);
+        move_row(r, find_exact(predicted, str_of(r->service), r->priority),
+            r->priority == BL_ANY_PRIORITY ? 1 : part);
         if (r->wait_ms >= 1) {
             w->rows[kept++] = *r;
         }
@@ -110,7 +121,8 @@
 static double
 wait_of(const struct bl_waits *w, const struct bl_row *like)
 {
-    const struct bl_row *r = bl_find(w, str_of(like->service), like->priority);
+    const struct bl_row *r =
+        find_exact(w, str_of(like->service), like->priority);
 
     return r != NULL ? r->wait_ms : 0;
 }
@@ -237,12 +249,13 @@
 bl_forwarded(struct bl_peer *p, const struct bl_waits *own, struct str service,
     uint32_t priority)
 {
-    const struct bl_row *here = bl_find(own, service, priority);
+    const struct bl_row *here = find_exact(own, service, priority);
     struct bl_peer_row *r = find_row(p, service, priority, true);
 
     /* A request adds as much to the peer's wait as a waiting one does here. */
-    if (r != NULL && here != NULL) {
-        r->added_ms += here->wait_ms / fmax(here->jobs, 1);
+    if (r != NULL) {
+        r->added_ms +=
+            here != NULL ? here->wait_ms / fmax(here->jobs, 1) : ADDED_MS;
     }
 }
 
@@ -252,6 +265,8 @@
 {
     const struct bl_row *here = bl_find(own, service, priority);
     struct bl_peer_row *r = find_row(p, service, priority, true);
+    const struct bl_peer_row *any =
+        find_row(p, service, BL_ANY_PRIORITY, false);
     double own_ms = here != NULL ? here->wait_ms : 0;
     double peer_ms;
 
@@ -262,7 +277,8 @@
         r->forwarding = false;
         return false;
     }
-    peer_ms = r->row.wait_ms + r->added_ms;
+    peer_ms =
+        r->row.wait_ms + r->added_ms + (any != NULL ? any->row.wait_ms : 0);
     *wait_ms = peer_ms;
     r->forwarding =
         r->forwarding
--- a/balance.h
+++ b/balance.h
@@ -41,6 +41,10 @@
 /* Own wait in ms at which peers are needed: half the least difference at which
  * forwarding begins, so that sessions are open in time. */
 #define BL_NEED_PEERS_MS 50U
+/* Priority of a row that applies to all jobs of the service, and wait in ms
+ * that stands for a service without workers. */
+#define BL_ANY_PRIORITY UINT32_MAX
+#define BL_NO_WORKERS_MS 10000U
 
 /* The predicted wait of a job that arrives now. */
 struct bl_row {
@@ -50,7 +54,9 @@
     double jobs; /* that wait now */
 };
 
-/* Services and priorities without a row have a wait of 0. */
+/* Services and priorities without a row have a wait of 0.  An entry that knows
+ * no workers of a service refuses its jobs, so that none waits there: it
+ * reports BL_NO_WORKERS_MS for BL_ANY_PRIORITY. */
 struct bl_waits {
     struct bl_row rows[BL_ROWS_MAX];
     size_t count;
@@ -106,7 +112,7 @@
     double *wait_ms);
 
 /* Queries. */
-/* The row, or NULL. */
+/* The row of BL_ANY_PRIORITY, or else that of the priority; NULL: none. */
 const struct bl_row *bl_find(
     const struct bl_waits *w, struct str service, uint32_t priority);
 /* The longest wait of all rows. */
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -299,12 +299,11 @@
     const struct co_service_load *l;
 
     for (l = c->loads; l != NULL; l = l->hh.next) {
-        struct backlog backlog;
+        struct backlog backlog = get_backlog(c, now, l);
 
-        if (l->queued_work == 0) {
-            continue;
+        if (backlog.sum.capacity + backlog.sum.recovering <= 0) {
+            fn(ctx, l->service, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
         }
-        backlog = get_backlog(c, now, l);
         for (int cls = 0; cls < QP_STALE && backlog.cores > 0; cls++) {
             predict_class(c, now, (enum qp_class)cls, &backlog, l, fn, ctx);
         }
--- a/qpolicy.h
+++ b/qpolicy.h
@@ -14,6 +14,7 @@
 #ifndef QPOLICY_H
 #define QPOLICY_H
 
+#include "balance.h"
 #include "coord.h"
 
 #ifdef __cplusplus
@@ -59,7 +60,8 @@
 void qp_shed(struct coord *c, uint64_t now, qp_refuse_fn refuse);
 
 /* Calls fn for each unstarted job that is still of use, with the wait of a job
- * like it that arrives now. */
+ * like it that arrives now; for a service without workers, once with
+ * BL_ANY_PRIORITY and BL_NO_WORKERS_MS. */
 typedef void (*qp_wait_fn)(
     void *ctx, const char *service, uint32_t priority, double wait_ms);
 void qp_predict_waits(
--- a/simentry.c
+++ b/simentry.c
@@ -275,6 +275,19 @@
     return true;
 }
 
+static bool
+balances(const struct sim_entry *e)
+{
+    return e->coord.settings.balance == SC_BALANCE_WAIT &&
+           !e->s->d->no_forwarding;
+}
+
+static bool
+has_workers(const struct sim_entry *e)
+{
+    return fl_total(&e->coord.fleet, sim_now_ms(e->s), NULL, 1).capacity > 0;
+}
+
 /* Forwards a request that has just arrived to an entry with a shorter wait. */
 static bool
 forward_by_wait(struct sim_entry *e, struct sim_waiter *waiter)
@@ -282,8 +295,7 @@
     const struct sim_job *j = waiter->job;
     char path[32];
 
-    if (e->coord.settings.balance != SC_BALANCE_WAIT ||
-        e->s->d->no_forwarding || co_knows_job(&e->coord, j->id)) {
+    if (!balances(e) || co_knows_job(&e->coord, j->id)) {
         return false;
     }
     snprintf(path, sizeof(path), "%llu", (unsigned long long)j->id);
@@ -382,8 +394,9 @@
 static void
 tick(struct sim_entry *e)
 {
-    struct rl_state state = {
-        lg_has_spare_time(&e->lag) && !lg_is_out_of_rotation(&e->lag),
+    struct rl_state state = {lg_has_spare_time(&e->lag) &&
+                                 !lg_is_out_of_rotation(&e->lag) &&
+                                 (!balances(e) || has_workers(e)),
         (uint32_t)(e->lag.utilization * 1000), 0};
     uint64_t now = sim_now_ms(e->s);
     double spent_before_us = e->spent_us;
@@ -392,8 +405,7 @@
     if (!lg_has_spare_time(&e->lag) && !e->s->d->no_forwarding) {
         rl_need_peers(&e->relay, now);
     }
-    if (e->coord.settings.balance == SC_BALANCE_WAIT &&
-        !e->s->d->no_forwarding) {
+    if (balances(e)) {
         update_waits(e, now);
     }
     rl_tick(&e->relay, now);
--- a/test/balance-test.cc
+++ b/test/balance-test.cc
@@ -188,6 +188,29 @@
     EXPECT_EQ(w.count, 0u);
 }
 
+/* Guards against requests that go to an entry that knows no workers and would
+ * refuse them, and against such an entry that keeps its own. */
+TEST(Balance, AnEntryWithoutWorkersCountsAsTheLongestWait)
+{
+    bl_waits none = {};
+    bl_waits busy = waits_of(400);
+    bl_peer p = {};
+    bl_report report = {};
+    dw_msg m = {};
+    double wait_ms;
+
+    bl_add(&none, SERVICE, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
+    bl_fill_report(&report, 1000, &none, 7, &m);
+    ASSERT_TRUE(bl_receive(&p, 1000, 7, &m.dw_msg_u.waits));
+    free(m.dw_msg_u.waits.rows.rows_val);
+    EXPECT_FALSE(bl_should_forward(&p, 1001, &busy, SERVICE, 1, &wait_ms));
+    bl_fill_report(&report, 1050, &busy, 7, &m);
+    ASSERT_TRUE(bl_receive(&p, 1050, 7, &m.dw_msg_u.waits));
+    free(m.dw_msg_u.waits.rows.rows_val);
+    EXPECT_TRUE(bl_should_forward(&p, 1051, &none, SERVICE, 1, &wait_ms));
+    bl_reset_report(&report);
+}
+
 /* Guards against more rows, or longer names, than the message holds. */
 TEST(Balance, RowsAreBounded)
 {
