relay: one owner for copies of a request

A copy of a request (its caller sent it again) could get a second owner: - while the first waited in the intake, the copy was forwarded; - rl_forward() picked the least busy peer, not the one that had the first; - rl_cancel() forgot the peer at once, though it takes a while until the peer has stopped the tasks. A copy could also be refused as not run while the first ran.

Entries now look for a first request in the intake, in coord and in the relay before any forwarding. The relay keeps the path and the peer of a cancelled request for RL_RESEND_MS (at most 4096 of them) and sends copies there; if that peer is lost, the copy is answered as given up. A refused copy of a known job gets the job's answer, and "not run" becomes "given up" while a copy may run here or at a peer.

The tests of the relay and of it_find() are new functions' tests; the order of the checks in entrycall.c itself is not covered by a unit test, as the simulated world has no HTTP callers or intake.

--- a/entrycall.c
+++ b/entrycall.c
@@ -127,13 +127,39 @@
     }
 }
 
+static struct str
+path_of(const struct caller *c)
+{
+    return str_of(c->req != NULL ? web_path(c->req) : c->forwarded->path);
+}
+
+static bool
+has_path(const void *caller, const void *path)
+{
+    return str_eq(path_of(caller), *(const struct str *)path);
+}
+
+/* Another request for this path waits in the intake. */
+static bool
+is_queued(const struct entry *e, struct str path)
+{
+    return it_find(&e->intake, has_path, &path) != NULL;
+}
+
+/* A request that is not in the intake.  It is not answered as not run if a
+ * copy of it may run. */
 static void
 answer(void *ctx, void *handle, enum co_outcome outcome, const char *reason,
     uint32_t retry_ms)
 {
+    struct entry *e = ctx;
     struct caller *c = handle;
 
-    (void)ctx;
+    if (outcome == CO_NOT_RUN &&
+        (is_queued(e, path_of(c)) ||
+            rl_may_run_elsewhere(&e->relay, proc_now(), path_of(c)))) {
+        outcome = CO_GAVE_UP;
+    }
     if (c->req != NULL) {
         web_set_ctx(c->req, NULL);
         reply_outcome(c->req, outcome, reason, retry_ms);
@@ -164,12 +190,6 @@
                                                  : (uint32_t)ms;
 }
 
-static struct str
-path_of(const struct caller *c)
-{
-    return str_of(c->req != NULL ? web_path(c->req) : c->forwarded->path);
-}
-
 static struct str
 host_of(const struct caller *c)
 {
@@ -298,6 +318,34 @@
         e->lag.utilization);
 }
 
+/* The route of a request whose job is in progress here, or ended here so
+ * recently that a copy gets the same answer; NULL if there is none. */
+static const struct rt_route *
+route_of_known_job(struct entry *e, const struct caller *c, uint64_t *id)
+{
+    const struct rt_route *route = find_route(e, host_of(c), path_of(c), id);
+
+    return route != NULL && *id != 0 && co_knows_job(&e->coord, *id) ? route
+                                                                     : NULL;
+}
+
+/* Refuses a request that is not in the intake; a copy of a known job gets the
+ * job's answer instead, as it would not be true that nothing has run. */
+static void
+refuse(struct entry *e, uint64_t now, struct caller *c, const char *logged,
+    const char *reason, uint32_t retry_ms)
+{
+    uint64_t id;
+    const struct rt_route *known = route_of_known_job(e, c, &id);
+
+    if (known != NULL) {
+        submit(e, now, c, known, id);
+        return;
+    }
+    log_request_refused(e, path_of(c), logged);
+    answer(e, c, CO_NOT_RUN, reason, retry_ms);
+}
+
 static void
 start_request(struct entry *e, uint64_t now, struct caller *c)
 {
@@ -307,8 +355,7 @@
     uint64_t id;
 
     if (why != NULL) {
-        log_request_refused(e, path, why);
-        answer(e, c, CO_NOT_RUN, why, 1000);
+        refuse(e, now, c, why, why, 1000);
         return;
     }
     route = find_route(e, host_of(c), path, &id);
@@ -331,7 +378,7 @@
     struct caller *forwarded = rl_find(&e->relay, str_of(web_path(r)));
 
     if (forwarded != NULL) {
-        rl_cancel(&e->relay, forwarded);
+        rl_cancel(&e->relay, now, forwarded);
         answer(e, forwarded, CO_FAILED, "cancelled", 0);
         ec_reply(r, 200, "{}");
         return;
@@ -384,15 +431,12 @@
 
 /* --- forwarded requests --- */
 
-/* ms by which a peer's loop may be late in ending an origin entry's jobs. */
-#define PEER_LATE_MS 150U
-/* Requests are forwarded only if callers wait at least this many ms for an
- * answer before they resend a request.  Within this time a peer that lost
- * contact with this entry has ended the job, and agents that lost contact with
- * the peer have ended its runs, so a resent job never runs twice at a time. */
-#define FORWARD_RESEND_MS                                                     \
-    (SESS_LEASE_MS + SESS_LEASE_MS + RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS +  \
-        PEER_LATE_MS)
+static void
+shed(struct entry *e, uint64_t now, struct caller *c, const char *why)
+{
+    e->shed_requests++;
+    refuse(e, now, c, why, "behind", OVERLOAD_RETRY_MS);
+}
 
 static void
 log_forwarded(struct entry *e, const struct caller *c)
@@ -403,10 +447,40 @@
     log_event(LOG_LEVEL_INFO, "request_given", "job=%.*s", (int)job.n, job.p);
 }
 
+/* Keeps one owner per request.  A copy of a request that waits, runs or has
+ * just ended here is queued here; a copy of a forwarded one goes to the same
+ * peer.  False: the request is not known to be a copy. */
+static bool
+handle_copy(struct entry *e, uint64_t now, struct caller *c)
+{
+    uint64_t id;
+
+    if (is_queued(e, path_of(c)) || route_of_known_job(e, c, &id) != NULL) {
+        if (!it_add(&e->intake, proc_now_us(), c)) {
+            shed(e, now, c, "would_wait");
+        }
+        return true;
+    }
+    switch (rl_forward_copy(&e->relay, now, c, host_of(c), path_of(c),
+        body_of(c), left_ms(c->req))) {
+    case RL_NO_COPY:
+        return false;
+    case RL_COPY_SENT:
+        log_forwarded(e, c);
+        break;
+    case RL_COPY_LOST:
+        log_request_refused(e, path_of(c), "taker_lost");
+        answer(e, c, CO_GAVE_UP, "taker_lost", 0);
+        break;
+    }
+    return true;
+}
+
+/* Not to be called for copies; see handle_copy(). */
 static bool
 forward_request(struct entry *e, uint64_t now, struct caller *c)
 {
-    if (e->s->conf->platform.caller_resend_ms < FORWARD_RESEND_MS ||
+    if (e->s->conf->platform.caller_resend_ms < RL_RESEND_MS ||
         refusal_reason(e, now) != NULL ||
         !rl_forward(&e->relay, now, c, host_of(c), path_of(c), body_of(c),
             left_ms(c->req))) {
@@ -424,12 +498,12 @@
     const struct rt_route *route;
 
     if (e->coord.settings.balance != SC_BALANCE_WAIT ||
-        e->s->conf->platform.caller_resend_ms < FORWARD_RESEND_MS ||
+        e->s->conf->platform.caller_resend_ms < RL_RESEND_MS ||
         refusal_reason(e, now) != NULL) {
         return false;
     }
     route = find_route(e, host_of(c), path_of(c), &id);
-    if (route == NULL || id == 0 || co_knows_job(&e->coord, id) ||
+    if (route == NULL || id == 0 ||
         !rl_forward_by_wait(&e->relay, now, c, str_of(route->service),
             route->priority, host_of(c), path_of(c), body_of(c),
             left_ms(c->req))) {
@@ -443,13 +517,17 @@
 start_forwarded(void *ctx, struct rl_accepted *request)
 {
     struct entry *e = ctx;
+    uint64_t now = proc_now();
     struct caller *c = dw_zero(1, sizeof(*c));
 
     e->forwarded_in++;
     c->forwarded = request;
     request->data = c;
-    if (!it_add(&e->intake, proc_now_us(), c)) {
-        answer(e, c, CO_NOT_RUN, "behind", OVERLOAD_RETRY_MS);
+    if (rl_may_run_elsewhere(&e->relay, now, path_of(c))) {
+        answer(e, c, CO_GAVE_UP, "forwarded", 0);
+    }
+    else if (!it_add(&e->intake, proc_now_us(), c)) {
+        refuse(e, now, c, "would_wait", "behind", OVERLOAD_RETRY_MS);
     }
 }
 
@@ -498,14 +576,6 @@
     }
 }
 
-static void
-shed(struct entry *e, struct caller *c, const char *why)
-{
-    e->shed_requests++;
-    log_request_refused(e, path_of(c), why);
-    answer(e, c, CO_NOT_RUN, "behind", OVERLOAD_RETRY_MS);
-}
-
 /* Requests read first after a pause of the machine waited throughout it. */
 static bool
 is_stale(const struct entry *e, uint64_t now)
@@ -532,25 +602,23 @@
         handle_other(e, now, r);
         return;
     }
-    if (is_stale(e, now)) {
-        log_request_refused(e, str_of(web_path(r)), "paused");
-        reply_not_run(r, "paused", 1000);
-        return;
-    }
     c = dw_zero(1, sizeof(*c));
     c->req = r;
     web_set_ctx(r, c);
+    if (is_stale(e, now)) {
+        refuse(e, now, c, "paused", "paused", 1000);
+        return;
+    }
     /* Requests are read at the end of a pass; the next pass starts them or
      * sends them to a peer. */
     request_pass(e);
-    if (lg_should_forward(&e->lag) && forward_request(e, now, c)) {
-        return;
-    }
-    if (forward_by_wait(e, now, c)) {
+    if (handle_copy(e, now, c) ||
+        (lg_should_forward(&e->lag) && forward_request(e, now, c)) ||
+        forward_by_wait(e, now, c)) {
         return;
     }
     if (!it_add(&e->intake, proc_now_us(), c) && !forward_request(e, now, c)) {
-        shed(e, c, "would_wait");
+        shed(e, now, c, "would_wait");
     }
 }
 
@@ -576,7 +644,7 @@
             break;
         }
         if (decision == IT_REFUSE) {
-            shed(e, c, "waited");
+            shed(e, now, c, "waited");
         }
         else {
             start_request(e, now, c);
@@ -607,7 +675,7 @@
     if (c == NULL) {
         return;
     }
-    if (!it_remove(&e->intake, c) && !rl_cancel(&e->relay, c)) {
+    if (!it_remove(&e->intake, c) && !rl_cancel(&e->relay, proc_now(), c)) {
         co_caller_left(&e->coord, proc_now(), c);
     }
     free(c);
--- a/intake.c
+++ b/intake.c
@@ -75,6 +75,20 @@
     return false;
 }
 
+void *
+it_find(const struct intake *t,
+    bool (*match)(const void *handle, const void *key), const void *key)
+{
+    const struct it_request *r;
+
+    DL_FOREACH (t->head, r) {
+        if (match(r->handle, key)) {
+            return r->handle;
+        }
+    }
+    return NULL;
+}
+
 void *
 it_pop_expired(struct intake *t, uint64_t now_us)
 {
--- a/intake.h
+++ b/intake.h
@@ -59,6 +59,9 @@
 enum it_action it_next(struct intake *t, uint64_t now_us, void **handle);
 
 /* Queries. */
+/* The oldest waiting request for which match() is true; NULL if none. */
+void *it_find(const struct intake *t,
+    bool (*match)(const void *handle, const void *key), const void *key);
 /* Requests that wait here. */
 size_t it_count(const struct intake *t);
 /* us that a request which arrives now is expected to wait. */
--- a/relay.c
+++ b/relay.c
@@ -51,6 +51,14 @@
     struct rl_forwarded *next;
 };
 
+/* A cancelled request: its peer stops the tasks, which takes a while. */
+struct rl_cancelled {
+    uint64_t path_hash;
+    uint64_t peer;
+    uint64_t at_ms;
+    UT_hash_handle hh;
+};
+
 /* --- origin side --- */
 
 static struct rl_peer *
@@ -213,24 +221,99 @@
     return p != NULL;
 }
 
-/* The peer that has a forwarded request for this path, or NULL. */
-static struct rl_peer *
-holder_of(const struct relay *r, struct str path)
+static struct rl_forwarded *
+find_forwarded(const struct relay *r, struct str path, struct rl_peer **peer)
 {
     uint64_t hash = str_hash(path, PATH_HASH_SEED);
     struct rl_peer *p;
-    const struct rl_forwarded *f;
+    struct rl_forwarded *f;
 
     for (p = r->peers; p != NULL; p = p->hh.next) {
         DL_FOREACH (p->forwarded, f) {
             if (f->path_hash == hash) {
-                return p;
+                *peer = p;
+                return f;
             }
         }
     }
     return NULL;
 }
 
+static struct rl_cancelled *
+find_cancelled(const struct relay *r, uint64_t now, struct str path)
+{
+    uint64_t hash = str_hash(path, PATH_HASH_SEED);
+    struct rl_cancelled *k;
+
+    HASH_FIND(hh, r->cancelled, &hash, sizeof(hash), k);
+    return k != NULL && now - k->at_ms < RL_RESEND_MS ? k : NULL;
+}
+
+static void
+forget_cancelled(struct relay *r, struct rl_cancelled *k)
+{
+    HASH_DEL(r->cancelled, k);
+    free(k);
+}
+
+static void
+remember_cancelled(
+    struct relay *r, uint64_t now, uint64_t path_hash, uint64_t peer)
+{
+    struct rl_cancelled *k;
+
+    HASH_FIND(hh, r->cancelled, &path_hash, sizeof(path_hash), k);
+    if (k != NULL) {
+        forget_cancelled(r, k);
+    }
+    else if (HASH_COUNT(r->cancelled) >= RL_CANCELLED_MAX) {
+        forget_cancelled(r, r->cancelled);
+    }
+    k = dw_zero(1, sizeof(*k));
+    k->path_hash = path_hash;
+    k->peer = peer;
+    k->at_ms = now;
+    HASH_ADD(hh, r->cancelled, path_hash, sizeof(k->path_hash), k);
+}
+
+static void
+expire_cancelled(struct relay *r, uint64_t now)
+{
+    while (r->cancelled != NULL && now - r->cancelled->at_ms >= RL_RESEND_MS) {
+        forget_cancelled(r, r->cancelled);
+    }
+}
+
+bool
+rl_may_run_elsewhere(const struct relay *r, uint64_t now, struct str path)
+{
+    struct rl_peer *p;
+
+    return find_forwarded(r, path, &p) != NULL ||
+           find_cancelled(r, now, path) != NULL;
+}
+
+enum rl_copy
+rl_forward_copy(struct relay *r, uint64_t now, void *handle, struct str host,
+    struct str path, struct str body, uint32_t remaining_ms)
+{
+    struct rl_peer *p = NULL;
+    const struct rl_cancelled *k;
+
+    if (find_forwarded(r, path, &p) == NULL) {
+        k = find_cancelled(r, now, path);
+        if (k == NULL) {
+            return RL_NO_COPY;
+        }
+        p = find_peer(r, k->peer);
+    }
+    if (p == NULL || !p->session_open) {
+        return RL_COPY_LOST;
+    }
+    forward_to(r, p, handle, host, path, body, remaining_ms);
+    return RL_COPY_SENT;
+}
+
 /* The peer with the shortest wait of those to which requests of this kind may
  * be forwarded; peers with equal waits take turns. */
 static struct rl_peer *
@@ -264,11 +347,8 @@
     struct str service, uint32_t priority, struct str host, struct str path,
     struct str body, uint32_t remaining_ms)
 {
-    struct rl_peer *p = holder_of(r, path);
+    struct rl_peer *p = pick_by_wait(r, now, service, priority);
 
-    if (p == NULL) {
-        p = pick_by_wait(r, now, service, priority);
-    }
     if (p == NULL) {
         return false;
     }
@@ -296,18 +376,10 @@
 void *
 rl_find(const struct relay *r, struct str path)
 {
-    uint64_t hash = str_hash(path, PATH_HASH_SEED);
-    const struct rl_peer *p;
-    const struct rl_forwarded *f;
+    struct rl_peer *p;
+    const struct rl_forwarded *f = find_forwarded(r, path, &p);
 
-    for (p = r->peers; p != NULL; p = p->hh.next) {
-        DL_FOREACH (p->forwarded, f) {
-            if (f->path_hash == hash) {
-                return f->handle;
-            }
-        }
-    }
-    return NULL;
+    return f != NULL ? f->handle : NULL;
 }
 
 static void
@@ -321,7 +393,7 @@
 }
 
 bool
-rl_cancel(struct relay *r, const void *handle)
+rl_cancel(struct relay *r, uint64_t now, const void *handle)
 {
     struct rl_peer *p;
     struct rl_forwarded *f;
@@ -330,6 +402,7 @@
         DL_FOREACH (p->forwarded, f) {
             if (f->handle == handle) {
                 add_cancellation(p, f->ref);
+                remember_cancelled(r, now, f->path_hash, p->id);
                 remove_forwarded(p, f);
                 return true;
             }
@@ -703,6 +776,9 @@
     struct rl_origin *o;
     struct rl_origin *o_tmp;
 
+    while (r->cancelled != NULL) {
+        forget_cancelled(r, r->cancelled);
+    }
     HASH_ITER (hh, r->peers, p, p_tmp) {
         free_peer(r, p);
     }
@@ -754,6 +830,7 @@
             free_origin(r, o);
         }
     }
+    expire_cancelled(r, now);
     select_peers(r, now);
     for (p = r->peers; p != NULL; p = p->hh.next) {
         tick_peer(r, now, p);
--- a/relay.h
+++ b/relay.h
@@ -29,6 +29,7 @@
 #include "balance.h"
 #include "coord.h"
 #include "proto.h"
+#include "runner.h"
 #include "sess.h"
 #include "str.h"
 
@@ -50,7 +51,27 @@
 #define RL_REPLACE_MS 1000U
 #define RL_RETRY_MS 5000U
 
+/* ms by which a peer's loop may be late in ending an origin entry's jobs. */
+#define RL_PEER_LATE_MS 150U
+/* Requests are forwarded only if callers wait at least this many ms for an
+ * answer before they resend a request.  Within this time a peer that lost
+ * contact with this entry has ended the job, and agents that lost contact with
+ * the peer have ended its runs, so a resent job never runs twice at a time. */
+#define RL_RESEND_MS                                                          \
+    (SESS_LEASE_MS + SESS_LEASE_MS + RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS +  \
+        RL_PEER_LATE_MS)
+/* Cancelled requests that are kept; the oldest are forgotten first. */
+#define RL_CANCELLED_MAX 4096U
+
 struct rl_forwarded;
+struct rl_cancelled;
+
+/* What became of a request that may be a copy of a forwarded one. */
+enum rl_copy {
+    RL_NO_COPY,
+    RL_COPY_SENT, /* to the peer that has the first one */
+    RL_COPY_LOST  /* that peer can't be reached and may still run it */
+};
 
 /* Another entry, to which requests may be forwarded. */
 struct rl_peer {
@@ -136,6 +157,8 @@
     uint64_t reports_ignored; /* late, doubled or of an ended session */
     struct rl_peer *peers;
     struct rl_origin *origins;
+    /* Cancelled in the last RL_RESEND_MS, oldest first, by path hash. */
+    struct rl_cancelled *cancelled;
 };
 
 void rl_init(
@@ -148,6 +171,14 @@
 void rl_need_peers(struct relay *r, uint64_t now);
 /* Sets the state that is reported to origins from now on. */
 void rl_set_state(struct relay *r, const struct rl_state *state);
+/* Forwards a copy of a request that is forwarded, or was cancelled in the last
+ * RL_RESEND_MS, to the same peer: it may still run the tasks.  To be called
+ * before rl_forward(), rl_forward_by_wait() and before a start here. */
+enum rl_copy rl_forward_copy(struct relay *r, uint64_t now, void *handle,
+    struct str host, struct str path, struct str body, uint32_t remaining_ms);
+/* The peer that a copy would be sent to may run the request. */
+bool rl_may_run_elsewhere(
+    const struct relay *r, uint64_t now, struct str path);
 /* Forwards a request, which is sent at the next rl_flush(); false if no peer
  * accepts it. */
 bool rl_forward(struct relay *r, uint64_t now, void *handle, struct str host,
@@ -156,9 +187,8 @@
  * predicted now; to be called before each rl_tick(). */
 void rl_set_waits(struct relay *r, uint64_t now, const struct bl_waits *waits);
 /* Forwards a request that has just arrived, as rl_forward(), if a peer has a
- * sufficiently shorter wait.  A copy of a forwarded request goes to the same
- * peer, so that it does not run twice.  Never to be called for a request that
- * was forwarded to this entry. */
+ * sufficiently shorter wait.  Never to be called for a request that was
+ * forwarded to this entry. */
 bool rl_forward_by_wait(struct relay *r, uint64_t now, void *handle,
     struct str service, uint32_t priority, struct str host, struct str path,
     struct str body, uint32_t remaining_ms);
@@ -169,7 +199,7 @@
 void *rl_find(const struct relay *r, struct str path);
 /* Cancels a forwarded request, as its caller has disconnected; false if it was
  * not forwarded. */
-bool rl_cancel(struct relay *r, const void *handle);
+bool rl_cancel(struct relay *r, uint64_t now, const void *handle);
 /* Answers an accepted request; a must not be used afterwards. */
 void rl_reply(struct rl_accepted *a, enum co_outcome outcome,
     const char *reason, uint32_t retry_ms);
--- a/simentry.c
+++ b/simentry.c
@@ -288,6 +288,41 @@
     return fl_total(&e->coord.fleet, sim_now_ms(e->s), NULL, 1).capacity > 0;
 }
 
+static bool
+is_of_job(const void *waiter, const void *job)
+{
+    return ((const struct sim_waiter *)waiter)->job == job;
+}
+
+/* The request, or a copy of it, waits or runs here. */
+static bool
+is_owned_here(const struct sim_entry *e, const struct sim_job *j)
+{
+    return it_find(&e->intake, is_of_job, j) != NULL ||
+           co_knows_job(&e->coord, j->id);
+}
+
+/* A copy of a request that this entry forwarded goes to the same entry. */
+static bool
+forward_copy(struct sim_entry *e, struct sim_waiter *waiter)
+{
+    char path[32];
+
+    snprintf(path, sizeof(path), "%llu", (unsigned long long)waiter->job->id);
+    switch (rl_forward_copy(&e->relay, sim_now_ms(e->s), waiter, STR("host"),
+        str_of(path), STR("body"), remaining_ms(e, waiter->job))) {
+    case RL_NO_COPY:
+        return false;
+    case RL_COPY_SENT:
+        e->s->result->forwarded++;
+        break;
+    case RL_COPY_LOST:
+        entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
+        break;
+    }
+    return true;
+}
+
 /* Forwards a request that has just arrived to an entry with a shorter wait. */
 static bool
 forward_by_wait(struct sim_entry *e, struct sim_waiter *waiter)
@@ -295,7 +330,7 @@
     const struct sim_job *j = waiter->job;
     char path[32];
 
-    if (!balances(e) || co_knows_job(&e->coord, j->id)) {
+    if (!balances(e)) {
         return false;
     }
     snprintf(path, sizeof(path), "%llu", (unsigned long long)j->id);
@@ -356,10 +391,15 @@
         return; /* its caller has disconnected */
     }
     waiter = new_waiter(e, j, NULL);
-    if (lg_should_forward(&e->lag) && forward(e, waiter)) {
+    if (is_owned_here(e, j)) {
+        if (!it_add(&e->intake, loop_time_us(e), waiter)) {
+            entry_answer(e, waiter, CO_GAVE_UP, "behind", 1000);
+        }
         return;
     }
-    if (forward_by_wait(e, waiter)) {
+    if (forward_copy(e, waiter) ||
+        (lg_should_forward(&e->lag) && forward(e, waiter)) ||
+        forward_by_wait(e, waiter)) {
         return;
     }
     if (!it_add(&e->intake, loop_time_us(e), waiter) && !forward(e, waiter)) {
@@ -516,7 +556,8 @@
     if (!has_processor(e)) {
         struct sim_waiter *waiter = new_waiter(e, j, NULL);
 
-        if (!forward_by_wait(e, waiter)) {
+        if (co_knows_job(&e->coord, j->id) ||
+            (!forward_copy(e, waiter) && !forward_by_wait(e, waiter))) {
             submit_job(e, waiter);
         }
         flush(e);
@@ -536,7 +577,8 @@
     if (waiter == NULL) {
         return; /* not read yet */
     }
-    if (!it_remove(&e->intake, waiter) && !rl_cancel(&e->relay, waiter)) {
+    if (!it_remove(&e->intake, waiter) &&
+        !rl_cancel(&e->relay, sim_now_ms(e->s), waiter)) {
         co_caller_left(&e->coord, sim_now_ms(e->s), waiter);
     }
     free_waiter(e, waiter);
--- a/test/balance-test.cc
+++ b/test/balance-test.cc
@@ -2,8 +2,12 @@
  * forwarded by wait under load and faults. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <functional>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "balance.h"
 #include "world.hh"
@@ -481,3 +485,198 @@
     }
     EXPECT_GT(forwarded, seeds * 20);
 }
+
+namespace {
+
+constexpr uint64_t ORIGIN = 1;
+
+/* An origin and two peers, 2 and 3, without a network: messages arrive at
+ * once, and peers accept every request. */
+struct Relays {
+    struct Node {
+        Relays *all;
+        relay r;
+        std::vector<rl_accepted *> accepted;
+        std::vector<co_outcome> answers;
+    };
+    std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<std::function<void()>> messages;
+    uint64_t now = 1000;
+    int handles[8];
+
+    static Node &
+    node(void *ctx)
+    {
+        return *static_cast<Node *>(ctx);
+    }
+    static void
+    send(void *ctx, uint64_t to, const dw_msg *m)
+    {
+        Relays *all = node(ctx).all;
+        uint64_t from = node(ctx).r.self;
+        std::shared_ptr<dw_msg> copy(msg_clone(m), msg_free);
+
+        all->messages.push_back([all, from, to, copy] {
+            relay *r = &all->nodes[to - 1]->r;
+            if (copy->type == DW_RELAY) {
+                rl_receive_requests(r, all->now, from, &copy->dw_msg_u.relay);
+            }
+            else {
+                rl_receive_replies(r, all->now, from, &copy->dw_msg_u.relayed);
+            }
+        });
+    }
+    static void
+    start(void *ctx, rl_accepted *a)
+    {
+        node(ctx).accepted.push_back(a);
+    }
+    static void
+    cancel(void *ctx, rl_accepted *a)
+    {
+        auto &v = node(ctx).accepted;
+        v.erase(std::find(v.begin(), v.end(), a));
+    }
+    static void
+    answer(void *ctx, void *, co_outcome outcome, const char *, uint32_t)
+    {
+        node(ctx).answers.push_back(outcome);
+    }
+    static void
+    note(void *, uint64_t, const char *, uint64_t)
+    {
+    }
+
+    Relays()
+    {
+        static const rl_ops ops = {send, start, cancel, answer, note};
+
+        for (uint64_t id = 1; id <= 3; id++) {
+            nodes.push_back(std::make_unique<Node>());
+            nodes.back()->all = this;
+            rl_init(&nodes.back()->r, &ops, nodes.back().get(), id);
+        }
+        rl_add_entry(&origin(), 2);
+        rl_add_entry(&origin(), 3);
+        run(200);
+    }
+    ~Relays()
+    {
+        for (auto &n : nodes) {
+            rl_free(&n->r);
+        }
+    }
+    relay &
+    origin()
+    {
+        return nodes[ORIGIN - 1]->r;
+    }
+    void
+    deliver()
+    {
+        for (auto &n : nodes) {
+            rl_flush(&n->r, now);
+        }
+        for (size_t i = 0; i < messages.size(); i++) {
+            auto m = messages[i];
+            m();
+        }
+        messages.clear();
+    }
+    void
+    run(uint64_t ms)
+    {
+        const rl_state accepting = {true, 0, 0};
+
+        for (uint64_t end = now + ms; now < end; now += 10) {
+            rl_need_peers(&origin(), now);
+            for (auto &n : nodes) {
+                rl_set_state(&n->r, &accepting);
+                rl_tick(&n->r, now);
+            }
+            deliver();
+        }
+    }
+    rl_copy
+    copy(int i, const char *path)
+    {
+        return rl_forward_copy(&origin(), now, &handles[i], STR("h"),
+            str_of(path), STR("b"), 1000);
+    }
+    bool
+    forward(int i, const char *path)
+    {
+        return rl_forward(&origin(), now, &handles[i], STR("h"), str_of(path),
+            STR("b"), 1000);
+    }
+    /* Of the peer that has the only requests. */
+    Node *
+    holder()
+    {
+        for (auto &n : nodes) {
+            if (!n->accepted.empty()) {
+                return n.get();
+            }
+        }
+        return nullptr;
+    }
+};
+
+} // namespace
+
+/* Guards against a request that two entries run: a copy goes to the less busy
+ * peer, or after the cancellation to any. */
+TEST(Relay, CopiesGoToThePeerThatHasTheFirst)
+{
+    Relays w;
+
+    EXPECT_EQ(w.copy(0, "/a"), RL_NO_COPY);
+    ASSERT_TRUE(w.forward(0, "/a"));
+    w.deliver();
+    Relays::Node *first = w.holder();
+    ASSERT_NE(first, nullptr);
+    EXPECT_EQ(w.copy(1, "/a"), RL_COPY_SENT);
+    w.deliver();
+    EXPECT_EQ(first->accepted.size(), 2u);
+    EXPECT_TRUE(rl_cancel(&w.origin(), w.now, &w.handles[0]));
+    EXPECT_TRUE(rl_cancel(&w.origin(), w.now, &w.handles[1]));
+    w.deliver();
+    EXPECT_EQ(w.holder(), nullptr);
+    w.run(RL_RESEND_MS - 10);
+    EXPECT_EQ(w.copy(2, "/b"), RL_NO_COPY);
+    EXPECT_EQ(w.copy(2, "/a"), RL_COPY_SENT);
+    w.deliver();
+    EXPECT_EQ(w.holder(), first);
+    rl_reply(first->accepted[0], CO_NOT_RUN, "", 0);
+    first->accepted.clear();
+    w.run(RL_RESEND_MS);
+    EXPECT_EQ(w.copy(3, "/a"), RL_NO_COPY) << "the peer has ended it";
+}
+
+/* Guards against a start elsewhere while a lost peer may still run the request
+ * that was cancelled. */
+TEST(Relay, CopyOfARequestCancelledAtALostPeerIsNotStarted)
+{
+    Relays w;
+
+    ASSERT_TRUE(w.forward(0, "/a"));
+    w.deliver();
+    uint64_t id = w.holder()->r.self;
+    EXPECT_TRUE(rl_cancel(&w.origin(), w.now, &w.handles[0]));
+    rl_process_dead(&w.origin(), w.now, id);
+    EXPECT_EQ(w.copy(1, "/a"), RL_COPY_LOST);
+    EXPECT_TRUE(rl_may_run_elsewhere(&w.origin(), w.now, STR("/a")));
+}
+
+/* Guards against memory that grows with cancelled requests. */
+TEST(Relay, CancelledRequestsAreBounded)
+{
+    Relays w;
+
+    for (uint32_t i = 0; i <= RL_CANCELLED_MAX; i++) {
+        ASSERT_TRUE(w.forward(0, std::to_string(i).c_str()));
+        ASSERT_TRUE(rl_cancel(&w.origin(), w.now, &w.handles[0]));
+    }
+    EXPECT_EQ(w.copy(1, "0"), RL_NO_COPY) << "the oldest is forgotten";
+    EXPECT_EQ(w.copy(1, "1"), RL_COPY_SENT);
+}
--- a/test/lag-test.cc
+++ b/test/lag-test.cc
@@ -303,3 +303,25 @@
     EXPECT_EQ(it_next(&t, 3, &handle), IT_NONE);
     it_free(&t);
 }
+
+/* Guards against a second owner of a request: a copy must be found while the
+ * first waits. */
+TEST(Intake, WaitingRequestIsFound)
+{
+    intake t = {};
+    int requests[] = {5, 7, 7};
+    int key = 7;
+    auto same = [](const void *a, const void *b) {
+        return *static_cast<const int *>(a) == *static_cast<const int *>(b);
+    };
+
+    for (int &r : requests) {
+        EXPECT_TRUE(it_add(&t, 1, &r));
+    }
+    EXPECT_EQ(it_find(&t, same, &key), &requests[1]);
+    EXPECT_TRUE(it_remove(&t, &requests[1]));
+    EXPECT_EQ(it_find(&t, same, &key), &requests[2]);
+    EXPECT_TRUE(it_remove(&t, &requests[2]));
+    EXPECT_EQ(it_find(&t, same, &key), nullptr);
+    it_free(&t);
+}
--- a/test/world.cc
+++ b/test/world.cc
@@ -501,7 +501,6 @@
     std::string path = std::to_string(c->id);
 
     return e->coord_state.settings.balance == SC_BALANCE_WAIT &&
-           !co_knows_job(&e->coord_state, c->id) &&
            rl_forward_by_wait(&e->relay_state, now, c->waiter, STR("s"), 0,
                STR("host"), str_make(path.data(), path.size()), STR("body"),
                (uint32_t)(c->deadline - now));
@@ -1061,6 +1060,21 @@
             }
             c->waiter = new_waiter(c, nullptr);
             std::string path = std::to_string(c->id);
+            if (co_knows_job(&e->coord_state, c->id)) {
+                submit_at(e, c, c->waiter);
+                return;
+            }
+            switch (rl_forward_copy(&e->relay_state, now, c->waiter,
+                STR("host"), str_make(path.data(), path.size()), STR("body"),
+                (uint32_t)(c->deadline - now))) {
+            case RL_NO_COPY:
+                break;
+            case RL_COPY_LOST:
+                entry_answer(e, c->waiter, CO_GAVE_UP, "taker_lost", 0);
+                return;
+            case RL_COPY_SENT:
+                return;
+            }
             if (forward_share > 0 && chance() < forward_share &&
                 rl_forward(&e->relay_state, now, c->waiter, STR("host"),
                     str_make(path.data(), path.size()), STR("body"),
@@ -1081,7 +1095,7 @@
         if (e->up && e->id == id) {
             on_entry(e, [this, e, c] {
                 if (c->waiter != nullptr &&
-                    !rl_cancel(&e->relay_state, c->waiter)) {
+                    !rl_cancel(&e->relay_state, now, c->waiter)) {
                     co_caller_left(&e->coord_state, now, c->waiter);
                 }
                 c->waiter = nullptr;
