balance: added work by service, decaying; no stale rows or sessions

Causes and changes: - The work added by forwarded requests was kept by priority, though jobs of all priorities wait for the same cores. Each request now adds the longest wait of the service over all its waiting jobs, and the sum of the service counts for all rows. - A report cleared the added work, though reports are smoothed over 200 ms and do not include it yet. It now decays with the same time constant. - Reports of an ended session stayed valid for up to 1000 ms. They end with the session. - An entry without workers of a service that it has had no job of reported no wait. It now reports BL_NO_WORKERS_MS for the services of all routes. The simulator does the same, instead of not accepting requests. - Rows of a peer were never removed, so that a full table dropped the row of a service without workers. Each report now rebuilds the table and keeps only reported rows and rows with state. - A request went to a peer that would start it only after its caller has left. Such peers are skipped. The objective is not known before the body is parsed, so refusals before the deadline remain.

--- a/balance.c
+++ b/balance.c
@@ -212,10 +212,28 @@
     return r;
 }
 
+/* Takes the state of a row over to the rows of a new report.  A row that was
+ * not reported is kept only if it has any. */
+static void
+keep_row(struct bl_peer *p, const struct bl_peer_row *old, double part)
+{
+    double added_ms = part * old->added_ms;
+    struct bl_peer_row *r = find_row(p, str_of(old->row.service),
+        old->row.priority, old->forwarding || added_ms >= 1);
+
+    if (r != NULL) {
+        r->added_ms = added_ms;
+        r->forwarding = old->forwarding;
+    }
+}
+
 bool
 bl_receive(
     struct bl_peer *p, uint64_t now, uint64_t session, const dw_waits *m)
 {
+    struct bl_peer old;
+    double part;
+
     if (m->session != session || session == 0) {
         return false;
     }
@@ -225,12 +243,12 @@
     if (m->seq <= p->seq) {
         return false;
     }
+    old = *p;
+    /* The part of the wait that the peer's smoothing has not reported yet. */
+    part = exp(-(double)(now - old.received_ms) / SMOOTHING_MS);
     p->seq = m->seq;
     p->received_ms = now;
-    for (size_t i = 0; i < p->count; i++) {
-        p->rows[i].row.wait_ms = 0;
-        p->rows[i].added_ms = 0;
-    }
+    p->count = 0;
     for (u_int i = 0; i < m->rows.rows_len; i++) {
         const dw_wait *w = &m->rows.rows_val[i];
         struct bl_peer_row *r =
@@ -240,23 +258,56 @@
             r->row.wait_ms = w->wait_ms;
         }
     }
+    for (size_t i = 0; i < old.count; i++) {
+        keep_row(p, &old.rows[i], part);
+    }
     return true;
 }
 
 /* --- choice --- */
 
+/* A request adds as much to the peer's wait as a waiting one does here. */
+static double
+wait_per_job(const struct bl_waits *own, struct str service)
+{
+    double longest_ms = 0;
+    double jobs = 0;
+
+    for (size_t i = 0; i < own->count; i++) {
+        const struct bl_row *r = &own->rows[i];
+
+        if (r->priority != BL_ANY_PRIORITY &&
+            str_eq(service, str_of(r->service))) {
+            longest_ms = fmax(longest_ms, r->wait_ms);
+            jobs += r->jobs;
+        }
+    }
+    return longest_ms > 0 ? longest_ms / fmax(jobs, 1) : ADDED_MS;
+}
+
 void
 bl_forwarded(struct bl_peer *p, const struct bl_waits *own, struct str service,
     uint32_t priority)
 {
-    const struct bl_row *here = find_exact(own, service, priority);
     struct bl_peer_row *r = find_row(p, service, priority, true);
 
-    /* A request adds as much to the peer's wait as a waiting one does here. */
     if (r != NULL) {
-        r->added_ms +=
-            here != NULL ? here->wait_ms / fmax(here->jobs, 1) : ADDED_MS;
+        r->added_ms += wait_per_job(own, service);
+    }
+}
+
+/* Jobs of all priorities wait for the same cores. */
+static double
+added_to(const struct bl_peer *p, struct str service)
+{
+    double added_ms = 0;
+
+    for (size_t i = 0; i < p->count; i++) {
+        if (str_eq(service, str_of(p->rows[i].row.service))) {
+            added_ms += p->rows[i].added_ms;
+        }
     }
+    return added_ms;
 }
 
 bool
@@ -277,8 +328,8 @@
         r->forwarding = false;
         return false;
     }
-    peer_ms =
-        r->row.wait_ms + r->added_ms + (any != NULL ? any->row.wait_ms : 0);
+    peer_ms = r->row.wait_ms + added_to(p, service) +
+              (any != NULL ? any->row.wait_ms : 0);
     *wait_ms = peer_ms;
     r->forwarding =
         r->forwarding
--- a/balance.h
+++ b/balance.h
@@ -7,9 +7,10 @@
  * arriving requests to the peer.
  *
  * Forwarding to a peer begins at a higher margin than it ends at, and each
- * request that is forwarded counts as part of the peer's queue until its next
- * report.  Otherwise entries would send their requests back and forth, or all
- * to the peer that reported the shortest wait.
+ * request that is forwarded counts as part of the peer's queue until the
+ * peer's reports, which are smoothed, include it.  Otherwise entries would
+ * send their requests back and forth, or all to the peer that reported the
+ * shortest wait.
  *
  * Source: Mitzenmacher, How Useful Is Old Information?, IEEE TPDS 2000 (load
  * reports that are out of date draw all requests to one server).
@@ -77,7 +78,8 @@
     uint64_t received_ms; /* 0: no report in this session */
     struct bl_peer_row {
         struct bl_row row;
-        double added_ms; /* wait of the requests sent since the report */
+        double added_ms; /* wait due to requests sent to the peer which its
+                          * reports do not include yet */
         bool forwarding; /* it has begun and not ended */
     } rows[BL_ROWS_MAX];
     size_t count;
--- a/entryd.c
+++ b/entryd.c
@@ -197,6 +197,11 @@
     struct bl_waits waits = {.count = 0};
 
     qp_predict_waits(&e->coord, now, add_wait, &waits);
+    /* Also of services that this entry has had no job of. */
+    for (size_t i = 0; i < e->routes.count; i++) {
+        qp_report_no_workers(
+            &e->coord, now, e->routes.routes[i].service, add_wait, &waits);
+    }
     rl_set_waits(&e->relay, now, &waits);
 }
 
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -293,6 +293,19 @@
     }
 }
 
+bool
+qp_report_no_workers(const struct coord *c, uint64_t now, const char *service,
+    qp_wait_fn fn, void *ctx)
+{
+    struct fl_totals sum = fl_total(&c->fleet, now, service, 1);
+    bool none = sum.capacity + sum.recovering <= 0;
+
+    if (none) {
+        fn(ctx, service, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
+    }
+    return none;
+}
+
 void
 qp_predict_waits(const struct coord *c, uint64_t now, qp_wait_fn fn, void *ctx)
 {
@@ -301,9 +314,7 @@
     for (l = c->loads; l != NULL; l = l->hh.next) {
         struct backlog backlog = get_backlog(c, now, l);
 
-        if (backlog.sum.capacity + backlog.sum.recovering <= 0) {
-            fn(ctx, l->service, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
-        }
+        qp_report_no_workers(c, now, l->service, fn, ctx);
         for (int cls = 0; cls < QP_STALE && backlog.cores > 0; cls++) {
             predict_class(c, now, (enum qp_class)cls, &backlog, l, fn, ctx);
         }
--- a/qpolicy.h
+++ b/qpolicy.h
@@ -66,6 +66,10 @@
     void *ctx, const char *service, uint32_t priority, double wait_ms);
 void qp_predict_waits(
     const struct coord *c, uint64_t now, qp_wait_fn fn, void *ctx);
+/* The same for a service without workers of which no job waits.  Returns true
+ * if it has no workers. */
+bool qp_report_no_workers(const struct coord *c, uint64_t now,
+    const char *service, qp_wait_fn fn, void *ctx);
 
 /* ms after which a caller that is refused now should retry. */
 uint32_t qp_retry_after_ms(
--- a/relay.c
+++ b/relay.c
@@ -91,6 +91,7 @@
     msg_free(p->batch);
     p->batch = NULL;
     sess_end(&p->sess);
+    p->waits = (struct bl_peer){0};
     while (p->forwarded != NULL) {
         void *handle = p->forwarded->handle;
 
@@ -315,10 +316,11 @@
 }
 
 /* The peer with the shortest wait of those to which requests of this kind may
- * be forwarded; peers with equal waits take turns. */
+ * be forwarded and which would start it before its caller leaves; peers with
+ * equal waits take turns. */
 static struct rl_peer *
-pick_by_wait(
-    const struct relay *r, uint64_t now, struct str service, uint32_t priority)
+pick_by_wait(const struct relay *r, uint64_t now, struct str service,
+    uint32_t priority, uint32_t remaining_ms)
 {
     struct rl_peer *best = NULL;
     double best_ms = 0;
@@ -329,7 +331,8 @@
 
         if (!is_usable(r, now, p) || expected_busy(p) >= WAIT_BUSY_PERMILLE ||
             !bl_should_forward(
-                &p->waits, now, &r->own_waits, service, priority, &wait_ms)) {
+                &p->waits, now, &r->own_waits, service, priority, &wait_ms) ||
+            wait_ms >= remaining_ms) {
             continue;
         }
         if (best == NULL || wait_ms < best_ms ||
@@ -347,7 +350,7 @@
     struct str service, uint32_t priority, struct str host, struct str path,
     struct str body, uint32_t remaining_ms)
 {
-    struct rl_peer *p = pick_by_wait(r, now, service, priority);
+    struct rl_peer *p = pick_by_wait(r, now, service, priority, remaining_ms);
 
     if (p == NULL) {
         return false;
--- a/simentry.c
+++ b/simentry.c
@@ -282,12 +282,6 @@
            !e->s->d->no_forwarding;
 }
 
-static bool
-has_workers(const struct sim_entry *e)
-{
-    return fl_total(&e->coord.fleet, sim_now_ms(e->s), NULL, 1).capacity > 0;
-}
-
 static bool
 is_of_job(const void *waiter, const void *job)
 {
@@ -355,6 +349,7 @@
     struct bl_waits waits = {.count = 0};
 
     qp_predict_waits(&e->coord, now, add_wait, &waits);
+    qp_report_no_workers(&e->coord, now, SIM_SERVICE, add_wait, &waits);
     rl_set_waits(&e->relay, now, &waits);
 }
 
@@ -434,9 +429,8 @@
 static void
 tick(struct sim_entry *e)
 {
-    struct rl_state state = {lg_has_spare_time(&e->lag) &&
-                                 !lg_is_out_of_rotation(&e->lag) &&
-                                 (!balances(e) || has_workers(e)),
+    struct rl_state state = {
+        lg_has_spare_time(&e->lag) && !lg_is_out_of_rotation(&e->lag),
         (uint32_t)(e->lag.utilization * 1000), 0};
     uint64_t now = sim_now_ms(e->s);
     double spent_before_us = e->spent_us;
