balance-test: bounds from the design page, shorter tests

Two bounds had no stated origin. Both are stricter now: no more callers may be refused in all than without forwarding (before: 0.02 more), and no request may be forwarded against one of the opposite direction (before: 1 %). The bound of forwarded requests under faults is one per fault that is injected.

--- a/test/balance-test.cc
+++ b/test/balance-test.cc
@@ -33,15 +33,15 @@
     bl_report report = {};
     bl_peer peer = {};
     uint64_t session = 7;
+    double wait_ms = 0; /* as last expected */
 
     ~Peer()
     {
         bl_reset_report(&report);
     }
     bool
-    receive(uint64_t now, uint32_t wait_ms, uint32_t seq)
+    receive(uint64_t now, bl_waits waits, uint32_t seq)
     {
-        bl_waits waits = waits_of(wait_ms);
         dw_msg m = {};
 
         report.seq = seq - 1;
@@ -51,12 +51,20 @@
         return ok;
     }
     bool
+    receive(uint64_t now, uint32_t wait_ms, uint32_t seq)
+    {
+        return receive(now, waits_of(wait_ms), seq);
+    }
+    bool
+    should_forward(uint64_t now, const bl_waits &own, uint32_t priority = 1)
+    {
+        return bl_should_forward(
+            &peer, now, &own, SERVICE, priority, &wait_ms);
+    }
+    bool
     should_forward(uint64_t now, uint32_t own_ms)
     {
-        bl_waits own = waits_of(own_ms);
-        double wait_ms;
-
-        return bl_should_forward(&peer, now, &own, SERVICE, 1, &wait_ms);
+        return should_forward(now, waits_of(own_ms));
     }
 };
 
@@ -154,7 +162,6 @@
 {
     Peer p;
     bl_waits own = {};
-    double wait_ms;
 
     for (uint32_t i = 0; i < 40; i++) {
         bl_add(&own, SERVICE, i % 2, i % 2 ? 400 : 200);
@@ -164,36 +171,27 @@
         bl_forwarded(&p.peer, &own, SERVICE, 0);
     }
     /* Each adds 400 / 40 ms. */
-    EXPECT_TRUE(bl_should_forward(&p.peer, 1001, &own, SERVICE, 1, &wait_ms));
-    EXPECT_NEAR(wait_ms, 200, 0.1);
-    EXPECT_FALSE(bl_should_forward(&p.peer, 1001, &own, SERVICE, 0, &wait_ms));
+    EXPECT_TRUE(p.should_forward(1001, own, 1));
+    EXPECT_NEAR(p.wait_ms, 200, 0.1);
+    EXPECT_FALSE(p.should_forward(1001, own, 0));
 }
 
 /* Guards against rows of earlier reports that fill the table, so that a report
  * of no workers is dropped. */
 TEST(Balance, RowsOfEarlierReportsAreDropped)
 {
-    bl_peer p = {};
-    bl_waits own = waits_of(400);
-    double wait_ms;
-
-    for (uint32_t seq = 1; seq <= 2; seq++) {
-        bl_waits w = {};
-        bl_report report = {};
-        dw_msg m = {};
+    Peer p;
+    bl_waits full = {};
+    bl_waits none = {};
 
-        for (uint32_t i = 0; seq == 1 && i < BL_ROWS_MAX; i++) {
-            bl_add(&w, SERVICE, 1000 + i, 50);
-        }
-        bl_add(&w, SERVICE, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
-        report.seq = seq - 1;
-        bl_fill_report(&report, 1000 + seq, &w, 7, &m);
-        ASSERT_TRUE(bl_receive(&p, 1000 + seq, 7, &m.dw_msg_u.waits));
-        free(m.dw_msg_u.waits.rows.rows_val);
-        bl_reset_report(&report);
+    for (uint32_t i = 0; i < BL_ROWS_MAX; i++) {
+        bl_add(&full, SERVICE, 1000 + i, 50);
     }
-    EXPECT_FALSE(bl_should_forward(&p, 1003, &own, SERVICE, 1, &wait_ms));
-    EXPECT_NEAR(wait_ms, BL_NO_WORKERS_MS, 0.1);
+    bl_add(&none, SERVICE, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
+    ASSERT_TRUE(p.receive(1001, full, 1));
+    ASSERT_TRUE(p.receive(1002, none, 2));
+    EXPECT_FALSE(p.should_forward(1003, 400));
+    EXPECT_NEAR(p.wait_ms, BL_NO_WORKERS_MS, 0.1);
 }
 
 /* Guards against requests for an entry that has no workers of their service
@@ -270,23 +268,14 @@
  * refuse them, and against such an entry that keeps its own. */
 TEST(Balance, AnEntryWithoutWorkersCountsAsTheLongestWait)
 {
+    Peer p;
     bl_waits none = {};
-    bl_waits busy = waits_of(400);
-    bl_peer p = {};
-    bl_report report = {};
-    dw_msg m = {};
-    double wait_ms;
 
     bl_add(&none, SERVICE, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
-    bl_fill_report(&report, 1000, &none, 7, &m);
-    ASSERT_TRUE(bl_receive(&p, 1000, 7, &m.dw_msg_u.waits));
-    free(m.dw_msg_u.waits.rows.rows_val);
-    EXPECT_FALSE(bl_should_forward(&p, 1001, &busy, SERVICE, 1, &wait_ms));
-    bl_fill_report(&report, 1050, &busy, 7, &m);
-    ASSERT_TRUE(bl_receive(&p, 1050, 7, &m.dw_msg_u.waits));
-    free(m.dw_msg_u.waits.rows.rows_val);
-    EXPECT_TRUE(bl_should_forward(&p, 1051, &none, SERVICE, 1, &wait_ms));
-    bl_reset_report(&report);
+    ASSERT_TRUE(p.receive(1000, none, 1));
+    EXPECT_FALSE(p.should_forward(1001, 400));
+    ASSERT_TRUE(p.receive(1050, 400, 2));
+    EXPECT_TRUE(p.should_forward(1051, none));
 }
 
 /* Guards against more rows, or longer names, than the message holds. */
@@ -397,8 +386,10 @@
         worst += worst_entry(w, &share) / SEEDS;
         refused += share / SEEDS;
     }
+    /* The goal of docs/design/hard-load.md; forwarding is for the benefit of
+     * callers, so no more of them may be refused. */
     EXPECT_LT(worst, 1.5);
-    EXPECT_LT(refused, refused_before + 0.02);
+    EXPECT_LE(refused, refused_before);
 }
 
 /* Guards against entries that send requests to each other at the same time:
@@ -406,7 +397,6 @@
 TEST(BalanceLoad, NothingMovesBackAndForthWhenAllEntriesAreShort)
 {
     size_t reversed = 0;
-    size_t calls = 0;
 
     for (uint64_t seed = 1; seed <= SEEDS; seed++) {
         World w(seed, 4, 4, by_wait());
@@ -415,9 +405,10 @@
         w.run(10000);
         EXPECT_EQ(violation(w), "") << "seed " << seed;
         reversed += reversed_forwards(w);
-        calls += w.calls.size();
     }
-    EXPECT_LT((double)reversed, 0.01 * (double)calls);
+    /* Forwarding begins at twice the peer's wait, which cannot hold both ways
+     * within the time between two reports. */
+    EXPECT_EQ(reversed, 0u);
 }
 
 /* Guards against messages, sessions or changed decisions without need. */
@@ -517,6 +508,7 @@
  * forwarded requests, and their callers send them again. */
 TEST(BalanceFault, PromisesHoldUnderOverlappingFaults)
 {
+    constexpr int FAULTS = 20; /* injected per seed */
     const char *count = getenv("DW_SEEDS");
     uint64_t seeds = count != nullptr ? strtoull(count, nullptr, 10) : 12;
     uint64_t forwarded = 0;
@@ -528,7 +520,7 @@
         w.lost_waits = 0.1;
         w.late_waits = 0.1;
         overload(w, 12000, 20);
-        for (int k = 0; k < 20; k++) {
+        for (int k = 0; k < FAULTS; k++) {
             w.run(100 + w.rng() % 800);
             size_t e = w.rng() % 4;
             size_t other = (e + 1 + w.rng() % 3) % 4;
@@ -557,7 +549,8 @@
         EXPECT_EQ(violation(w), "") << "seed " << seed;
         forwarded += w.forwarded;
     }
-    EXPECT_GT(forwarded, seeds * 20);
+    /* A fault tests forwarding only if there are forwarded requests. */
+    EXPECT_GT(forwarded, seeds * FAULTS);
 }
 
 namespace {
