entrycall: cancel all forwarded copies of a request

DELETE cancelled only the first copy that was forwarded, so that the peer ran the job on for the others, although its end was reported. All copies are cancelled and answered. Not covered by a test: it needs HTTP callers.

--- a/entrycall.c
+++ b/entrycall.c
@@ -378,8 +378,12 @@
     struct caller *forwarded = rl_find(&e->relay, str_of(web_path(r)));
 
     if (forwarded != NULL) {
-        rl_cancel(&e->relay, now, forwarded);
-        answer(e, forwarded, CO_FAILED, "cancelled", 0);
+        /* The peer runs the job until all copies are cancelled. */
+        while (forwarded != NULL) {
+            rl_cancel(&e->relay, now, forwarded);
+            answer(e, forwarded, CO_FAILED, "cancelled", 0);
+            forwarded = rl_find(&e->relay, str_of(web_path(r)));
+        }
         ec_reply(r, 200, "{}");
         return;
     }
