--- a/qpolicy.h
+++ b/qpolicy.h
@@ -14,6 +14,7 @@
 #ifndef QPOLICY_H
 #define QPOLICY_H
 
+#include "balance.h"
 #include "coord.h"
 
 #ifdef __cplusplus
@@ -64,6 +65,17 @@
 /* Millicores that jobs of the service can expect, and free ones of these. */
 double qp_expected_cores(const struct coord *c, uint64_t now,
     const struct co_service_load *l, double *free_millicores);
+/* Calls fn for each unstarted job that is still of use, with the wait of a job
+ * like it that arrives now; for a service without workers, once with
+ * BL_ANY_PRIORITY and BL_NO_WORKERS_MS. */
+typedef void (*qp_wait_fn)(
+    void *ctx, const char *service, uint32_t priority, double wait_ms);
+void qp_predict_waits(
+    const struct coord *c, uint64_t now, qp_wait_fn fn, void *ctx);
+/* The same for a service without workers of which no job waits.  Returns true
+ * if it has no workers. */
+bool qp_report_no_workers(const struct coord *c, uint64_t now,
+    const char *service, qp_wait_fn fn, void *ctx);
 
 /* ms after which a caller that is refused now should retry. */
 uint32_t qp_retry_after_ms(
