tail: slow workers beside large tasks; one estimate for both runs of a move

Runs on a worker were counted by its used cores over the largest recent task, so that a worker with small runs only was never judged; and the second run of a moved task was compared with another estimate than the first, so that moves of use counted as useless.

Result: both new tests fail before; 18 tests of Tail pass.

--- a/coord.h
+++ b/coord.h
@@ -98,7 +98,8 @@
     uint64_t moved_ms;      /* when it was last moved, with moves =
                              * "distribution"; 0: never */
     uint32_t moved_rest_ms; /* expected then, had it not been moved */
-    double moved_ratio;     /* of its time to the estimate, then */
+    double moved_est_ms;    /* estimate then, the longest run included */
+    double moved_ratio;     /* of its time to that estimate */
 };
 
 /* A caller that waits for a job's answer. */
--- a/cotail.c
+++ b/cotail.c
@@ -117,8 +117,9 @@
 
 /* The second run of a moved task has ended. */
 static void
-move_ended(struct coord *c, uint64_t now, struct co_task *t, double ratio)
+move_ended(struct coord *c, uint64_t now, struct co_task *t, double usual_ms)
 {
+    double ratio = usual_ms / t->moved_est_ms;
     bool informative = t->moved_ratio >= OUTCOME_MIN_RATIO;
     bool as_long = informative && ratio >= t->moved_ratio;
 
@@ -141,7 +142,7 @@
         return;
     }
     if (t->moved_ms != 0 && !t->moving) {
-        move_ended(c, now, t, ratio);
+        move_ended(c, now, t, usual_ms);
     }
     if (!a->tail.suspect) {
         tl_learn(&c->tail, j->ratios, ratio);
@@ -183,14 +184,16 @@
 }
 
 /* Runs on a worker are counted by its used cores, as those of other entries
- * are not known. */
+ * are not known.  Where tasks differ in size, the largest ones give too few:
+ * this entry's own runs are a lower bound. */
 static void
 judge_worker(struct coord *c, uint64_t now, struct fl_agent *a)
 {
     int64_t used = (int64_t)a->status.millicores - a->status.free_millicores;
 
-    tl_count_reported(
-        &a->tail, now, (double)used / fmax(c->tail.task_millicores, 1));
+    tl_count_reported(&a->tail, now,
+        fmax((double)used / fmax(c->tail.task_millicores, 1),
+            a->tail.running_count));
     a->tail.report = report_evidence(c, a, 0);
     /* Without runs, nothing can refute that it is slow; see should_wait() in
      * fleet.c for how it is probed. */
@@ -346,6 +349,7 @@
     }
     c->stats.moved_run_ms += now - t->sent_ms;
     t->moved_ms = now;
+    t->moved_est_ms = estimate_of(j, t);
     t->moved_ratio = running_ratio(c, now, a, j, t);
     return true;
 }
--- a/test/tail-test.cc
+++ b/test/tail-test.cc
@@ -396,6 +396,18 @@
     EXPECT_EQ(e.c.stats.moved, e.c.stats.moved_report + e.c.stats.moved_runs);
 }
 
+/* Guards against never finding a slow worker because other tasks are ten times
+ * as large, so that its cores seem to hold less than one run. */
+TEST(Tail, SlowWorkerIsFoundBesideLargerTasks)
+{
+    Entry e;
+
+    e.c.tail.task_millicores = 100000;
+    e.start(4);
+    e.pass(1000, 50);
+    EXPECT_TRUE(fl_is_slow(&e.c.fleet, fl_find(&e.c.fleet, 3)));
+}
+
 /* Guards against decisions that differ from earlier versions by default. */
 TEST(Tail, NothingIsLearnedByDefault)
 {
@@ -449,6 +461,29 @@
     EXPECT_LT(tl_move_trust(&e.c.tail, e.now), before);
 }
 
+/* Guards against counting a move as useless because the second run is compared
+ * with another estimate than the first. */
+TEST(Tail, SecondRunIsComparedByTheSameEstimate)
+{
+    Entry e;
+    uint64_t id = 1;
+
+    e.start(6);
+    for (co_job *j = e.c.jobs; j != nullptr; j = (co_job *)j->hh.next) {
+        j->longest_run_ms = 2 * j->tasks[0].spec.est_ms;
+    }
+    e.pass(600, 60);
+    while (id <= 6 && !e.task(id)->moving) {
+        id++;
+    }
+    ASSERT_LE(id, 6u);
+    e.end(3, id, DW_END_STOPPED, 600);
+    ASSERT_EQ(e.task(id)->state, CO_DISPATCHED);
+    e.pass(200, 60);
+    e.end(e.task(id)->agent, id, DW_END_DONE, 200);
+    EXPECT_EQ(e.c.stats.moves_as_long, 0u);
+}
+
 namespace {
 
 struct Route {
