admit: keep jobs for free cores instead of placing them early

place_instead() placed tasks outside co_flush(). If the job ended before the flush, its run and its stop went in one message, in which the agent handles stops first, so that the run was left without an owner. It also took cores ahead of more urgent jobs, and counted only millicores, so that a job could start in part for lack of memory or GPUs.

A job that would be refused is now kept if free cores, memory and GPUs suffice for all its tasks after those of the waiting jobs that go first, and is placed by place_all(). On a slow worker, the time for which fl_pick() first waits for a worker of usual speed counts, too. The counter dw_placed_instead becomes dw_kept_for_free_cores.

Without a usable worker, a job was refused on arrival although jobs are held for NO_WORKER_HOLD_MS; it is now admitted.

capacity_lost was said when other entries took free cores. It now compares the capacity of the usable workers, weighted by pace, instead of this entry's part of it.

Measured: of the new tests in coord-test.cc, four fail on the code before (JobKeptForFreeCoresIsPlacedOnlyByTheFlush, JobIsNotKeptForCoresWithoutMemory, AdmissionHoldsJobsWhileNoWorkerIsUsable, CoresTakenByOtherEntriesAreNoLossOfCapacity); the fifth, JobIsNotKeptForCoresOfMoreUrgentJobs, passes there as well.

--- a/admit.c
+++ b/admit.c
@@ -16,8 +16,8 @@
 /* Added, in ms, to both waits of a ratio: orders and reports take as long, so
  * ratios of shorter waits say nothing. */
 #define RATIO_OFFSET_MS 10.0
-/* Fraction of the admitted cores below which capacity is lost: reports vary by
- * less from one to the next. */
+/* Fraction of the capacity at admission below which capacity is lost: reports
+ * vary by less from one to the next. */
 #define LOST_FRACTION 0.9
 /* Least fraction of the cores that drains the work of late jobs.  With 0.2,
  * 0.004 of the jobs of experiments/hard.toml were not in time any more. */
@@ -249,9 +249,9 @@
 }
 
 bool
-am_capacity_lost(double admitted_cores, double cores)
+am_capacity_lost(double admitted_capacity, double capacity)
 {
-    return cores < LOST_FRACTION * admitted_cores;
+    return capacity < LOST_FRACTION * admitted_capacity;
 }
 
 uint32_t
--- a/admit.h
+++ b/admit.h
@@ -64,9 +64,9 @@
     struct am_route *routes;
     struct am_ratios others; /* of routes beyond AM_ROUTES_MAX */
     uint64_t refused[AM_REASONS];
-    uint64_t placed_instead; /* would have been refused, but cores were free */
-    struct hist predicted;   /* waits of admitted jobs */
-    struct hist actual;      /* of these, where they were placed */
+    uint64_t kept_for_free_cores; /* jobs that would have been refused */
+    struct hist predicted;        /* waits of admitted jobs */
+    struct hist actual;           /* of these, where they were placed */
 };
 
 /* What an entry knows of its own queue.  Work is in millicores x ms. */
@@ -110,8 +110,8 @@
 /* The ratio at this quantile, from the outcomes and a wide prior around 1. */
 double am_ratio_quantile(
     const struct am_ratios *r, uint64_t now, uint32_t permille);
-/* The fleet has lost cores since the job was admitted. */
-bool am_capacity_lost(double admitted_cores, double cores);
+/* The workers have lost capacity since the job was admitted. */
+bool am_capacity_lost(double admitted_capacity, double capacity);
 /* ms after which a refused caller should retry: the time until there will be
  * capacity, and up to as much again by jitter (0 to 1). */
 uint32_t am_retry_after_ms(
--- a/coadmit.c
+++ b/coadmit.c
@@ -104,36 +104,91 @@
 
 /* --- free cores --- */
 
-/* Tasks of the job that the agent could start now and end while the answer is
- * of use, also if its worker is slow. */
+/* The requirements of the job's largest task in each dimension. */
+static struct co_task_spec
+largest_task(const struct co_job *j)
+{
+    struct co_task_spec max = j->tasks[0].spec;
+
+    for (uint32_t i = 1; i < j->task_count; i++) {
+        const struct co_task_spec *s = &j->tasks[i].spec;
+
+        max.millicores = (uint32_t)num_max(max.millicores, s->millicores);
+        max.memory_mb = (uint32_t)num_max(max.memory_mb, s->memory_mb);
+        max.gpus = (uint32_t)num_max(max.gpus, s->gpus);
+    }
+    return max;
+}
+
+static uint64_t
+quotient(int64_t free, uint32_t needed)
+{
+    return needed == 0 ? UINT32_MAX : (uint64_t)(free > 0 ? free : 0) / needed;
+}
+
+/* Tasks that the agent could start now and end while the answer is of use,
+ * also if its worker is slow. */
 static uint64_t
 tasks_fitting(const struct coord *c, uint64_t now, const struct fl_agent *a,
-    const struct co_job *j)
+    const struct co_job *j, const struct co_task_spec *spec)
 {
-    const struct co_task_spec *spec = &j->tasks[0].spec;
     uint64_t run_ms = j->longest_task_ms;
+    uint64_t start_ms = now;
 
-    if (!fl_is_usable(a, now) || strcmp(a->service, j->load->service) != 0 ||
-        a->free_millicores < (int64_t)spec->millicores ||
-        a->free_memory_mb < (int64_t)spec->memory_mb ||
-        a->free_gpus < (int64_t)spec->gpus) {
+    if (!fl_is_usable(a, now) || strcmp(a->service, j->load->service) != 0) {
         return 0;
     }
     if (fl_is_slow(&c->fleet, a)) {
         run_ms = run_ms * c->fleet.median_speed_permille /
                  num_max(a->status.pace_permille, 1);
+        /* fl_pick() first lets it wait for a worker of usual speed. */
+        start_ms = num_max(now, j->arrived_ms + run_ms - j->longest_task_ms);
+    }
+    if (start_ms + run_ms >= num_min(j->useful_until_ms, j->deadline_ms)) {
+        return 0;
+    }
+    return num_min(quotient(a->free_millicores, spec->millicores),
+        num_min(quotient(a->free_memory_mb, spec->memory_mb),
+            quotient(a->free_gpus, spec->gpus)));
+}
+
+static uint64_t
+ceil_quotient(uint32_t needed, uint32_t unit)
+{
+    return unit == 0 ? 0 : ((uint64_t)needed + unit - 1) / unit;
+}
+
+/* The waiting tasks of jobs that go first, in tasks of this size. */
+static uint64_t
+tasks_ahead(const struct coord *c, uint64_t now, const struct co_job *j,
+    const struct co_task_spec *spec)
+{
+    uint64_t ahead = 0;
+    const struct co_job *k;
+
+    for (k = c->queue; k != NULL; k = k->next) {
+        struct co_task_spec s;
+
+        if (k == j || k->load != j->load || !goes_first(k, j, now)) {
+            continue;
+        }
+        s = largest_task(k);
+        ahead += k->waiting_count *
+                 num_max(num_max(ceil_quotient(s.millicores, spec->millicores),
+                             ceil_quotient(s.memory_mb, spec->memory_mb)),
+                     num_max(ceil_quotient(s.gpus, spec->gpus), 1));
     }
-    return now + run_ms < num_min(j->useful_until_ms, j->deadline_ms)
-               ? (uint64_t)a->free_millicores / num_max(spec->millicores, 1)
-               : 0;
+    return ahead;
 }
 
-/* Places a job that would be refused, where free cores suffice for all its
- * tasks.  Cores that are reserved for more urgent work count as not free. */
+/* A job that would be refused is kept where free cores suffice for all its
+ * tasks after those that go first.  Cores that are reserved for more urgent
+ * work count as not free. */
 static bool
-place_instead(struct coord *c, uint64_t now, struct co_job *j)
+keep_for_free_cores(struct coord *c, uint64_t now, struct co_job *j)
 {
     struct qp_capacity capacity = {0};
+    struct co_task_spec spec = largest_task(j);
     uint64_t fitting = 0;
     const struct fl_agent *a;
 
@@ -142,14 +197,14 @@
         return false;
     }
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
-        fitting += tasks_fitting(c, now, a, j);
+        fitting += tasks_fitting(c, now, a, j, &spec);
     }
-    if (fitting < j->waiting_count) {
+    if (fitting < j->waiting_count + tasks_ahead(c, now, j, &spec)) {
         return false;
     }
-    co_place_job(c, now, j);
-    c->admission.placed_instead += j->started;
-    return j->started;
+    c->admission.kept_for_free_cores += !j->kept_for_free_cores;
+    j->kept_for_free_cores = true;
+    return true;
 }
 
 /* --- decisions --- */
@@ -172,15 +227,16 @@
     if (!is_on(c)) {
         return 0;
     }
-    if (!fill_queue(c, now, j, &q)) {
-        j->admitted_cores = q.cores;
+    j->admitted_capacity =
+        fl_total(&c->fleet, now, j->load->service, 1).paced_capacity;
+    /* Without workers, jobs are held until some return (NO_WORKER_HOLD_MS). */
+    if (!fill_queue(c, now, j, &q) || q.cores <= 0) {
         return 0;
     }
-    j->admitted_cores = q.cores;
     e = get_estimate(c, now, j->load->service);
     times = times_of(j, now);
     j->prediction = am_decide(&c->admission, now, route_of(j), &q, &e, &times);
-    if (!j->prediction.refuse || place_instead(c, now, j)) {
+    if (!j->prediction.refuse || keep_for_free_cores(c, now, j)) {
         return 0;
     }
     return retry_ms(c, now, &j->prediction, &times);
@@ -193,15 +249,15 @@
  */
 const char *
 co_admit_shed_reason(
-    struct coord *c, uint64_t now, struct co_job *j, double cores)
+    struct coord *c, uint64_t now, struct co_job *j, double capacity)
 {
     if (!is_on(c)) {
         return "no_turn";
     }
-    if (place_instead(c, now, j)) {
+    if (keep_for_free_cores(c, now, j)) {
         return NULL;
     }
-    if (am_capacity_lost(j->admitted_cores, cores)) {
+    if (am_capacity_lost(j->admitted_capacity, capacity)) {
         return am_reason_names[AM_CAPACITY_LOST];
     }
     return qp_class_of(j, now) >= QP_LATE ? am_reason_names[AM_NO_TURN] : NULL;
--- a/coord-int.h
+++ b/coord-int.h
@@ -59,17 +59,14 @@
 const struct sh_item *co_order(struct coord *c, uint64_t now,
     const struct co_service_load *l, size_t *count);
 
-/* Places the job's waiting tasks; false if one finds no capacity. */
-bool co_place_job(struct coord *c, uint64_t now, struct co_job *j);
-
 /* --- coadmit.c: all without effect unless admission is "arrival" --- */
 /* Decides on a job that has just arrived: 0 if it is admitted, else ms after
  * which its caller should retry. */
 uint32_t co_admit_arrival(struct coord *c, uint64_t now, struct co_job *j);
-/* Why a job that cannot be served in time is refused; NULL: it is kept or was
- * placed. */
+/* Why a job that cannot be served in time is refused; NULL: it is kept.
+ * The capacity is that of usable workers, weighted by pace. */
 const char *co_admit_shed_reason(
-    struct coord *c, uint64_t now, struct co_job *j, double cores);
+    struct coord *c, uint64_t now, struct co_job *j, double capacity);
 /* All tasks of the job have been placed, or it was given up before. */
 void co_admit_placed(struct coord *c, uint64_t now, struct co_job *j);
 void co_admit_given_up(
--- a/coord.h
+++ b/coord.h
@@ -144,8 +144,9 @@
     bool large;               /* one of the largest of its route */
     enum sh_turn turn;        /* floor that decided its place */
     struct am_prediction prediction; /* wait_ms 0: no wait was expected */
-    bool wait_ended;       /* its wait was compared with the prediction */
-    double admitted_cores; /* expected when it was admitted */
+    bool wait_ended;          /* its wait was compared with the prediction */
+    double admitted_capacity; /* fl_totals.paced_capacity when it arrived */
+    bool kept_for_free_cores; /* would have been refused otherwise */
     struct co_task *tasks;
     uint32_t task_count;
     uint32_t done_count;
--- a/coplace.c
+++ b/coplace.c
@@ -146,8 +146,9 @@
     return true;
 }
 
-bool
-co_place_job(struct coord *c, uint64_t now, struct co_job *j)
+/* Places the job's waiting tasks; false if one finds no capacity. */
+static bool
+place_job(struct coord *c, uint64_t now, struct co_job *j)
 {
     for (uint32_t i = 0; i < j->task_count; i++) {
         if (j->tasks[i].state == CO_WAITING && !place_task(c, now, j, i)) {
@@ -175,7 +176,7 @@
             if (qp_must_hold_back(&capacity, now, j)) {
                 continue;
             }
-            if (!co_place_job(c, now, j) &&
+            if (!place_job(c, now, j) &&
                 ++failures >= MAX_PLACEMENT_FAILURES) {
                 return;
             }
--- a/entryd.c
+++ b/entryd.c
@@ -425,7 +425,7 @@
         {"dw_refused_admission", am->refused[AM_ADMISSION]},
         {"dw_refused_capacity_lost", am->refused[AM_CAPACITY_LOST]},
         {"dw_refused_no_turn", am->refused[AM_NO_TURN]},
-        {"dw_placed_instead", am->placed_instead},
+        {"dw_kept_for_free_cores", am->kept_for_free_cores},
         {"dw_balance_given", e->relay.forwarded_by_wait},
         {"dw_balance_wait_ms", bl_longest_ms(&e->relay.own_waits)},
         {"dw_balance_reports_sent", e->relay.reports_sent},
--- a/fleet.c
+++ b/fleet.c
@@ -595,7 +595,7 @@
 fl_total(const struct fleet *f, uint64_t now, const char *service,
     uint32_t task_millicores)
 {
-    struct fl_totals sum = {0, 0, 0, 1};
+    struct fl_totals sum = {0, 0, 0, 1, 0};
     const struct fl_agent *a;
     int64_t usable = 0;
     int64_t recovering = 0;
@@ -613,6 +613,7 @@
         }
         usable++;
         sum.capacity += a->status.millicores;
+        sum.paced_capacity += relative_pace(f, a) * a->status.millicores;
         free_millicores += relative_pace(f, a) *
                            round_to_tasks(a->free_millicores, task_millicores);
         runs += a->active_runs;
--- a/fleet.h
+++ b/fleet.h
@@ -135,6 +135,7 @@
                          * scaled by its pace */
     int64_t recovering; /* of workers that may be back soon */
     double mean_pace;   /* of this entry's runs there; 1: usual speed */
+    double paced_capacity; /* capacity, weighted by the workers' pace */
 };
 
 void fl_init(struct fleet *f, uint64_t seed, const char *domain);
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -144,7 +144,7 @@
 get_backlog(
     const struct coord *c, uint64_t now, const struct co_service_load *l)
 {
-    struct backlog backlog = {{0, 0, 0, 0}, 0, 0, 0};
+    struct backlog backlog = {{0, 0, 0, 0, 0}, 0, 0, 0};
     uint32_t smallest_task = 0;
     const struct co_job *j;
 
@@ -247,7 +247,7 @@
 
         if (cannot_be_served(backlog, now, j)) {
             const char *reason =
-                co_admit_shed_reason(c, now, j, backlog->cores);
+                co_admit_shed_reason(c, now, j, backlog->sum.paced_capacity);
 
             if (reason != NULL) {
                 refuse(c, now, j, reason);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -123,7 +123,8 @@
     }
     void
     submit(uint64_t id, size_t count, void *handle, uint32_t timeout_ms = 1500,
-        uint32_t run_ms = 100, uint32_t stretch_milli = 1000)
+        uint32_t run_ms = 100, uint32_t stretch_milli = 1000,
+        bool flush = true)
     {
         std::vector<co_task_spec> tasks(count, {1000, 10, 0, run_ms});
         struct co_submit s = {};
@@ -139,7 +140,9 @@
         s.tasks = tasks.data();
         s.task_count = count;
         co_submit(&c, now, &s, handle);
-        co_flush(&c, now);
+        if (flush) {
+            co_flush(&c, now);
+        }
     }
     /* Jobs take half their declared time; callers wait for 3 s. */
     void
@@ -524,6 +527,97 @@
     EXPECT_EQ(e.c.stats.runs, 1u);
 }
 
+/* Predictions of route "r" become so long that its jobs are refused, while a
+ * slow worker has cores for two tasks. */
+static void
+predict_long_waits(Entry &e)
+{
+    e.c.settings.admission = SC_ADMIT_ARRIVAL;
+    for (int i = 0; i < 100; i++) {
+        am_given_up(&e.c.admission, e.now, "r", 100, 3000);
+    }
+    e.agent()->status.pace_permille = 400;
+    e.set_free(2000);
+}
+
+/* Guards against a run and its stop in one message, of which the agent handles
+ * stops first, so that the run would be left without an owner. */
+TEST(Coord, JobKeptForFreeCoresIsPlacedOnlyByTheFlush)
+{
+    Entry e;
+
+    predict_long_waits(e);
+    e.submit(1, 2, &caller, 1500, 100, 1000, false);
+    EXPECT_EQ(e.callers.answers.size(), 0u);
+    EXPECT_EQ(e.c.admission.kept_for_free_cores, 1u);
+    EXPECT_EQ(e.c.stats.runs, 0u);
+    EXPECT_EQ(e.agent()->batch, nullptr);
+    co_flush(&e.c, e.now);
+    EXPECT_GT(e.c.stats.runs, 0u);
+}
+
+/* Guards against a job that is kept, and started in part, where the worker's
+ * memory suffices for one of its two tasks. */
+TEST(Coord, JobIsNotKeptForCoresWithoutMemory)
+{
+    Entry e;
+
+    predict_long_waits(e);
+    e.agent()->free_memory_mb = 15;
+    e.submit(1, 2, &caller);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_NOT_RUN);
+    EXPECT_EQ(e.c.stats.runs, 0u);
+}
+
+/* Guards against a job that takes the free cores ahead of a more urgent one
+ * that waits. */
+TEST(Coord, JobIsNotKeptForCoresOfMoreUrgentJobs)
+{
+    Entry e;
+
+    predict_long_waits(e);
+    e.submit(1, 2, &caller, 1500, 100, 1000, false);
+    e.submit(2, 2, &caller, 1500, 100, 2000, false);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_NOT_RUN);
+    co_flush(&e.c, e.now);
+    EXPECT_GT(e.run_of(1), 0u);
+}
+
+/* Guards against refusals on arrival while no worker is known yet, as after a
+ * start, though jobs are held until workers return. */
+TEST(Coord, AdmissionHoldsJobsWhileNoWorkerIsUsable)
+{
+    Entry e;
+
+    e.c.settings.admission = SC_ADMIT_ARRIVAL;
+    e.agent()->status.serving = false;
+    e.submit(1, 1, &caller);
+    EXPECT_EQ(e.callers.answers.size(), 0u);
+    EXPECT_EQ(co_unstarted_count(&e.c), 1u);
+}
+
+/* Guards against a loss of capacity being reported where another entry's runs
+ * took the free cores. */
+TEST(Coord, CoresTakenByOtherEntriesAreNoLossOfCapacity)
+{
+    Entry e;
+
+    e.c.settings.admission = SC_ADMIT_ARRIVAL;
+    e.submit(1, 5, &caller);
+    e.set_free(5000);
+    for (uint64_t id = 100; id < 230; id++) {
+        e.submit(id, 1, &caller, 1500, 100, 9000, false);
+    }
+    size_t held = co_unstarted_count(&e.c);
+    ASSERT_GT(held, 80u);
+    e.set_free(0);
+    co_tick(&e.c, e.now);
+    EXPECT_EQ(e.c.admission.refused[AM_CAPACITY_LOST], 0u);
+    EXPECT_EQ(co_unstarted_count(&e.c), held);
+}
+
 /* A fleet recovers from a power loss: one worker of eleven has answered, the
  * others are known from the store.  Work that exceeds this one's capacity is
  * kept. */
