admit: count free cores and the job's own work in the fleet's queue

With demand = "fleet", the wait was predicted as if no core of the fleet were free and the job's own work took no time, unlike the prediction from the entry's own queue. The work ahead now includes the job and is multiplied by the part of its millicores that exceeds the free ones.

Measured: test Admit.EstimateCountsFreeCoresAndTheOwnWork passes.

--- a/admit.c
+++ b/admit.c
@@ -154,18 +154,18 @@
 
 /* --- prediction --- */
 
-/* Work that is more urgent than the job, and half of that in its bucket. */
+/* The sum of the rows that are more urgent, and half of the job's bucket. */
 static double
-work_ahead(const struct dm_estimate *e, uint32_t urgency)
+sum_ahead(const double rows[DM_URGENCIES][DM_PRIORITIES], uint32_t urgency)
 {
-    double work = 0;
+    double sum = 0;
 
     for (uint32_t u = 0; u <= urgency; u++) {
         for (uint32_t p = 0; p < DM_PRIORITIES; p++) {
-            work += u < urgency ? e->work[u][p] : e->work[u][p] / 2;
+            sum += u < urgency ? rows[u][p] : rows[u][p] / 2;
         }
     }
-    return work;
+    return sum;
 }
 
 static double
@@ -188,8 +188,12 @@
 {
     struct am_queue all = *q;
     double scale = q->cores / e->cores;
+    uint32_t urgency = dm_urgency((int64_t)j->objective_ms);
+    double millicores = sum_ahead(e->millicores, urgency) + j->millicores;
+    /* Free cores start part of the work at once, as in fill_queue(). */
+    double queued = fmax(1 - e->free / fmax(millicores, 1), 0);
 
-    all.ahead = scale * work_ahead(e, dm_urgency((int64_t)j->objective_ms));
+    all.ahead = scale * queued * (sum_ahead(e->work, urgency) + j->work);
     all.on_time = scale * on_time_work(e);
     return all;
 }
--- a/admit.h
+++ b/admit.h
@@ -83,6 +83,8 @@
     double on_time_ms; /* until which it must start to meet its objective */
     double useful_ms;  /* until which it must start to be of use */
     double objective_ms;
+    double work;       /* of its own tasks, in millicores x ms */
+    double millicores; /* of its own tasks */
 };
 
 struct am_prediction {
--- a/coadmit.c
+++ b/coadmit.c
@@ -59,11 +59,15 @@
 times_of(const struct co_job *j, uint64_t now)
 {
     double fastest_end = (double)now + (double)co_fastest_ms(j);
+    struct unplaced own = {0, 0};
     struct am_job times = {
         (double)j->objective_ms - (double)(now + j->longest_task_ms),
         (double)num_min(j->useful_until_ms, j->deadline_ms) - fastest_end,
-        (double)j->objective_ms - (double)now};
+        (double)j->objective_ms - (double)now, 0, 0};
 
+    add_unplaced(&own, j);
+    times.work = own.work;
+    times.millicores = own.millicores;
     return times;
 }
 
--- a/test/admit-test.cc
+++ b/test/admit-test.cc
@@ -53,7 +53,7 @@
     };
 
     for (const auto &c : cases) {
-        am_job j = {c.on_time_ms, 3000, 1200};
+        am_job j = {c.on_time_ms, 3000, 1200, 0, 0};
 
         EXPECT_NEAR(am_wait_ms(&c.queue, &unknown, &j), c.wait_ms, 1)
             << c.name;
@@ -66,7 +66,7 @@
 TEST(Admit, EstimateOfTheFleetReplacesTheOwnQueueOnlyWhenKnown)
 {
     am_queue own = queue_of(1e5, 1e5, 0, 0);
-    am_job j = {1000, 3000, 1000}; /* urgency 5: from 800 to 1600 ms */
+    am_job j = {1000, 3000, 1000, 0, 0}; /* urgency 5: from 800 to 1600 ms */
     struct {
         const char *name;
         struct dm_estimate estimate;
@@ -86,13 +86,29 @@
     }
 }
 
+/* Guards against an estimate by which a job waits for work that the fleet's
+ * free cores take at once, or in which its own work takes no time. */
+TEST(Admit, EstimateCountsFreeCoresAndTheOwnWork)
+{
+    am_queue own = queue_of(1e5, 1e5, 0, 0);
+    am_job j = {1000, 3000, 1000, 2e6, 20000};
+    struct dm_estimate e = estimate_of(0, 8e6, 100000);
+
+    e.millicores[0][0] = 80000;
+    EXPECT_NEAR(am_wait_ms(&own, &e, &j), 100, 0.1);
+    e.free = 50000; /* half of the work starts at once */
+    EXPECT_NEAR(am_wait_ms(&own, &e, &j), 50, 0.1);
+    e.free = 100000;
+    EXPECT_NEAR(am_wait_ms(&own, &e, &j), 0, 0.1);
+}
+
 /* Guards against a prediction that is always too long and refuses jobs that
  * would have been served: outcomes shorten it. */
 TEST(Admit, OutcomesCorrectThePrediction)
 {
     am_state s = {};
     am_queue q = queue_of(3e7, 3e7, 0, 0); /* 3000 ms */
-    am_job j = {5000, 500, 5000};
+    am_job j = {5000, 500, 5000, 0, 0};
 
     EXPECT_TRUE(am_decide(&s, 1000, "r", &q, &unknown, &j).refuse);
     for (int i = 0; i < 50; i++) {
@@ -157,7 +173,7 @@
 
     for (const auto &c : cases) {
         am_prediction p = {c.corrected_ms, c.corrected_ms, false, 0, true};
-        am_job j = {0, c.useful_ms, 0};
+        am_job j = {0, c.useful_ms, 0, 0, 0};
 
         EXPECT_EQ(am_retry_after_ms(&p, &j, c.jitter), c.retry_ms);
     }
