--- a/coord.c
+++ b/coord.c
@@ -27,6 +27,7 @@
     c->ops = ops;
     c->ctx = ctx;
     fl_init(&c->fleet, seed, domain);
+    tl_init(&c->tail);
     str_copy(c->address, sizeof(c->address), str_of(address));
     c->port = port;
 }
@@ -128,8 +129,8 @@
 }
 
 static void
-end_job(struct coord *c, uint64_t now, struct co_job *j,
-    enum co_outcome outcome, const char *reason)
+end_job_retry(struct coord *c, uint64_t now, struct co_job *j,
+    enum co_outcome outcome, const char *reason, uint32_t retry_ms)
 {
     uint64_t *counts[] = {
         [CO_COMPLETED] = &c->stats.completed,
@@ -137,10 +138,10 @@
         [CO_GAVE_UP] = &c->stats.gave_up,
         [CO_NOT_RUN] = &c->stats.not_run,
     };
-    uint32_t retry_ms;
 
     ++*counts[outcome];
-    retry_ms = outcome == CO_NOT_RUN ? qp_retry_after_ms(c, now, j->load) : 0;
+    co_share_ended(j, outcome);
+    co_admit_given_up(c, now, j, reason);
     stop_runs(c, j);
     c->ops->log_job(c->ctx, j, reason);
     while (j->waiters != NULL) {
@@ -156,6 +157,14 @@
     free_job(c, j);
 }
 
+static void
+end_job(struct coord *c, uint64_t now, struct co_job *j,
+    enum co_outcome outcome, const char *reason)
+{
+    end_job_retry(c, now, j, outcome, reason,
+        outcome == CO_NOT_RUN ? qp_retry_after_ms(c, now, j->load) : 0);
+}
+
 /* Ends a job without a result: CO_NOT_RUN if no run of it was ordered, else
  * CO_GAVE_UP.  Not CO_FAILED: no task of it has failed max_attempts times. */
 static void
@@ -287,6 +296,7 @@
     struct es_model *model;
     struct es_estimate est;
     const char *reason;
+    uint32_t retry_ms;
 
     c->stats.submitted++;
     if (j != NULL) {
@@ -311,9 +321,17 @@
         return;
     }
     j = admit(c, now, s, &est, handle);
+    co_share_arrived(c, now, j, s);
     qp_record_job(now, j, &est);
     j->model = model;
+    co_tail_admit(c, j, s->route_name);
     j->input = input;
+    retry_ms = co_admit_arrival(c, now, j);
+    if (retry_ms != 0) {
+        end_job_retry(c, now, j, CO_NOT_RUN, "admission", retry_ms);
+        return;
+    }
+    qp_record_inflow(now, j, &est);
     c->has_new_jobs = true;
 }
 
@@ -457,6 +475,7 @@
     if (t->state == CO_DISPATCHED && t->run == end->ref.run &&
         t->agent == a->id) {
         if (end->how == DW_END_DONE) {
+            co_tail_run_done(c, now, a, j, t, end->ran_ms);
             record_run_time(c, a, j, end->ran_ms);
         }
         outcome_handlers[end->how](c, now, j, t);
@@ -649,6 +668,7 @@
     /* Other entries see the same free capacity. */
     sum = fl_total(&c->fleet, now, NULL, 1);
     co_set_move_budget(c, &sum);
+    co_tail_judge(c, now);
     if (c->last_capacity_ms == 0 || sum.capacity > 0) {
         c->last_capacity_ms = now;
     }
@@ -699,9 +719,14 @@
     HASH_ITER (hh, c->loads, l, l_tmp) {
         HASH_DEL(c->loads, l);
         free(l->service);
+        free(l->shares);
         free(l);
     }
+    dm_view_free(&c->demand);
+    free(c->order);
+    am_free(&c->admission);
     es_free(&c->run_times);
+    tl_free(&c->tail);
     fl_free(&c->fleet);
 }
 
@@ -711,6 +736,15 @@
     return co_find_job(c, id) != NULL;
 }
 
+bool
+co_knows_job(const struct coord *c, uint64_t id)
+{
+    struct co_ended *e;
+
+    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
+    return e != NULL || co_has_job(c, id);
+}
+
 size_t
 co_job_count(const struct coord *c)
 {
--- a/coord.h
+++ b/coord.h
@@ -15,14 +15,18 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "admit.h"
+#include "demand.h"
 #include "fleet.h"
 #include "estimate.h"
 #include "inflow.h"
 #include "proto.h"
 #include "runner.h"
 #include "schedconf.h"
+#include "shares.h"
 #include "slack.h"
 #include "str.h"
+#include "tail.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -89,8 +93,13 @@
     uint64_t retry_at_ms; /* CO_LOST: when the last run has certainly ended */
     uint64_t sent_ms;     /* when the last run was sent */
     uint32_t failures;
-    uint64_t avoid_agent; /* where it failed or ran too slowly; 0: none */
-    bool moving;          /* being stopped, to run on another worker */
+    uint64_t avoid_agent;   /* where it failed or ran too slowly; 0: none */
+    bool moving;            /* being stopped, to run on another worker */
+    uint64_t moved_ms;      /* when it was last moved, with moves =
+                             * "distribution"; 0: never */
+    uint32_t moved_rest_ms; /* expected then, had it not been moved */
+    double moved_est_ms;    /* estimate then, the longest run included */
+    double moved_ratio;     /* of its time to that estimate */
 };
 
 /* A caller that waits for a job's answer. */
@@ -106,6 +115,7 @@
     uint64_t dispatched_millicores; /* of dispatched tasks */
     struct sl_histogram slack;      /* recent work by slack */
     struct in_flow inflow;          /* arriving work, in millicores x ms */
+    struct sh_shares *shares;       /* of its routes; NULL: not in use */
     UT_hash_handle hh;
 };
 
@@ -124,12 +134,20 @@
     uint64_t deadline_ms;     /* when its caller stops waiting */
     uint64_t longest_task_ms; /* estimated run time of its longest task */
     struct es_model *model;   /* run times of its route; NULL: none */
+    struct tl_route *ratios;  /* of run times to estimates; NULL: none */
     struct es_input input;    /* what the estimate was made from */
     uint32_t slack_ms;        /* how long it could wait on arrival */
     uint32_t longest_run_ms;  /* longest run so far, scaled to usual speed */
     bool ran_slow;            /* a run was on a slow worker: learn nothing */
     bool started;             /* a run of it has been ordered */
     bool queued;              /* in coord.queue */
+    struct sh_route *share;   /* of its route; NULL: shares are not in use */
+    bool large;               /* one of the largest of its route */
+    enum sh_turn turn;        /* floor that decided its place */
+    struct am_prediction prediction; /* wait_ms 0: no wait was expected */
+    bool wait_ended;          /* its wait was compared with the prediction */
+    double admitted_capacity; /* fl_totals.paced_capacity when it arrived */
+    bool kept_for_free_cores; /* would have been refused otherwise */
     struct co_task *tasks;
     uint32_t task_count;
     uint32_t done_count;
@@ -177,7 +195,15 @@
     uint64_t rejected; /* returned by an agent without free capacity */
     uint64_t retried;  /* after a failure */
     uint64_t moved;    /* stopped on a slow worker to run on another */
-    uint64_t widened;  /* times that no selected agent could hold a task */
+    /* With moves = "distribution": */
+    uint64_t moved_report;  /* of moved: the agent's report sufficed */
+    uint64_t moved_runs;    /* of moved: this entry's runs were needed */
+    uint64_t moved_run_ms;  /* run time that was thrown away */
+    uint64_t moves_of_use;  /* ended before the first run was expected to */
+    uint64_t moves_as_long; /* the second run took as long as the first */
+    uint64_t moves_wanted;  /* not made: cores wanted by jobs in time */
+    uint64_t moves_budget;  /* not made: budget exhausted */
+    uint64_t widened; /* times that no selected agent could hold a task */
 };
 
 /* An entry's coordinator. */
@@ -186,13 +212,18 @@
     void *ctx;
     struct sc_settings settings; /* all default after co_init() */
     struct fleet fleet;
+    struct dm_view demand; /* unplaced work of all entries */
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
     struct co_ended *ended;
+    struct am_state admission;     /* corrections and counters */
     struct es_table run_times;     /* learned run times, by route */
     struct co_service_load *loads; /* by service */
-    bool has_new_jobs;             /* since the last flush */
-    uint32_t report_interval_ms;   /* between an agent's capacity reports */
+    struct sh_item *order;         /* buffer of co_order() */
+    size_t order_size;
+    bool has_new_jobs;           /* since the last flush */
+    uint32_t report_interval_ms; /* between an agent's capacity reports */
+    struct tl_state tail;
     int64_t move_budget; /* millicores that may be moved in this tick */
     uint64_t last_tick_ms;
     uint64_t last_capacity_ms; /* when a worker was last usable; at first, the
@@ -224,15 +255,24 @@
 /* Places waiting tasks, sends the collected orders and reports demand. */
 void co_flush(struct coord *c, uint64_t now);
 
+/* The configuration has changed: drops the shares of routes for which keep()
+ * is false. */
+void co_remove_routes(struct coord *c, sh_keep_fn keep, void *ctx);
+
 /* Queries. */
 /* The job is in progress here. */
 bool co_has_job(const struct coord *c, uint64_t id);
+/* The job is in progress here, or ended here so recently that a copy of its
+ * request gets the same answer. */
+bool co_knows_job(const struct coord *c, uint64_t id);
 /* Jobs in progress here. */
 size_t co_job_count(const struct coord *c);
 /* Jobs with waiting tasks of which no run has been ordered. */
 size_t co_unstarted_count(const struct coord *c);
 /* Waiting work in ms of the whole fleet's capacity. */
 uint64_t co_queued_ms(const struct coord *c, uint64_t now);
+/* Sums over the services. */
+struct sh_stats co_share_stats(const struct coord *c);
 
 #ifdef __cplusplus
 }
--- a/coplace.c
+++ b/coplace.c
@@ -146,6 +146,7 @@
     return true;
 }
 
+/* Places the job's waiting tasks; false if one finds no capacity. */
 static bool
 place_job(struct coord *c, uint64_t now, struct co_job *j)
 {
@@ -154,6 +155,7 @@
             return false;
         }
     }
+    co_admit_placed(c, now, j);
     return true;
 }
 
@@ -197,6 +199,8 @@
     if (c->queue != NULL) {
         place_all(c, now);
     }
+    dm_flush(c, now);
+    co_update_sharing(c, now);
     for (a = c->fleet.agents; a != NULL; a = a->hh.next) {
         bool report;
 
--- a/entryd.c
+++ b/entryd.c
@@ -11,6 +11,7 @@
 #include "log.h"
 #include "num.h"
 #include "proc.h"
+#include "qpolicy.h"
 
 /* ms after SIGTERM during which new connections are accepted: the load
  * balancer sends them until two readiness checks, one second apart, failed. */
@@ -145,6 +146,26 @@
 /* ms between log lines with the fleet's load as this entry knows it. */
 #define LOAD_LOG_INTERVAL_MS 1000U
 
+/* Records the estimates of the fleet's unplaced work, one line a service. */
+static void
+log_demand(const struct entry *e, uint64_t now)
+{
+    const struct dm_view *v = &e->coord.demand;
+    const struct dm_service *s;
+
+    for (s = v->services; s != NULL; s = s->hh.next) {
+        struct dm_estimate est = dm_estimate(v, now, s->name);
+
+        if (est.known) {
+            log_event(LOG_LEVEL_INFO, "demand",
+                "service=%s age_ms=%u entries=%.1f cores=%.0f held=%.0f"
+                " free=%.0f soon=%.0f own=%.3f",
+                s->name, est.age_ms, est.waiting_entries, est.cores, est.held,
+                est.free, est.soon_free, est.own_part);
+        }
+    }
+}
+
 /* Records the capacity on which admission decisions were based. */
 static void
 log_load(struct entry *e, uint64_t now)
@@ -164,6 +185,23 @@
             " free=%" PRId64,
             jobs, co_unstarted_count(c), co_queued_ms(c, now), sum.capacity,
             sum.free);
+        log_demand(e, now);
+    }
+}
+
+/* Sharing switches at most twice in SH_OFF_MS per service. */
+static void
+log_sharing(struct entry *e, uint64_t now)
+{
+    const struct co_service_load *l;
+
+    for (l = e->coord.loads; l != NULL; l = l->hh.next) {
+        if (l->shares != NULL && sh_take_switch(l->shares)) {
+            log_event(LOG_LEVEL_INFO,
+                l->shares->sharing ? "sharing_on" : "sharing_off",
+                "service=%s jobs=%zu waiting_ms=%" PRIu64, l->service,
+                co_unstarted_count(&e->coord), co_queued_ms(&e->coord, now));
+        }
     }
 }
 
@@ -184,6 +222,42 @@
         e->lag.recent_us, e->lag.baseline_us, it_count(&e->intake));
 }
 
+static void
+add_wait(void *ctx, const char *service, uint32_t priority, double wait_ms)
+{
+    bl_add(ctx, str_of(service), priority, wait_ms);
+}
+
+static void
+update_waits(struct entry *e, uint64_t now)
+{
+    struct bl_waits waits = {.count = 0};
+
+    qp_predict_waits(&e->coord, now, add_wait, &waits);
+    /* Also of services that this entry has had no job of. */
+    for (size_t i = 0; i < e->routes.count; i++) {
+        qp_report_no_workers(
+            &e->coord, now, e->routes.routes[i].service, add_wait, &waits);
+    }
+    rl_set_waits(&e->relay, now, &waits);
+}
+
+/* Logs how many requests were forwarded by wait since the last line. */
+static void
+log_balance(struct entry *e, uint64_t now)
+{
+    uint64_t given = e->relay.forwarded_by_wait - e->balance_logged;
+
+    if (given == 0 || now - e->balance_logged_ms < LOAD_LOG_INTERVAL_MS) {
+        return;
+    }
+    log_event(LOG_LEVEL_INFO, "balance",
+        "given=%" PRIu64 " wait_ms=%" PRIu32 " unstarted=%zu", given,
+        bl_longest_ms(&e->relay.own_waits), co_unstarted_count(&e->coord));
+    e->balance_logged = e->relay.forwarded_by_wait;
+    e->balance_logged_ms = now;
+}
+
 static void
 update_relay(struct entry *e, uint64_t now)
 {
@@ -194,6 +268,10 @@
     if (!lg_has_spare_time(&e->lag)) {
         rl_need_peers(&e->relay, now);
     }
+    if (e->coord.settings.balance == SC_BALANCE_WAIT) {
+        update_waits(e, now);
+        log_balance(e, now);
+    }
     rl_tick(&e->relay, now);
 }
 
@@ -210,6 +288,7 @@
         FL_SELECTED_MAX + co_job_count(&e->coord));
     en_save_estimates(e, now);
     log_load(e, now);
+    log_sharing(e, now);
     if (ost_request_due(&e->opstate, now)) {
         en_query_peers(e);
     }
@@ -246,12 +325,18 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_SUPPLY) {
+        dm_handle_supply(&e->coord, now, from, &m->dw_msg_u.supply);
+    }
     else if (m->type == DW_RELAY) {
         rl_receive_requests(&e->relay, now, from, &m->dw_msg_u.relay);
     }
     else if (m->type == DW_RELAYED) {
         rl_receive_replies(&e->relay, now, from, &m->dw_msg_u.relayed);
     }
+    else if (m->type == DW_WAITS) {
+        rl_receive_waits(&e->relay, now, from, &m->dw_msg_u.waits);
+    }
     else if (m->type == DW_NEWS) {
         en_operator_state(e, from, &m->dw_msg_u.news);
     }
@@ -302,6 +387,8 @@
 {
     const struct entry *e = s->state;
     const struct co_stats *st = &e->coord.stats;
+    struct sh_stats shares = co_share_stats(&e->coord);
+    const struct am_state *am = &e->coord.admission;
     const struct sv_metric rows[] = {
         {"dw_jobs_submitted", st->submitted},
         {"dw_jobs_attached", st->attached},
@@ -316,18 +403,42 @@
         {"dw_runs_bounced", st->rejected},
         {"dw_runs_retried", st->retried},
         {"dw_runs_moved", st->moved},
+        {"dw_runs_moved_report", st->moved_report},
+        {"dw_runs_moved_runs", st->moved_runs},
+        {"dw_runs_moved_ms", st->moved_run_ms},
+        {"dw_moves_of_use", st->moves_of_use},
+        {"dw_moves_as_long", st->moves_as_long},
+        {"dw_moves_wanted", st->moves_wanted},
+        {"dw_moves_budget", st->moves_budget},
         {"dw_choice_widened", st->widened},
+        {"dw_demand_sent", e->coord.demand.stats.sent},
+        {"dw_supply_received", e->coord.demand.stats.received},
+        {"dw_supply_ignored", e->coord.demand.stats.ignored},
+        {"dw_sharing_switches", shares.switches},
+        {"dw_jobs_floor", shares.floor_jobs},
+        {"dw_jobs_large_floor", shares.large_jobs},
         {"dw_config_version", e->routes.version},
         {"dw_requests_waiting", it_count(&e->intake)},
         {"dw_requests_turned_away", e->shed_requests},
         {"dw_requests_given", e->forwarded_out},
         {"dw_requests_taken", e->forwarded_in},
+        {"dw_refused_admission", am->refused[AM_ADMISSION]},
+        {"dw_refused_capacity_lost", am->refused[AM_CAPACITY_LOST]},
+        {"dw_refused_no_turn", am->refused[AM_NO_TURN]},
+        {"dw_kept_for_free_cores", am->kept_for_free_cores},
+        {"dw_balance_given", e->relay.forwarded_by_wait},
+        {"dw_balance_wait_ms", bl_longest_ms(&e->relay.own_waits)},
+        {"dw_balance_reports_sent", e->relay.reports_sent},
+        {"dw_balance_reports_received", e->relay.reports_received},
+        {"dw_balance_reports_ignored", e->relay.reports_ignored},
         {"dw_busy_permille", (uint64_t)(e->lag.utilization * 1000)},
         {"dw_behind", lg_is_out_of_rotation(&e->lag)},
     };
 
     sv_add_metrics(b, rows, sizeof(rows) / sizeof(rows[0]));
     hist_format(&e->answer_ms, "dw_answer", b);
+    hist_format(&am->predicted, "dw_wait_predicted", b);
+    hist_format(&am->actual, "dw_wait_actual", b);
 }
 
 const struct sv_role sv_entry = {"entry", entry_open, entry_close, entry_tick,
--- a/fleet.c
+++ b/fleet.c
@@ -86,6 +86,7 @@
     a->session_open = false;
     a->demand = (dw_want){0, 0, 0, 0};
     a->active_runs = 0;
+    a->tail = (struct tl_worker){0};
     memset(&a->status, 0, sizeof(a->status));
     sess_end(&a->sess);
 }
@@ -500,7 +501,8 @@
 fl_is_slow(const struct fleet *f, const struct fl_agent *a)
 {
     return (uint64_t)a->status.pace_permille * 100 <=
-           (uint64_t)f->median_speed_permille * SLOW_PERCENT;
+               (uint64_t)f->median_speed_permille * SLOW_PERCENT &&
+           (!f->slow_by_evidence || a->tail.suspect);
 }
 
 /*
@@ -593,7 +595,7 @@
 fl_total(const struct fleet *f, uint64_t now, const char *service,
     uint32_t task_millicores)
 {
-    struct fl_totals sum = {0, 0, 0, 1};
+    struct fl_totals sum = {0, 0, 0, 1, 0};
     const struct fl_agent *a;
     int64_t usable = 0;
     int64_t recovering = 0;
@@ -611,6 +613,7 @@
         }
         usable++;
         sum.capacity += a->status.millicores;
+        sum.paced_capacity += relative_pace(f, a) * a->status.millicores;
         free_millicores += relative_pace(f, a) *
                            round_to_tasks(a->free_millicores, task_millicores);
         runs += a->active_runs;
--- a/qpolicy.c
+++ b/qpolicy.c
@@ -111,16 +111,20 @@
 void
 qp_record_job(uint64_t now, struct co_job *j, const struct es_estimate *est)
 {
-    struct co_service_load *l = j->load;
-    double work;
-
     j->slack_ms = (uint32_t)num_sub_sat(est->objective_ms, est->run_ms);
     if (j->slack_ms == 0) {
         return; /* late already: it delays no job that is on time */
     }
-    work = waiting_tasks(j).work;
-    sl_record(&l->slack, now, j->slack_ms, work);
-    in_record(&l->inflow, now, est->objective_ms, work);
+    sl_record(&j->load->slack, now, j->slack_ms, waiting_tasks(j).work);
+}
+
+void
+qp_record_inflow(uint64_t now, struct co_job *j, const struct es_estimate *est)
+{
+    if (j->slack_ms != 0) {
+        in_record(
+            &j->load->inflow, now, est->objective_ms, waiting_tasks(j).work);
+    }
 }
 
 /* --- load shedding --- */
@@ -140,7 +144,7 @@
 get_backlog(
     const struct coord *c, uint64_t now, const struct co_service_load *l)
 {
-    struct backlog backlog = {{0, 0, 0, 0}, 0, 0, 0};
+    struct backlog backlog = {{0, 0, 0, 0, 0}, 0, 0, 0};
     uint32_t smallest_task = 0;
     const struct co_job *j;
 
@@ -160,6 +164,16 @@
     return backlog;
 }
 
+double
+qp_expected_cores(const struct coord *c, uint64_t now,
+    const struct co_service_load *l, double *free_millicores)
+{
+    struct backlog backlog = get_backlog(c, now, l);
+
+    *free_millicores = (double)(backlog.sum.free + backlog.sum.recovering);
+    return backlog.cores;
+}
+
 /*
  * Estimated ms until the job is placed.  Work that arrives meanwhile with an
  * earlier objective is placed before it, too.
@@ -219,24 +233,26 @@
     return end_ms > (double)num_min(j->deadline_ms, j->useful_until_ms);
 }
 
-/* Refuses jobs of one class and adds the others to the work ahead. */
+/* Refuses jobs of one service and adds the others to the work ahead. */
 static void
-shed_class(struct coord *c, uint64_t now, enum qp_class cls,
-    const struct co_service_load *l, struct backlog *backlog,
-    qp_refuse_fn refuse)
+shed_service(struct coord *c, uint64_t now, const struct co_service_load *l,
+    struct backlog *backlog, qp_refuse_fn refuse)
 {
-    struct co_job *j;
-    struct co_job *tmp;
+    size_t count;
+    const struct sh_item *order = co_order(c, now, l, &count);
 
-    DL_FOREACH_SAFE (c->queue, j, tmp) {
+    for (size_t i = 0; i < count; i++) {
+        struct co_job *j = order[i].job;
         struct waiting w;
 
-        if (j->load != l || qp_class_of(j, now) != cls) {
-            continue;
-        }
         if (cannot_be_served(backlog, now, j)) {
-            refuse(c, now, j, "no_turn");
-            continue;
+            const char *reason =
+                co_admit_shed_reason(c, now, j, backlog->sum.paced_capacity);
+
+            if (reason != NULL) {
+                refuse(c, now, j, reason);
+                continue;
+            }
         }
         w = waiting_tasks(j);
         backlog->work += w.work;
@@ -263,8 +279,60 @@
             continue;
         }
         backlog = get_backlog(c, now, l);
-        for (int cls = 0; cls < QP_COUNT && backlog.cores > 0; cls++) {
-            shed_class(c, now, (enum qp_class)cls, l, &backlog, refuse);
+        if (backlog.cores > 0) {
+            shed_service(c, now, l, &backlog, refuse);
+        }
+    }
+}
+
+/* Adds the jobs of one class to the work ahead; a job like one of them that
+ * arrives now is placed after it. */
+static void
+predict_class(const struct coord *c, uint64_t now, enum qp_class cls,
+    struct backlog *backlog, const struct co_service_load *l, qp_wait_fn fn,
+    void *ctx)
+{
+    const struct co_job *j;
+
+    for (j = c->queue; j != NULL; j = j->next) {
+        struct waiting w;
+
+        if (j->load != l || qp_class_of(j, now) != cls) {
+            continue;
+        }
+        w = waiting_tasks(j);
+        backlog->work += w.work;
+        backlog->millicores += w.millicores;
+        if (cls != QP_STARTED) {
+            fn(ctx, l->service, j->priority, wait_ms(backlog, now, j));
+        }
+    }
+}
+
+bool
+qp_report_no_workers(const struct coord *c, uint64_t now, const char *service,
+    qp_wait_fn fn, void *ctx)
+{
+    struct fl_totals sum = fl_total(&c->fleet, now, service, 1);
+    bool none = sum.capacity + sum.recovering <= 0;
+
+    if (none) {
+        fn(ctx, service, BL_ANY_PRIORITY, BL_NO_WORKERS_MS);
+    }
+    return none;
+}
+
+void
+qp_predict_waits(const struct coord *c, uint64_t now, qp_wait_fn fn, void *ctx)
+{
+    const struct co_service_load *l;
+
+    for (l = c->loads; l != NULL; l = l->hh.next) {
+        struct backlog backlog = get_backlog(c, now, l);
+
+        qp_report_no_workers(c, now, l->service, fn, ctx);
+        for (int cls = 0; cls < QP_STALE && backlog.cores > 0; cls++) {
+            predict_class(c, now, (enum qp_class)cls, &backlog, l, fn, ctx);
         }
     }
 }
--- a/relay.c
+++ b/relay.c
@@ -14,6 +14,10 @@
  * the peer's next report. */
 #define FORWARDED_PERMILLE 10U
 
+/* Expected processor use up to which requests are forwarded to a peer because
+ * of its wait; at this use it stops accepting. */
+#define WAIT_BUSY_PERMILLE 500U
+
 #define PATH_HASH_SEED 0x70617468U
 
 /* Bytes of a reply's reason, which is one word, with its NUL. */
@@ -47,6 +51,14 @@
     struct rl_forwarded *next;
 };
 
+/* A cancelled request: its peer stops the tasks, which takes a while. */
+struct rl_cancelled {
+    uint64_t path_hash;
+    uint64_t peer;
+    uint64_t at_ms;
+    UT_hash_handle hh;
+};
+
 /* --- origin side --- */
 
 static struct rl_peer *
@@ -79,6 +91,7 @@
     msg_free(p->batch);
     p->batch = NULL;
     sess_end(&p->sess);
+    p->waits = (struct bl_peer){0};
     while (p->forwarded != NULL) {
         void *handle = p->forwarded->handle;
 
@@ -148,8 +161,15 @@
            (uint32_t)p->forwarded_since_report * FORWARDED_PERMILLE;
 }
 
-/* The least busy peer that accepts requests and whose configuration is not
- * older than this entry's. */
+/* It accepts requests and its configuration is not older than this entry's. */
+static bool
+is_usable(const struct relay *r, uint64_t now, const struct rl_peer *p)
+{
+    return p->session_open && p->accepting && sess_live(&p->sess, now) &&
+           p->config_version >= r->state.config_version;
+}
+
+/* The least busy peer that may be used. */
 static struct rl_peer *
 pick_peer(const struct relay *r, uint64_t now)
 {
@@ -157,8 +177,7 @@
     struct rl_peer *p;
 
     for (p = r->peers; p != NULL; p = p->hh.next) {
-        if (p->session_open && p->accepting && sess_live(&p->sess, now) &&
-            p->config_version >= r->state.config_version &&
+        if (is_usable(r, now, p) &&
             (best == NULL || expected_busy(p) < expected_busy(best))) {
             best = p;
         }
@@ -166,18 +185,14 @@
     return best;
 }
 
-bool
-rl_forward(struct relay *r, uint64_t now, void *handle, struct str host,
+static void
+forward_to(struct relay *r, struct rl_peer *p, void *handle, struct str host,
     struct str path, struct str body, uint32_t remaining_ms)
 {
-    struct rl_peer *p = pick_peer(r, now);
     struct rl_forwarded *f;
     dw_relay *m;
     dw_request *q;
 
-    if (p == NULL) {
-        return false;
-    }
     f = dw_zero(1, sizeof(*f));
     f->ref = ++r->next_ref;
     f->handle = handle;
@@ -193,26 +208,183 @@
     q->path = str_to_bytes(path);
     q->body = str_to_bytes(body);
     q->left_ms = remaining_ms;
-    return true;
 }
 
-void *
-rl_find(const struct relay *r, struct str path)
+bool
+rl_forward(struct relay *r, uint64_t now, void *handle, struct str host,
+    struct str path, struct str body, uint32_t remaining_ms)
+{
+    struct rl_peer *p = pick_peer(r, now);
+
+    if (p != NULL) {
+        forward_to(r, p, handle, host, path, body, remaining_ms);
+    }
+    return p != NULL;
+}
+
+static struct rl_forwarded *
+find_forwarded(const struct relay *r, struct str path, struct rl_peer **peer)
 {
     uint64_t hash = str_hash(path, PATH_HASH_SEED);
-    const struct rl_peer *p;
-    const struct rl_forwarded *f;
+    struct rl_peer *p;
+    struct rl_forwarded *f;
 
     for (p = r->peers; p != NULL; p = p->hh.next) {
         DL_FOREACH (p->forwarded, f) {
             if (f->path_hash == hash) {
-                return f->handle;
+                *peer = p;
+                return f;
             }
         }
     }
     return NULL;
 }
 
+static struct rl_cancelled *
+find_cancelled(const struct relay *r, uint64_t now, struct str path)
+{
+    uint64_t hash = str_hash(path, PATH_HASH_SEED);
+    struct rl_cancelled *k;
+
+    HASH_FIND(hh, r->cancelled, &hash, sizeof(hash), k);
+    return k != NULL && now - k->at_ms < RL_RESEND_MS ? k : NULL;
+}
+
+static void
+forget_cancelled(struct relay *r, struct rl_cancelled *k)
+{
+    HASH_DEL(r->cancelled, k);
+    free(k);
+}
+
+static void
+remember_cancelled(
+    struct relay *r, uint64_t now, uint64_t path_hash, uint64_t peer)
+{
+    struct rl_cancelled *k;
+
+    HASH_FIND(hh, r->cancelled, &path_hash, sizeof(path_hash), k);
+    if (k != NULL) {
+        forget_cancelled(r, k);
+    }
+    else if (HASH_COUNT(r->cancelled) >= RL_CANCELLED_MAX) {
+        forget_cancelled(r, r->cancelled);
+    }
+    k = dw_zero(1, sizeof(*k));
+    k->path_hash = path_hash;
+    k->peer = peer;
+    k->at_ms = now;
+    HASH_ADD(hh, r->cancelled, path_hash, sizeof(k->path_hash), k);
+}
+
+static void
+expire_cancelled(struct relay *r, uint64_t now)
+{
+    while (r->cancelled != NULL && now - r->cancelled->at_ms >= RL_RESEND_MS) {
+        forget_cancelled(r, r->cancelled);
+    }
+}
+
+bool
+rl_may_run_elsewhere(const struct relay *r, uint64_t now, struct str path)
+{
+    struct rl_peer *p;
+
+    return find_forwarded(r, path, &p) != NULL ||
+           find_cancelled(r, now, path) != NULL;
+}
+
+enum rl_copy
+rl_forward_copy(struct relay *r, uint64_t now, void *handle, struct str host,
+    struct str path, struct str body, uint32_t remaining_ms)
+{
+    struct rl_peer *p = NULL;
+    const struct rl_cancelled *k;
+
+    if (find_forwarded(r, path, &p) == NULL) {
+        k = find_cancelled(r, now, path);
+        if (k == NULL) {
+            return RL_NO_COPY;
+        }
+        p = find_peer(r, k->peer);
+    }
+    if (p == NULL || !p->session_open) {
+        return RL_COPY_LOST;
+    }
+    forward_to(r, p, handle, host, path, body, remaining_ms);
+    return RL_COPY_SENT;
+}
+
+/* The peer with the shortest wait of those to which requests of this kind may
+ * be forwarded and which would start it before its caller leaves; peers with
+ * equal waits take turns. */
+static struct rl_peer *
+pick_by_wait(const struct relay *r, uint64_t now, struct str service,
+    uint32_t priority, uint32_t remaining_ms)
+{
+    struct rl_peer *best = NULL;
+    double best_ms = 0;
+    struct rl_peer *p;
+
+    for (p = r->peers; p != NULL; p = p->hh.next) {
+        double wait_ms = 0;
+
+        if (!is_usable(r, now, p) || expected_busy(p) >= WAIT_BUSY_PERMILLE ||
+            !bl_should_forward(
+                &p->waits, now, &r->own_waits, service, priority, &wait_ms) ||
+            wait_ms >= remaining_ms) {
+            continue;
+        }
+        if (best == NULL || wait_ms < best_ms ||
+            (wait_ms <= best_ms &&
+                mix64(r->next_ref, p->id) < mix64(r->next_ref, best->id))) {
+            best = p;
+            best_ms = wait_ms;
+        }
+    }
+    return best;
+}
+
+bool
+rl_forward_by_wait(struct relay *r, uint64_t now, void *handle,
+    struct str service, uint32_t priority, struct str host, struct str path,
+    struct str body, uint32_t remaining_ms)
+{
+    struct rl_peer *p = pick_by_wait(r, now, service, priority, remaining_ms);
+
+    if (p == NULL) {
+        return false;
+    }
+    forward_to(r, p, handle, host, path, body, remaining_ms);
+    bl_forwarded(&p->waits, &r->own_waits, service, priority);
+    r->forwarded_by_wait++;
+    return true;
+}
+
+void
+rl_receive_waits(
+    struct relay *r, uint64_t now, uint64_t from, const dw_waits *m)
+{
+    struct rl_peer *p = find_peer(r, from);
+
+    if (p != NULL && p->session_open &&
+        bl_receive(&p->waits, now, p->sess.number, m)) {
+        r->reports_received++;
+    }
+    else {
+        r->reports_ignored++;
+    }
+}
+
+void *
+rl_find(const struct relay *r, struct str path)
+{
+    struct rl_peer *p;
+    const struct rl_forwarded *f = find_forwarded(r, path, &p);
+
+    return f != NULL ? f->handle : NULL;
+}
+
 static void
 add_cancellation(struct rl_peer *p, uint64_t ref)
 {
@@ -224,7 +396,7 @@
 }
 
 bool
-rl_cancel(struct relay *r, const void *handle)
+rl_cancel(struct relay *r, uint64_t now, const void *handle)
 {
     struct rl_peer *p;
     struct rl_forwarded *f;
@@ -233,6 +405,7 @@
         DL_FOREACH (p->forwarded, f) {
             if (f->handle == handle) {
                 add_cancellation(p, f->ref);
+                remember_cancelled(r, now, f->path_hash, p->id);
                 remove_forwarded(p, f);
                 return true;
             }
@@ -356,6 +529,7 @@
 {
     bool needed =
         r->peers_needed_ms != 0 && now - r->peers_needed_ms < RL_IDLE_CLOSE_MS;
+    uint32_t limit = r->balancing ? RL_WAIT_PEERS_MAX : RL_PEERS_MAX;
     struct rl_peer *p;
     uint32_t selected = 0;
 
@@ -366,7 +540,7 @@
         }
         selected += p->selected;
     }
-    while (needed && selected < RL_PEERS_MAX) {
+    while (needed && selected < limit) {
         p = next_candidate(r, now);
         if (p == NULL) {
             break;
@@ -400,6 +574,7 @@
     o->ended_ms = now;
     msg_free(o->batch);
     o->batch = NULL;
+    bl_reset_report(&o->waits);
     sess_end(&o->sess);
     while (o->accepted != NULL) {
         r->ops->cancel(r->ctx, o->accepted);
@@ -414,6 +589,7 @@
         free_accepted(o->accepted);
     }
     msg_free(o->batch);
+    bl_reset_report(&o->waits);
     sess_end(&o->sess);
     HASH_DEL(r->origins, o);
     free(o);
@@ -553,6 +729,18 @@
                                           : o->started_ms;
 }
 
+static void
+report_waits(struct relay *r, uint64_t now, struct rl_origin *o)
+{
+    dw_msg m;
+
+    memset(&m, 0, sizeof(m));
+    bl_fill_report(&o->waits, now, &r->own_waits, o->sess.number, &m);
+    r->ops->send(r->ctx, o->id, &m);
+    free(m.dw_msg_u.waits.rows.rows_val);
+    r->reports_sent++;
+}
+
 static void
 tick_origin(struct relay *r, uint64_t now, struct rl_origin *o)
 {
@@ -567,6 +755,9 @@
     if (sess_heartbeat_due(&o->sess, now)) {
         send_state(r, now, o);
     }
+    if (r->balancing && bl_report_due(&o->waits, now, &r->own_waits)) {
+        report_waits(r, now, o);
+    }
 }
 
 /* --- both sides --- */
@@ -588,6 +779,9 @@
     struct rl_origin *o;
     struct rl_origin *o_tmp;
 
+    while (r->cancelled != NULL) {
+        forget_cancelled(r, r->cancelled);
+    }
     HASH_ITER (hh, r->peers, p, p_tmp) {
         free_peer(r, p);
     }
@@ -602,6 +796,16 @@
     r->state = *state;
 }
 
+void
+rl_set_waits(struct relay *r, uint64_t now, const struct bl_waits *waits)
+{
+    r->balancing = true;
+    bl_update(&r->own_waits, now, waits);
+    if (bl_longest_ms(&r->own_waits) >= BL_NEED_PEERS_MS) {
+        rl_need_peers(r, now);
+    }
+}
+
 void
 rl_process_dead(struct relay *r, uint64_t now, uint64_t id)
 {
@@ -629,6 +833,7 @@
             free_origin(r, o);
         }
     }
+    expire_cancelled(r, now);
     select_peers(r, now);
     for (p = r->peers; p != NULL; p = p->hh.next) {
         tick_peer(r, now, p);
--- a/simcaller.c
+++ b/simcaller.c
@@ -29,6 +29,15 @@
 
 /* --- requests --- */
 
+/* Without tails, nothing is drawn: the day is the same as before. */
+static double
+draw_tail_factor(struct sim *s)
+{
+    return s->d->tail_share > 0 && sim_random(s) < s->d->tail_share
+               ? s->d->tail_factor
+               : 1;
+}
+
 static uint32_t
 draw_task_count(struct sim *s, uint32_t kind)
 {
@@ -108,6 +117,7 @@
         j->task_us[i] = (uint32_t)(run_us * gsl_ran_lognormal(s->rng, 0,
                                                 s->d->task_log_sigma)) +
                         1000;
+        j->task_us[i] = (uint32_t)(j->task_us[i] * draw_tail_factor(s));
     }
     declared = run_us / 1000 * k->declared_ratio *
                gsl_ran_lognormal(s->rng, 0, k->declared_log_sigma);
@@ -507,6 +517,29 @@
     return log(fmax(not_served, UNSERVED_MIN)) / log(UNSERVED_MIN);
 }
 
+/* Requests count at the entry of their last attempt. */
+static double
+worst_entry(const struct sim *s)
+{
+    struct sim_totals of[SIM_ENTRIES_MAX] = {{0}};
+    struct sim_totals all = {0};
+    double worst = 0;
+    const struct sim_job *j;
+
+    for (j = s->jobs; j != NULL; j = j->hh.next) {
+        if (j->entry_id != 0) {
+            add_job(&of[j->entry_id & (SIM_ENTRY_BIT - 1)], j);
+            add_job(&all, j);
+        }
+    }
+    for (uint32_t i = 0; i < s->d->entry_count; i++) {
+        worst = fmax(
+            worst, (double)of[i].refused / (double)num_max(of[i].requests, 1));
+    }
+    return all.refused > 0 ? worst * (double)all.requests / (double)all.refused
+                           : 0;
+}
+
 void
 sim_compute_result(struct sim *s)
 {
@@ -525,6 +558,7 @@
         add_job(
             &r->window[num_min(at_ms / SIM_WINDOW_MS, r->window_count)], j);
     }
+    r->worst_entry = worst_entry(s);
     for (uint32_t k = 0; k < s->d->kind_count; k++) {
         worst_kind = fmin(worst_kind, earned_share(&r->kind[k]));
     }
--- a/simentry.c
+++ b/simentry.c
@@ -6,6 +6,7 @@
 #include <utlist.h>
 
 #include "num.h"
+#include "qpolicy.h"
 #include "sim-int.h"
 
 /* Time from an entry's start until it has read the store. */
@@ -221,7 +222,10 @@
     struct sim_waiter *waiter = new_waiter(e, j, forwarded);
 
     forwarded->data = waiter;
-    if (!it_add(&e->intake, loop_time_us(e), waiter)) {
+    if (!has_processor(e)) {
+        submit_job(e, waiter);
+    }
+    else if (!it_add(&e->intake, loop_time_us(e), waiter)) {
         rl_reply(forwarded, CO_NOT_RUN, "behind", 1000);
         free_waiter(e, waiter);
     }
@@ -250,6 +254,12 @@
 static const struct rl_ops rl_ops = {
     entry_send, begin_forwarded, cancel_forwarded, entry_answer, note_relay};
 
+static uint32_t
+remaining_ms(const struct sim_entry *e, const struct sim_job *j)
+{
+    return (uint32_t)(num_sub_sat(j->deadline_us, e->s->now_us) / 1000);
+}
+
 static bool
 forward(struct sim_entry *e, struct sim_waiter *waiter)
 {
@@ -258,15 +268,91 @@
     snprintf(path, sizeof(path), "%llu", (unsigned long long)waiter->job->id);
     if (e->s->d->no_forwarding ||
         !rl_forward(&e->relay, sim_now_ms(e->s), waiter, STR("host"),
-            str_of(path), STR("body"),
-            (uint32_t)(num_sub_sat(waiter->job->deadline_us, e->s->now_us) /
-                       1000))) {
+            str_of(path), STR("body"), remaining_ms(e, waiter->job))) {
         return false;
     }
     e->s->result->forwarded++;
     return true;
 }
 
+static bool
+balances(const struct sim_entry *e)
+{
+    return e->coord.settings.balance == SC_BALANCE_WAIT &&
+           !e->s->d->no_forwarding;
+}
+
+static bool
+is_of_job(const void *waiter, const void *job)
+{
+    return ((const struct sim_waiter *)waiter)->job == job;
+}
+
+/* The request, or a copy of it, waits or runs here. */
+static bool
+is_owned_here(const struct sim_entry *e, const struct sim_job *j)
+{
+    return it_find(&e->intake, is_of_job, j) != NULL ||
+           co_knows_job(&e->coord, j->id);
+}
+
+/* A copy of a request that this entry forwarded goes to the same entry. */
+static bool
+forward_copy(struct sim_entry *e, struct sim_waiter *waiter)
+{
+    char path[32];
+
+    snprintf(path, sizeof(path), "%llu", (unsigned long long)waiter->job->id);
+    switch (rl_forward_copy(&e->relay, sim_now_ms(e->s), waiter, STR("host"),
+        str_of(path), STR("body"), remaining_ms(e, waiter->job))) {
+    case RL_NO_COPY:
+        return false;
+    case RL_COPY_SENT:
+        e->s->result->forwarded++;
+        break;
+    case RL_COPY_LOST:
+        entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
+        break;
+    }
+    return true;
+}
+
+/* Forwards a request that has just arrived to an entry with a shorter wait. */
+static bool
+forward_by_wait(struct sim_entry *e, struct sim_waiter *waiter)
+{
+    const struct sim_job *j = waiter->job;
+    char path[32];
+
+    if (!balances(e)) {
+        return false;
+    }
+    snprintf(path, sizeof(path), "%llu", (unsigned long long)j->id);
+    if (!rl_forward_by_wait(&e->relay, sim_now_ms(e->s), waiter,
+            STR(SIM_SERVICE), e->s->d->kind[j->kind].priority, STR("host"),
+            str_of(path), STR("body"), remaining_ms(e, j))) {
+        return false;
+    }
+    e->s->result->forwarded++;
+    return true;
+}
+
+static void
+add_wait(void *ctx, const char *service, uint32_t priority, double wait_ms)
+{
+    bl_add(ctx, str_of(service), priority, wait_ms);
+}
+
+static void
+update_waits(struct sim_entry *e, uint64_t now)
+{
+    struct bl_waits waits = {.count = 0};
+
+    qp_predict_waits(&e->coord, now, add_wait, &waits);
+    qp_report_no_workers(&e->coord, now, SIM_SERVICE, add_wait, &waits);
+    rl_set_waits(&e->relay, now, &waits);
+}
+
 /* --- event loop --- */
 
 static void
@@ -278,12 +364,18 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_SUPPLY) {
+        dm_handle_supply(&e->coord, now, from, &m->dw_msg_u.supply);
+    }
     else if (m->type == DW_RELAY) {
         rl_receive_requests(&e->relay, now, from, &m->dw_msg_u.relay);
     }
     else if (m->type == DW_RELAYED) {
         rl_receive_replies(&e->relay, now, from, &m->dw_msg_u.relayed);
     }
+    else if (m->type == DW_WAITS) {
+        rl_receive_waits(&e->relay, now, from, &m->dw_msg_u.waits);
+    }
     msg_free(m);
 }
 
@@ -297,7 +389,15 @@
         return; /* its caller has disconnected */
     }
     waiter = new_waiter(e, j, NULL);
-    if (lg_should_forward(&e->lag) && forward(e, waiter)) {
+    if (is_owned_here(e, j)) {
+        if (!it_add(&e->intake, loop_time_us(e), waiter)) {
+            entry_answer(e, waiter, CO_GAVE_UP, "behind", 1000);
+        }
+        return;
+    }
+    if (forward_copy(e, waiter) ||
+        (lg_should_forward(&e->lag) && forward(e, waiter)) ||
+        forward_by_wait(e, waiter)) {
         return;
     }
     if (!it_add(&e->intake, loop_time_us(e), waiter) && !forward(e, waiter)) {
@@ -342,6 +442,9 @@
     if (!lg_has_spare_time(&e->lag) && !e->s->d->no_forwarding) {
         rl_need_peers(&e->relay, now);
     }
+    if (balances(e)) {
+        update_waits(e, now);
+    }
     rl_tick(&e->relay, now);
     use_core_us(e, TICK_COST_US);
     co_tick(&e->coord, now);
@@ -448,7 +551,12 @@
     struct sim_input *in;
 
     if (!has_processor(e)) {
-        submit_job(e, new_waiter(e, j, NULL));
+        struct sim_waiter *waiter = new_waiter(e, j, NULL);
+
+        if (co_knows_job(&e->coord, j->id) ||
+            (!forward_copy(e, waiter) && !forward_by_wait(e, waiter))) {
+            submit_job(e, waiter);
+        }
         flush(e);
         return;
     }
@@ -466,7 +574,8 @@
     if (waiter == NULL) {
         return; /* not read yet */
     }
-    if (!it_remove(&e->intake, waiter) && !rl_cancel(&e->relay, waiter)) {
+    if (!it_remove(&e->intake, waiter) &&
+        !rl_cancel(&e->relay, sim_now_ms(e->s), waiter)) {
         co_caller_left(&e->coord, sim_now_ms(e->s), waiter);
     }
     free_waiter(e, waiter);
