--- a/admit.c
+++ b/admit.c
@@ -20,7 +20,7 @@
  * vary by less from one to the next. */
 #define LOST_FRACTION 0.9
 /* Least fraction of the cores that drains the work of late jobs.  With 0.2,
- * 0.004 of the jobs of experiments/hard.toml were not in time any more. */
+ * fewer jobs were served in time. */
 #define MIN_DRAIN_FRACTION 0.02
 /* Bounds, in ms, on the retry time, before jitter. */
 #define RETRY_MIN_MS 500.0
--- a/admit.h
+++ b/admit.h
@@ -36,9 +36,9 @@
 #define AM_BUCKETS 21U
 /* Routes with a distribution of their own; further ones share one. */
 #define AM_ROUTES_MAX 256U
-/* Quantile, in permille, of the wait by which a job is refused.  In trials on
- * days 1 to 12 of experiments/hard.toml, 100 left 0.20 of the refusals late,
- * 250 0.14; 500 lowered the worth by 0.012. */
+/* Quantile, in permille, of the wait by which a job is refused.  A lower one
+ * admits jobs that are refused late, a higher one refuses jobs that could have
+ * been served. */
 #define AM_QUANTILE_PERMILLE 250U
 /* Bound on a predicted wait, in ms. */
 #define AM_WAIT_MAX_MS 60000.0
--- a/coshare.c
+++ b/coshare.c
@@ -4,8 +4,7 @@
  *
  * Jobs are placed by objective all the same: shares decide which jobs are
  * refused, and so which work is served.  Placing by shares, too, makes jobs
- * late that could all have been in time (in time 0.920 instead of 0.934 of the
- * requests, 12 days of experiments/hard.toml).
+ * late that could all have been in time.
  */
 #include <stdlib.h>
 #include <utlist.h>
--- a/shares.h
+++ b/shares.h
@@ -18,9 +18,8 @@
  * - The share of a route without waiting jobs goes to the others.
  *
  * Deficits are carried over within an order, not from one order to the next.
- * Carried over by placed work, they help the worst-served route (+0.010, error
- * 0.004, of its value) but refuse more jobs in all (+0.010, error 0.003) and
- * serve fewer in time (-0.008, error 0.002), 36 days of experiments/hard.toml.
+ * Carried over by placed work, they help the worst-served route, but more jobs
+ * are refused in all and fewer served in time.
  * The outcomes of large jobs are kept in memory, and lost with a restart.
  *
  * Source: Shreedhar, Varghese: Efficient Fair Queuing Using Deficit Round
