sim: look up a process by its kind before its index

Cause: sim_entry_by_id() computed the address of entry 71 of 64 for the id of agent 71 and compared only then.

Change: the bit that marks entries is tested first, likewise for agents.

--- a/sim.c
+++ b/sim.c
@@ -137,17 +137,26 @@
 struct sim_entry *
 sim_entry_by_id(struct sim *s, uint64_t id)
 {
-    struct sim_entry *e = &s->entries[id & INDEX_MASK];
+    struct sim_entry *e;
 
-    return (id & SIM_ENTRY_BIT) != 0 && e->id == id ? e : NULL;
+    /* There are more agents than entries: their index may be out of bounds. */
+    if ((id & SIM_ENTRY_BIT) == 0) {
+        return NULL;
+    }
+    e = &s->entries[id & INDEX_MASK];
+    return e->id == id ? e : NULL;
 }
 
 static struct sim_agent *
 agent_by_id(struct sim *s, uint64_t id)
 {
-    struct sim_agent *a = &s->agents[id & INDEX_MASK];
+    struct sim_agent *a;
 
-    return (id & SIM_ENTRY_BIT) == 0 && a->id == id ? a : NULL;
+    if ((id & SIM_ENTRY_BIT) != 0) {
+        return NULL;
+    }
+    a = &s->agents[id & INDEX_MASK];
+    return a->id == id ? a : NULL;
 }
 
 bool
