httpc: count the copies of a request that libcurl sends by itself

A task ran twice on the users' machines, and no log could tell whether its start was sent more than once. libcurl repeats a request on another connection when a reused one breaks before the response begins; the caller sees one call. The result now tells the number of copies, start_failed logs it, and dw_worker_copies and dw_store_copies count them. No decision changes.

--- a/agentd.c
+++ b/agentd.c
@@ -106,9 +106,9 @@
     if (result != RN_START_OK) {
         log_event(LOG_LEVEL_INFO, "start_failed",
             "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
-            " code=%ld ms=%" PRIu64 " lost=%d body=\"%.*s\"",
+            " code=%ld ms=%" PRIu64 " lost=%d sends=%u body=\"%.*s\"",
             c->key.job, c->key.index, c->key.run, d->http_status,
-            proc_now() - c->sent_ms, result == RN_START_LOST,
+            proc_now() - c->sent_ms, result == RN_START_LOST, d->sends,
             (int)num_min(d->body.n, 100), d->body.n > 0 ? d->body.p : "");
     }
     rn_start_answered(&c->ad->agent.runner, proc_now(), &c->key, result,
@@ -462,6 +462,8 @@
         {"dw_supply_sent", ad->agent.supply_sent},
         {"dw_worker_reborn", st->worker_restarts},
         {"dw_worker_speed_permille", ad->agent.runner.speed_permille},
+        {"dw_worker_copies",
+            httpc_copies(ad->http) + httpc_copies(ad->poll_http)},
     };
 
     sv_add_metrics(b, rows, sizeof(rows) / sizeof(rows[0]));
--- a/httpc.c
+++ b/httpc.c
@@ -12,6 +12,7 @@
     ev_timer timer;
     ev_prepare prepare;
     struct httpc_req *reqs;
+    uint64_t copies; /* see httpc_copies() */
 };
 
 struct httpc_req {
@@ -25,7 +26,7 @@
     httpc_before_send_fn before_send;
     httpc_data_fn data;
     void *ctx;
-    bool sent;
+    uint32_t sends; /* copies of the request that were sent */
     char error[CURL_ERROR_SIZE];
     struct httpc_req *prev;
     struct httpc_req *next;
@@ -63,7 +64,7 @@
     if (code == CURLE_OK) {
         return HTTPC_OK;
     }
-    if (!r->sent) {
+    if (r->sends == 0) {
         return HTTPC_NOT_SENT;
     }
     return code == CURLE_OPERATION_TIMEDOUT ? HTTPC_TIMEOUT
@@ -76,6 +77,7 @@
     struct httpc_result result;
 
     result.status = status_of(r, code);
+    result.sends = r->sends;
     result.http_status = 0;
     curl_easy_getinfo(r->easy, CURLINFO_RESPONSE_CODE, &result.http_status);
     result.body = buf_str(&r->in);
@@ -245,7 +247,9 @@
     if (r->before_send != NULL && !r->before_send(r->ctx)) {
         return CURL_PREREQFUNC_ABORT;
     }
-    r->sent = true;
+    if (++r->sends > 1) {
+        r->h->copies++;
+    }
     return CURL_PREREQFUNC_OK;
 }
 
@@ -309,6 +313,12 @@
     return r;
 }
 
+uint64_t
+httpc_copies(const struct httpc *h)
+{
+    return h->copies;
+}
+
 void
 httpc_cancel(struct httpc_req *r)
 {
--- a/httpc.h
+++ b/httpc.h
@@ -30,6 +30,9 @@
     long http_status; /* 0 if there was no response */
     struct str body;
     const char *error; /* libcurl's message, for the log */
+    /* Copies of the request that were sent: libcurl sends another one if a
+     * reused connection breaks before the response begins. */
+    uint32_t sends;
 };
 
 typedef void (*httpc_done_fn)(void *ctx, const struct httpc_result *result);
@@ -62,6 +65,8 @@
 struct httpc_req *httpc_start(struct httpc *h, const struct httpc_call *call);
 /* Cancel a call; done() is not called. */
 void httpc_cancel(struct httpc_req *r);
+/* Copies sent beyond the first of each call, since httpc_new(). */
+uint64_t httpc_copies(const struct httpc *h);
 
 #ifdef __cplusplus
 }
--- a/serve.c
+++ b/serve.c
@@ -449,6 +449,7 @@
         {"dw_store_writes", kv->writes},
         {"dw_store_failures", kv->failures},
         {"dw_store_sent_again", kv->resent},
+        {"dw_store_copies", httpc_copies(s->http)},
         {"dw_log_lines_lost", log_lines_lost()},
     };
     struct buf b = {0};
