httpc: send a call that is not idempotent once

What callers saw: a task ran on two workers at once. The agent of the first had reported its run as not run within 4 ms of its start, so the entry placed the task again.

Cause: libcurl sends a request again by itself, on another connection, when a reused connection breaks before the response begins. Its caller learns only the response to the last copy. An agent took a refusal (409, 429, 503) of the second copy of a start for the worker's refusal of the start, while the first copy ran.

Evidence: Httpc.CallThatChangesStateIsSentOnce, which failed before: three requests arrive instead of two, and the result of the broken call is the 503 of the copy. On the users' machines the mechanism fits the numbers of the runs and the time between them; the record cannot prove it, as it does not tell how often a start was sent.

Fix: on_before_send() runs before each copy is written. Polls and stops may be copied: both take effect once however often they arrive, and any response to them is as good as another.

--- a/agentd.c
+++ b/agentd.c
@@ -45,9 +45,16 @@
     bool immediate; /* an immediate poll; see struct rn_poll */
 };
 
+/* A kind of call to the worker. */
+struct run_call_type {
+    const char *path;
+    bool idempotent; /* see struct httpc_call */
+    httpc_done_fn done;
+};
+
 static struct run_call *
-post(struct agentd *ad, struct httpc *http, const char *path, struct str body,
-    uint32_t timeout_ms, httpc_done_fn done, const struct rn_key *key)
+post(struct agentd *ad, struct httpc *http, const struct run_call_type *type,
+    struct str body, uint32_t timeout_ms, const struct rn_key *key)
 {
     static const char *const headers[] = {
         "Content-Type: application/json", NULL};
@@ -60,14 +67,15 @@
     if (key != NULL) {
         c->key = *key;
     }
-    snprintf(url, sizeof(url), "%s/dunlinweir/%s", ad->url, path);
+    snprintf(url, sizeof(url), "%s/dunlinweir/%s", ad->url, type->path);
     h.method = "POST";
     h.url = url;
     h.headers = headers;
     h.body = body;
     h.timeout_ms = timeout_ms;
     h.connect_timeout_ms = timeout_ms;
-    h.done = done;
+    h.idempotent = type->idempotent;
+    h.done = type->done;
     h.ctx = c;
     httpc_start(http, &h);
     return c;
@@ -116,6 +124,10 @@
     free(c);
 }
 
+/* The worker may refuse a second copy of a start while the first one runs. */
+static const struct run_call_type start_type = {
+    "run-start", false, on_started};
+
 static void
 do_start(void *ctx, const struct rn_run *run, const struct rn_terms *terms)
 {
@@ -123,8 +135,8 @@
     struct buf b = {0};
 
     wire_put_start(&b, run, terms);
-    post(ad, ad->http, "run-start", buf_str(&b), RN_ANSWER_TIMEOUT_MS,
-        on_started, &run->key);
+    post(ad, ad->http, &start_type, buf_str(&b), RN_ANSWER_TIMEOUT_MS,
+        &run->key);
     buf_free(&b);
 }
 
@@ -138,6 +150,8 @@
     free(c);
 }
 
+static const struct run_call_type stop_type = {"run-stop", true, on_stopped};
+
 static void
 do_stop(void *ctx, const struct rn_key *key, const struct rn_terms *terms)
 {
@@ -145,8 +159,7 @@
     struct buf b = {0};
 
     wire_put_stop(&b, key, terms);
-    post(ad, ad->http, "run-stop", buf_str(&b), RN_ANSWER_TIMEOUT_MS,
-        on_stopped, key);
+    post(ad, ad->http, &stop_type, buf_str(&b), RN_ANSWER_TIMEOUT_MS, key);
     buf_free(&b);
 }
 
@@ -169,6 +182,8 @@
     free(c);
 }
 
+static const struct run_call_type poll_type = {"hold", true, on_polled};
+
 static void
 do_poll(void *ctx, const struct rn_poll_request *request,
     const struct rn_terms *terms)
@@ -178,11 +193,11 @@
     struct run_call *c;
 
     wire_put_poll(&b, request, terms);
-    c = post(ad, request->immediate ? ad->http : ad->poll_http, "hold",
+    c = post(ad, request->immediate ? ad->http : ad->poll_http, &poll_type,
         buf_str(&b),
         request->immediate ? RN_ANSWER_TIMEOUT_MS
                            : request->wait_ms + RN_POLL_MARGIN_MS,
-        on_polled, NULL);
+        NULL);
     c->immediate = request->immediate;
     buf_free(&b);
 }
--- a/httpc.c
+++ b/httpc.c
@@ -22,6 +22,7 @@
     struct buf out; /* request body */
     struct buf in;  /* response body */
     size_t body_max;
+    bool idempotent;
     httpc_done_fn done;
     httpc_before_send_fn before_send;
     httpc_data_fn data;
@@ -235,6 +236,9 @@
     return piece.n;
 }
 
+/* libcurl also calls this before it sends another copy of a request whose
+ * connection broke.  The first copy may have been received, and the response
+ * to another one would not tell what became of it. */
 static int
 on_before_send(void *ctx, char *to, char *from, int to_port, int from_port)
 {
@@ -244,6 +248,9 @@
     (void)from;
     (void)to_port;
     (void)from_port;
+    if (r->sends > 0 && !r->idempotent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
     if (r->before_send != NULL && !r->before_send(r->ctx)) {
         return CURL_PREREQFUNC_ABORT;
     }
@@ -291,6 +298,7 @@
     r->before_send = call->before_send;
     r->data = call->data;
     r->ctx = call->ctx;
+    r->idempotent = call->idempotent || strcmp(call->method, "GET") == 0;
     r->body_max = call->body_max > 0 ? call->body_max : DEFAULT_BODY_MAX_BYTES;
     buf_add(&r->out, call->body);
     /* Do not wait for "100 Continue", which many servers never send. */
--- a/httpc.h
+++ b/httpc.h
@@ -30,8 +30,7 @@
     long http_status; /* 0 if there was no response */
     struct str body;
     const char *error; /* libcurl's message, for the log */
-    /* Copies of the request that were sent: libcurl sends another one if a
-     * reused connection breaks before the response begins. */
+    /* Copies of the request that were sent; above 1 only if idempotent. */
     uint32_t sends;
 };
 
@@ -50,6 +49,10 @@
     uint32_t timeout_ms;         /* of the whole call; 0: none */
     uint32_t connect_timeout_ms; /* 0: libcurl's default */
     size_t body_max;             /* of the response in bytes; 0: 8 MB */
+    /* The request may take effect more than once, and the response to any copy
+     * is as good as another: if a connection breaks, a copy may be sent on
+     * another one.  Always so for GET. */
+    bool idempotent;
     httpc_done_fn done;
     httpc_before_send_fn before_send; /* may be NULL */
     httpc_data_fn data;               /* may be NULL */
