platform/kv: a refused copy of a write does not make the write refused

What callers saw: KV_BUSY ("nothing was done") or KV_CONFLICT ("nothing was written") for a write whose first copy may have taken effect.

Cause: a call without response for 300 ms is sent again, up to four times, and the first response counts. A 429, 503 or 412 for one transmission was reported as the status of the call, although it tells nothing about the others. No caller acted on the difference so far: both callers of a write repeat it after any failure, and no write has a condition yet.

--- a/test/http-script.hh
+++ b/test/http-script.hh
@@ -37,6 +37,16 @@
 inline const Step ANSWER_200 = {ANSWER, 200};
 inline const Step ANSWER_503 = {ANSWER, 503};
 
+/* An event loop, to be declared before what uses it. */
+struct Loop {
+    struct ev_loop *loop = ev_loop_new(0);
+
+    ~Loop()
+    {
+        ev_loop_destroy(loop);
+    }
+};
+
 struct Connection {
     struct Server *server;
     int fd;
--- a/test/kv-test.cc
+++ b/test/kv-test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "http-script.hh"
 #include "platform/kv.h"
 #include "ports.hh"
 #include "web.h"
@@ -124,3 +125,92 @@
     ASSERT_EQ(s.statuses.size(), 1u);
     EXPECT_EQ(s.received, 1);
 }
+
+namespace {
+
+/* A client of a scripted server. */
+struct Scripted : http_script::Loop {
+    http_script::Server server;
+    struct httpc *http = httpc_new(loop, 8);
+    std::string url = "http://127.0.0.1:" + std::to_string(server.port);
+    struct kv *kv = kv_new(loop, http, url.c_str(), 1300);
+    std::vector<kv_status> statuses;
+
+    explicit Scripted(const std::vector<http_script::Step> &steps)
+        : server(loop, steps)
+    {
+    }
+    ~Scripted()
+    {
+        kv_free(kv);
+        httpc_free(http);
+    }
+    static void
+    on_answer(void *ctx, const kv_response *r)
+    {
+        Scripted *s = static_cast<Scripted *>(ctx);
+
+        s->statuses.push_back(r->status);
+        ev_break(s->loop, EVBREAK_ALL);
+    }
+    kv_status
+    wait()
+    {
+        ev_run(loop, 0);
+        return statuses.empty() ? KV_UNKNOWN : statuses.back();
+    }
+    kv_status
+    put()
+    {
+        kv_put(kv, "a", STR("b"), 1, on_answer, this);
+        return wait();
+    }
+    kv_status
+    read()
+    {
+        kv_range(kv, "op/", nullptr, on_answer, this);
+        return wait();
+    }
+};
+
+} // namespace
+
+/* Guards against a write that took effect and is reported as refused: the
+ * store received a first copy without responding, or its connection broke, and
+ * the refusal of a later copy was taken for that of the write. */
+TEST(Kv, RefusalOfACopyIsNotARefusalOfTheWrite)
+{
+    using namespace http_script;
+    static const struct {
+        const char *name;
+        std::vector<Step> steps; /* after one answered write */
+        kv_status status;
+    } cases[] = {
+        {"refused", {ANSWER_503}, KV_BUSY},
+        {"over the rate", {{ANSWER, 429}}, KV_BUSY},
+        {"condition fails", {{ANSWER, 412}}, KV_CONFLICT},
+        {"no such lease", {{ANSWER, 404}}, KV_NOT_FOUND},
+        {"no response, resend refused", {{HANG}, ANSWER_503}, KV_UNKNOWN},
+        {"no response, resend over the rate", {{HANG}, {ANSWER, 429}},
+            KV_UNKNOWN},
+        {"no response, condition fails for the resend",
+            {{HANG}, {ANSWER, 412}}, KV_UNKNOWN},
+        {"no response, resend succeeds", {{HANG}, ANSWER_200}, KV_OK},
+        {"reset, copy refused", {{RESET}, ANSWER_503}, KV_UNKNOWN},
+        {"reset, condition fails for the copy", {{RESET}, {ANSWER, 412}},
+            KV_UNKNOWN},
+        {"reset, no new connection", {{RESET_AND_REFUSE}}, KV_UNKNOWN},
+        {"reset, copy succeeds", {{RESET}, ANSWER_200}, KV_OK},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        std::vector<Step> steps = c.steps;
+
+        steps.insert(steps.begin(), ANSWER_200);
+        Scripted s(steps);
+
+        EXPECT_EQ(s.put(), KV_OK);
+        EXPECT_EQ(s.put(), c.status);
+    }
+}
