platform/kv: a response without a revision is not an empty list

What callers saw: none yet; found by reading every call for what an absent answer is taken for. A 200 without a body, or with an object that has neither items nor a revision, was reported as KV_OK with no items. After such a response to the read of all keys, an entry forgets every evacuation and every member.

Cause: the responses to writes have no body that matters, so an empty one was accepted for every call.

Empty lists may still be omitted.

--- a/test/kv-test.cc
+++ b/test/kv-test.cc
@@ -214,3 +214,27 @@
         EXPECT_EQ(s.put(), c.status);
     }
 }
+
+/* Guards against evacuations and members that are all dropped because a
+ * response without content passed for an empty list. */
+TEST(Kv, ResponseWithoutARevisionIsNotAnEmptyList)
+{
+    using namespace http_script;
+    static const struct {
+        const char *body;
+        kv_status status;
+    } cases[] = {
+        {"", KV_UNKNOWN}, {"{}", KV_UNKNOWN}, {"[]", KV_UNKNOWN},
+        {"{\"items\":[]}", KV_UNKNOWN},
+        {"{\"items\":[],\"current_rev\":", KV_UNKNOWN},
+        {"{\"items\":[],\"current_rev\":7}", KV_OK},
+        {"{\"current_rev\":7}", KV_OK}, /* empty lists may be omitted */
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.body);
+        Scripted s({{ANSWER, 200, c.body}});
+
+        EXPECT_EQ(s.read(), c.status);
+    }
+}
