store: a response without a header is none

What callers saw: none yet; found by reading every call for what an absent answer is taken for. A 200 with an empty JSON object was an empty state to read() and check(), and to txn() a comparison that failed, with nothing written.

Cause: the gateway omits empty lists and false values, so their absence is an answer, and nothing else of the response was looked at.

Evidence: Store.ResponseWithoutAHeaderIsNone; four of its eleven cases reported an answer.

Fix: every response of the gateway has a header; without one, reads report STORE_UNREACHABLE and transactions STORE_UNKNOWN. Store.TransactionIsSentOnce shows that a transaction whose connection breaks is STORE_UNKNOWN and was sent once, since calls that are not idempotent are.

--- a/store.c
+++ b/store.c
@@ -55,13 +55,23 @@
     return (uint64_t)json_integer_value(v);
 }
 
+/* NULL if there is none.  Every response of the gateway has a header, whereas
+ * empty lists and false values are omitted: without a header, no response
+ * would pass for an empty state or a failed comparison. */
 static json_t *
 parse_body(const struct httpc_result *result)
 {
+    json_t *o;
+
     if (result->status != HTTPC_OK || result->http_status != 200) {
         return NULL;
     }
-    return json_loadb(result->body.p, result->body.n, 0, NULL);
+    o = json_loadb(result->body.p, result->body.n, 0, NULL);
+    if (!json_is_object(json_object_get(o, "header"))) {
+        json_decref(o);
+        return NULL;
+    }
+    return o;
 }
 
 static bool
