store: reads and watches are declared idempotent

Cause: the gateway takes reads as POST.

Evidence: Store.ReadSurvivesABrokenConnection, which failed before.

Fix: reads and watches change nothing and are declared idempotent. A transaction stays a call that is sent once: it changes the revisions that it compares, so the response to a copy would report a comparison that failed after a write that took effect.

--- a/store.c
+++ b/store.c
@@ -193,9 +193,11 @@
 
 /* --- calls --- */
 
+/* A transaction is not idempotent: it changes the revisions that it compares,
+ * so the response to a copy would be that the comparison failed. */
 static struct httpc_req *
-post(struct etcd *s, const char *path, struct str body, uint32_t timeout_ms,
-    httpc_done_fn done, httpc_data_fn data, void *ctx)
+post(struct etcd *s, const char *path, bool idempotent, struct str body,
+    uint32_t timeout_ms, httpc_done_fn done, httpc_data_fn data, void *ctx)
 {
     static const char *const headers[] = {
         "Content-Type: application/json", NULL};
@@ -210,6 +212,7 @@
     call.timeout_ms = timeout_ms;
     call.connect_timeout_ms = s->timeout_ms;
     call.body_max = 64U << 20;
+    call.idempotent = idempotent;
     call.done = done;
     call.data = data;
     call.ctx = ctx;
@@ -259,8 +262,8 @@
     buf_add(&b, STR("{"));
     add_field(&b, "key", STR(VIEW_LAST));
     buf_add(&b, STR("}"));
-    post(c->s, "/v3/kv/range", buf_str(&b), c->s->timeout_ms, on_check, NULL,
-        c);
+    post(c->s, "/v3/kv/range", true, buf_str(&b), c->s->timeout_ms, on_check,
+        NULL, c);
     buf_free(&b);
 }
 
@@ -275,8 +278,8 @@
     buf_add(&b, STR("{"));
     add_range(&b, prefix);
     buf_add(&b, STR("}"));
-    post(
-        c->s, "/v3/kv/range", buf_str(&b), c->s->timeout_ms, on_read, NULL, c);
+    post(c->s, "/v3/kv/range", true, buf_str(&b), c->s->timeout_ms, on_read,
+        NULL, c);
     buf_free(&b);
 }
 
@@ -327,7 +330,8 @@
     c->txn = fn;
     base->stats.txns++;
     add_txn(&b, t);
-    post(c->s, "/v3/kv/txn", buf_str(&b), c->s->timeout_ms, on_txn, NULL, c);
+    post(c->s, "/v3/kv/txn", false, buf_str(&b), c->s->timeout_ms, on_txn,
+        NULL, c);
     buf_free(&b);
 }
 
@@ -411,8 +415,8 @@
     buf_add(&b, STR("{\"create_request\":{"));
     add_range(&b, s->prefix);
     buf_add(&b, STR("}}"));
-    s->watch =
-        post(s, "/v3/watch", buf_str(&b), 0, on_watch_done, on_watch_data, s);
+    s->watch = post(
+        s, "/v3/watch", true, buf_str(&b), 0, on_watch_done, on_watch_data, s);
     buf_free(&b);
 }
 
--- a/test/store-test.cc
+++ b/test/store-test.cc
@@ -109,6 +109,20 @@
     }
 }
 
+/* Guards against reads that fail whenever the store closes an idle connection
+ * at the moment of its reuse: the copy of the state would count as stale. */
+TEST(Store, ReadSurvivesABrokenConnection)
+{
+    for (Call call : {CHECK, READ}) {
+        SCOPED_TRACE(call);
+        Client s({{ANSWER, 200, EMPTY}, {RESET}, {ANSWER, 200, EMPTY}});
+
+        EXPECT_EQ(s.run(call), STORE_OK);
+        EXPECT_EQ(s.run(call), STORE_OK);
+        EXPECT_EQ(s.server.received, 3u);
+    }
+}
+
 /* Guards against a response without content that passes for an empty state, or
  * for a comparison that failed. */
 TEST(Store, ResponseWithoutAHeaderIsNone)
