job: a result speaks only for its attempt

What callers saw: none seen; found by asking of each answer which attempt it speaks for. A task can run on two hosts at once.

Cause: a host that gives a task back unstarted sends the result until it is acknowledged, every 300 ms. A result did not name its attempt, and the owner matched it by host and task only. If the owner reads two copies of it at once, as after a pause, it places the task again on the first copy; if that is the same host, the second copy counts for the new attempt, and the task is placed a third time while that host runs it. Replies to offers and revokes name the attempt and are not affected.

Evidence: Job.ResultSpeaksForItsAttemptOnly, which failed before: the task at its second attempt went back to waiting. Job.TaskThatMayHaveRunIsNotPlacedAgain passed before and holds the rule that it belongs to.

Fix: a result names its attempt, and the owner ignores one of another attempt. A task is offered again only after its attempt is known not to have started, so no outcome that counts is lost.

--- a/host.c
+++ b/host.c
@@ -359,6 +359,7 @@
 {
     set_run_state(r, state);
     r->outcome.index = r->task.index;
+    r->outcome.attempt = r->attempt;
     r->outcome.state = state;
     r->outcome.code = code;
     r->outcome.ran_ms =
--- a/job.c
+++ b/job.c
@@ -750,13 +750,15 @@
     j->kept_bytes += o->body.dw_bytes_len;
 }
 
+/* Ignores an outcome of an earlier attempt, which a host sends until it is
+ * acknowledged: the current one may run at the same host. */
 static void
 apply_outcome(struct jobs *j, uint64_t now, uint64_t from, struct job *job,
     const dw_outcome *o, struct acts *out)
 {
     struct job_task *t = job_task_at(job, o->index);
 
-    if (t == NULL || t->host != from ||
+    if (t == NULL || t->host != from || t->attempt != o->attempt ||
         !job_state_is_outstanding(t->outcome.state)) {
         j->stats.late_results++;
         return;
--- a/proto.h
+++ b/proto.h
@@ -100,6 +100,7 @@
 
 struct dw_outcome {
 	u_int index;
+	u_int attempt;
 	dw_tstate state;
 	u_int code;
 	u_int ran_ms;
--- a/proto.x
+++ b/proto.x
@@ -88,6 +88,7 @@
 /* State of a task and, once it has ended, its result. */
 struct dw_outcome {
     unsigned int index;
+    unsigned int attempt; /* that ended; only in results */
     dw_tstate state;
     unsigned int code;
     unsigned int ran_ms;
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -82,6 +82,8 @@
 
 	 if (!xdr_u_int (xdrs, &objp->index))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->attempt))
+		 return FALSE;
 	 if (!xdr_dw_tstate (xdrs, &objp->state))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->code))
