job: an attempt that was given back does not speak for the task

What callers saw: none seen. After the loss of a job's owner, the answer could say "not_started" for a task that ran.

Cause: a new owner builds the job's record from the start records of the hosts. The record of a host that gave the task back, as on a move, says NOT_STARTED for its attempt, and this became the state of the task. A later attempt that still ran elsewhere was left out, and its outcome was then ignored, as the task counted as ended. If it ran at the host of the owner itself, its record is lost with the owner, so one lost process is enough.

Fix: only records and results of attempts that started count for the task, which starts at most once; all else is DW_T_UNKNOWN. The price: a task of a lost owner that certainly never ran is now reported as unknown too, because no set of records proves it.

--- a/job.c
+++ b/job.c
@@ -773,14 +773,15 @@
     }
 }
 
-/* An outcome that arrives for a job known from start records only. */
+/* An outcome that arrives for a job known from start records only; see
+ * jobs_restore_record(). */
 static void
 amend_recovered(struct job *job, const dw_outcome *o)
 {
     struct job_task *t = job_task_at(job, o->index);
 
     if (t != NULL && job->state == DW_A_FAILED &&
-        t->outcome.state == DW_T_UNKNOWN) {
+        t->outcome.state == DW_T_UNKNOWN && o->state != DW_T_NOT_STARTED) {
         t->outcome.state = o->state;
         t->outcome.code = o->code;
         t->outcome.ran_ms = o->ran_ms;
--- a/jobhandover.c
+++ b/jobhandover.c
@@ -70,11 +70,11 @@
         const dw_mark *m = &rec->marks.marks_val[i];
         struct job_task *t = job_task_at(job, m->index);
 
-        /* A running task's outcome is not known yet; see
-         * amend_recovered(). */
-        if (t != NULL && m->attempt >= t->attempt &&
-            job_state_is_final(m->state)) {
-            t->attempt = m->attempt;
+        /* A running task's outcome is not known yet; see amend_recovered().
+         * NOT_STARTED speaks for one attempt: another host may have started a
+         * later one, and its records may be lost with the owner. */
+        if (t != NULL && job_state_is_final(m->state) &&
+            m->state != DW_T_NOT_STARTED) {
             t->outcome.state = m->state;
         }
     }
--- a/test/job-test.cc
+++ b/test/job-test.cc
@@ -90,6 +90,19 @@
         r.tasks.tasks_val = &o;
         jobs_result(jobs.get(), NOW, HOST, &r, &out);
     }
+    void
+    record(uint32_t attempt, dw_tstate state)
+    {
+        dw_record r = {};
+        dw_mark m = {0, attempt, state};
+
+        r.customer = bytes(STR("c"));
+        r.key = bytes(STR("k"));
+        r.count = 1;
+        r.marks.marks_len = 1;
+        r.marks.marks_val = &m;
+        jobs_restore_record(jobs.get(), NOW, &r);
+    }
     const struct job *
     job()
     {
@@ -156,3 +169,49 @@
         EXPECT_EQ(o.jobs->stats.offers, 0u);
     }
 }
+
+/* Guards against "not started" in the answer for a task that ran: its record
+ * of the attempt that a host gave back was taken for that of the task, while
+ * another host runs the task or its records are lost with the owner. */
+TEST(Job, AttemptGivenBackDoesNotSpeakForTheTask)
+{
+    static const struct {
+        const char *name;
+        struct {
+            uint32_t attempt;
+            dw_tstate state;
+        } records[2];
+        dw_tstate result; /* of attempt 2, afterwards; WAITING: none */
+        dw_tstate state;
+    } cases[] = {
+        {"given back", {{1, DW_T_NOT_STARTED}, {1, DW_T_NOT_STARTED}},
+            DW_T_WAITING, DW_T_UNKNOWN},
+        {"then running", {{1, DW_T_NOT_STARTED}, {2, DW_T_RUNNING}},
+            DW_T_WAITING, DW_T_UNKNOWN},
+        {"then running, other order",
+            {{2, DW_T_RUNNING}, {1, DW_T_NOT_STARTED}}, DW_T_WAITING,
+            DW_T_UNKNOWN},
+        {"then done", {{1, DW_T_NOT_STARTED}, {2, DW_T_DONE}}, DW_T_WAITING,
+            DW_T_DONE},
+        {"then done, other order", {{2, DW_T_DONE}, {1, DW_T_NOT_STARTED}},
+            DW_T_WAITING, DW_T_DONE},
+        {"then running, done later",
+            {{1, DW_T_NOT_STARTED}, {2, DW_T_RUNNING}}, DW_T_DONE, DW_T_DONE},
+        {"then running, given back later",
+            {{1, DW_T_NOT_STARTED}, {2, DW_T_RUNNING}}, DW_T_NOT_STARTED,
+            DW_T_UNKNOWN},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        Owner o;
+
+        for (const auto &r : c.records) {
+            o.record(r.attempt, r.state);
+        }
+        if (c.result != DW_T_WAITING) {
+            o.result(2, c.result);
+        }
+        EXPECT_EQ(o.state(), c.state);
+    }
+}
