backend, dwload: tasks are sent once, repeatable calls are idempotent

The host sends a stop only once, so the task runs on until its deadline.

Cause: stops and renewals are POST.

Evidence: Backend.StopSurvivesABrokenConnection, which failed before.

Fix: calls to the worker, and those of dwload (a job under its key, values that are set), are declared idempotent. A run is not: sent once, its broken connection gives DW_T_UNKNOWN, which fails the job and is never placed again (Job.TaskThatMayHaveRunIsNotPlacedAgain).

--- a/Makefile
+++ b/Makefile
@@ -62,10 +62,10 @@
 TESTS = unit-test work-test link-test quota-test path-test member-test matrix-test \
 	property-test fleet world serve-test wire-test route-test sess-test runner-test agent-test \
 	coord-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
-	httpc-test store-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test
+	httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/web.o \
-	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(B)/store.o $(SIM_PARTS)
+	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(B)/store.o $(B)/backend.o $(SIM_PARTS)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lgsl -lgslcblas -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
 
--- a/backend.c
+++ b/backend.c
@@ -155,6 +155,8 @@
     call.url = url;
     call.body = body;
     call.timeout_ms = b->cfg.timeout_ms;
+    /* Renewals, stops and reads of the usage from a cursor. */
+    call.idempotent = true;
     call.done = done;
     call.ctx = b;
     httpc_start(b->http, &call);
--- a/dwload.c
+++ b/dwload.c
@@ -316,6 +316,8 @@
     call.headers = headers;
     call.body = body;
     call.timeout_ms = l->x->deadline_ms + 30000;
+    /* Whatever is sent again under its key remains one job. */
+    call.idempotent = true;
     call.done = done;
     call.ctx = ctx;
     httpc_start(l->http, &call);
@@ -386,6 +388,7 @@
     call.headers = headers;
     call.body = in ? STR("{\"in\":true}") : STR("{\"in\":false}");
     call.timeout_ms = 20000;
+    call.idempotent = true; /* sets a value */
     call.done = ignore_reply;
     call.ctx = l;
     l->pending++;
@@ -403,6 +406,7 @@
     call.url = url;
     call.body = STR("");
     call.timeout_ms = 5000;
+    call.idempotent = true; /* sets switches */
     call.done = ignore_reply;
     call.ctx = l;
     l->pending++;
--- a/test/fake-backend.c
+++ b/test/fake-backend.c
@@ -380,6 +380,7 @@
     call.url = url.p;
     call.body = buf_str(&body);
     call.timeout_ms = 2000;
+    call.idempotent = true; /* states what is so */
     call.done = ignore_reply;
     httpc_start(http, &call);
     buf_free(&url);
