web-test: only a complete request is handled, and once

Guards the server side of requests that are sent again: a request that was cut off in its header, its body or its last chunk is not passed to the handler, and none is passed twice. No fault was found.

--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -15,6 +15,7 @@
     struct ::web *w = nullptr;
     web_req *held_request = nullptr;
     int disconnects = 0;
+    int handled = 0; /* requests passed to the handler */
     uint16_t port = free_port();
 
     void
@@ -40,6 +41,7 @@
     static void
     on_request(void *ctx, web_req *r)
     {
+        static_cast<Web *>(ctx)->handled++;
         if (strcmp(web_path(r), "/hold") == 0) {
             static_cast<Web *>(ctx)->held_request = r;
             return;
@@ -160,3 +162,55 @@
     close(idle);
     close(busy);
 }
+
+/* Guards against a request that is acted upon although only part of it was
+ * received, or that is passed to the handler twice. */
+TEST_F(Web, OnlyACompleteRequestIsHandledAndOnce)
+{
+    static const struct {
+        const char *name;
+        const char *text; /* the connection is closed after it */
+        int handled;
+    } cases[] = {
+        {"part of the header", "POST / HTTP/1.1\r\nHost: x\r\n", 0},
+        {"no body", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n",
+            0},
+        {"part of the body",
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabc", 0},
+        {"complete",
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nabcd", 1},
+        {"chunks without their end",
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nabcd\r\n",
+            0},
+        {"part of a chunk",
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nab",
+            0},
+        {"chunks",
+            "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "4\r\nabcd\r\n0\r\n\r\n",
+            1},
+        {"two at once, the second in part",
+            "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\n", 1},
+        {"two at once",
+            "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: "
+            "x\r\n\r\n",
+            2},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        int fd = connect_server();
+
+        handled = 0;
+        EXPECT_EQ(write(fd, c.text, strlen(c.text)), (ssize_t)strlen(c.text));
+        /* All of it is read before the end, unless it is incomplete. */
+        until([&] { return web_open_requests(w) > 0 || handled > 0; });
+        shutdown(fd, SHUT_WR);
+        EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+        read_until(fd, "no such text");
+        EXPECT_EQ(handled, c.handled);
+        close(fd);
+    }
+}
