test: faults after which tasks are placed again

The test cluster had no refused connections while the process lives, no doubled or late messages, no lost stops, no callers whose connections break and no differing clocks. again-test draws from tables of these faults.

--- /dev/null
+++ b/test/again-test.cc
@@ -0,0 +1,153 @@
+/*
+ * Faults after which an entry places tasks again, or a caller sends a job
+ * again, while an earlier run may be at work.  No task may run twice at a
+ * time, and "not run" must be true.
+ */
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+
+#include "world.hh"
+
+namespace {
+
+constexpr size_t ENTRIES = 3;
+constexpr size_t AGENTS = 4;
+
+void
+for_a_while(World &w, double FakeWorker::*share, double value, uint64_t ms)
+{
+    for (auto &f : w.workers) {
+        (*f).*share = value;
+    }
+    w.after(ms, [&w, share] {
+        for (auto &f : w.workers) {
+            (*f).*share = 0;
+        }
+    });
+}
+
+size_t
+some(World &w, size_t n)
+{
+    return w.rng() % n;
+}
+
+void
+refused_while_alive(World &w)
+{
+    w.refuse_connection(some(w, ENTRIES), some(w, AGENTS));
+}
+
+/* Messages are lost for longer or shorter than the lease. */
+void
+sessions_reopen(World &w)
+{
+    w.cut(some(w, ENTRIES), some(w, AGENTS), w.rng() % 2, w.rng() % 2,
+        w.rng() % (2 * SESS_LEASE_MS));
+}
+
+void
+entry_pauses(World &w)
+{
+    w.freeze_entry(some(w, ENTRIES), 50 + w.rng() % 1200);
+}
+
+void
+stops_lost(World &w)
+{
+    for_a_while(w, &FakeWorker::lost_stop_share, 0.5 + 0.5 * w.chance(), 600);
+}
+
+void
+starts_refused(World &w)
+{
+    for_a_while(w, &FakeWorker::refusal_share, 0.5 * w.chance(), 600);
+}
+
+void
+messages_doubled_and_late(World &w)
+{
+    w.doubled_messages = 0.2;
+    w.late_messages = 0.1;
+    w.after(900, [&w] { w.doubled_messages = w.late_messages = 0; });
+}
+
+void
+callers_send_again(World &w)
+{
+    w.break_callers(some(w, ENTRIES), 1300);
+}
+
+struct AgainCase {
+    const char *name;
+    std::vector<void (*)(World &)> faults;
+};
+
+const AgainCase cases[] = {
+    {"connection_refused_by_a_live_agent", {refused_while_alive}},
+    {"sessions_reopen", {sessions_reopen, stops_lost}},
+    {"entry_pauses", {entry_pauses}},
+    {"starts_refused", {starts_refused, sessions_reopen}},
+    {"messages_doubled_and_late", {messages_doubled_and_late}},
+    {"callers_send_again", {callers_send_again, sessions_reopen}},
+};
+
+std::string
+name_of(const testing::TestParamInfo<AgainCase> &i)
+{
+    return i.param.name;
+}
+
+/* Keeps the bytes of the table out of the list of tests. */
+void
+PrintTo(const AgainCase &c, std::ostream *os)
+{
+    *os << c.name;
+}
+
+uint64_t
+seed_count()
+{
+    const char *count = getenv("DW_SEEDS");
+
+    return count != nullptr ? strtoull(count, nullptr, 10) : 30;
+}
+
+std::string
+first_violation(const World &w)
+{
+    return w.violations.empty() ? "" : w.violations[0];
+}
+
+} // namespace
+
+class Again : public testing::TestWithParam<AgainCase> {};
+
+/* Guards against a task that runs twice at a time because an earlier run of it
+ * was taken for over.  The clocks of the entries differ by seconds. */
+TEST_P(Again, NoTaskRunsTwice)
+{
+    const AgainCase &c = GetParam();
+
+    for (uint64_t seed = 1; seed <= seed_count(); seed++) {
+        World w(seed, ENTRIES, AGENTS);
+
+        for (size_t i = 0; i < ENTRIES; i++) {
+            w.entries[i]->wall_offset_ms = i * 3000;
+        }
+        for (uint64_t t = 0; t < 9000; t += 60) {
+            w.after(t, [&w] { w.submit(3, 700); });
+        }
+        w.run(500);
+        for (int k = 0; k < 12; k++) {
+            w.run(100 + w.rng() % 900);
+            c.faults[w.rng() % c.faults.size()](w);
+            c.faults[w.rng() % c.faults.size()](w);
+        }
+        w.run(4000);
+        EXPECT_EQ(first_violation(w), "") << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Served, Again, testing::ValuesIn(cases), name_of);
--- a/test/world.cc
+++ b/test/world.cc
@@ -16,6 +16,10 @@
 constexpr uint64_t RESEND_MS = 1300;
 /* Delay of a late report: several later ones arrive before it. */
 constexpr uint64_t LATE_WAITS_MS = 300;
+/* Longest extra delay of a message. */
+constexpr uint64_t LATE_MESSAGE_MS = 800;
+/* A daemon that stood still for longer expires leases before it reads. */
+constexpr uint64_t PAUSE_MS = 300;
 
 std::string
 task_of(const rn_key &key)
@@ -103,6 +107,12 @@
     uint64_t id = a->id;
     bool late = w->chance() < f->late_order_share;
 
+    if (f->lost_stop_share > 0 && w->chance() < f->lost_stop_share) {
+        to_agent(a, id, RN_ANSWER_TIMEOUT_MS, [a, key] {
+            rn_stop_answered(&a->agent_state.runner, a->w->now, &key, false);
+        });
+        return;
+    }
     w->after(late ? 2000 + w->rng() % 10000 : CALL_MS, [=] {
         bool up = f->up;
 
@@ -625,50 +635,60 @@
         return;
     }
     std::shared_ptr<dw_msg> copy(msg_clone(m), msg_free);
-    after(MESSAGE_MS, [this, from, to, copy] {
-        for (auto &e : entries) {
-            FakeEntry *p = e.get();
-            if (p->up && p->id == to && copy->type == DW_REPORT) {
-                on_entry(p, [this, p, from, copy] {
-                    co_report(
-                        &p->coord_state, now, from, &copy->dw_msg_u.report);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_SUPPLY) {
-                on_entry(p, [this, p, from, copy] {
-                    dm_handle_supply(
-                        &p->coord_state, now, from, &copy->dw_msg_u.supply);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_RELAY) {
-                on_entry(p, [this, p, from, copy] {
-                    rl_receive_requests(
-                        &p->relay_state, now, from, &copy->dw_msg_u.relay);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_RELAYED) {
-                on_entry(p, [this, p, from, copy] {
-                    rl_receive_replies(
-                        &p->relay_state, now, from, &copy->dw_msg_u.relayed);
-                });
-            }
+    int copies = doubled_messages > 0 && chance() < doubled_messages ? 2 : 1;
+
+    for (int i = 0; i < copies; i++) {
+        bool late = late_messages > 0 && chance() < late_messages;
+
+        after(MESSAGE_MS + (late ? rng() % LATE_MESSAGE_MS : 0),
+            [this, from, to, copy] { deliver_copy(from, to, copy); });
+    }
+}
+
+void
+World::deliver_copy(uint64_t from, uint64_t to, std::shared_ptr<dw_msg> copy)
+{
+    for (auto &e : entries) {
+        FakeEntry *p = e.get();
+        if (p->up && p->id == to && copy->type == DW_REPORT) {
+            on_entry(p, [this, p, from, copy] {
+                co_report(&p->coord_state, now, from, &copy->dw_msg_u.report);
+            });
         }
-        for (auto &a : agents) {
-            FakeAgent *p = a.get();
-            if (p->up && p->id == to && copy->type == DW_ORDERS) {
-                on_agent(p, [this, p, from, copy] {
-                    ag_handle_orders(
-                        &p->agent_state, now, from, &copy->dw_msg_u.orders);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_DEMAND) {
-                on_agent(p, [this, p, from, copy] {
-                    ag_handle_demand(
-                        &p->agent_state, now, from, &copy->dw_msg_u.demand);
-                });
-            }
+        else if (p->up && p->id == to && copy->type == DW_SUPPLY) {
+            on_entry(p, [this, p, from, copy] {
+                dm_handle_supply(
+                    &p->coord_state, now, from, &copy->dw_msg_u.supply);
+            });
         }
-    });
+        else if (p->up && p->id == to && copy->type == DW_RELAY) {
+            on_entry(p, [this, p, from, copy] {
+                rl_receive_requests(
+                    &p->relay_state, now, from, &copy->dw_msg_u.relay);
+            });
+        }
+        else if (p->up && p->id == to && copy->type == DW_RELAYED) {
+            on_entry(p, [this, p, from, copy] {
+                rl_receive_replies(
+                    &p->relay_state, now, from, &copy->dw_msg_u.relayed);
+            });
+        }
+    }
+    for (auto &a : agents) {
+        FakeAgent *p = a.get();
+        if (p->up && p->id == to && copy->type == DW_ORDERS) {
+            on_agent(p, [this, p, from, copy] {
+                ag_handle_orders(
+                    &p->agent_state, now, from, &copy->dw_msg_u.orders);
+            });
+        }
+        else if (p->up && p->id == to && copy->type == DW_DEMAND) {
+            on_agent(p, [this, p, from, copy] {
+                ag_handle_demand(
+                    &p->agent_state, now, from, &copy->dw_msg_u.demand);
+            });
+        }
+    }
 }
 
 void
@@ -694,6 +714,45 @@
     });
 }
 
+void
+World::refuse_connection(size_t entry, size_t agent)
+{
+    FakeEntry *e = entries[entry].get();
+    uint64_t id = agents[agent]->id;
+
+    trace("entry %zu: connection to agent %zu refused", entry, agent);
+    on_entry(e, [this, e, id] {
+        if (e->up) {
+            co_agent_dead(&e->coord_state, now, id);
+        }
+    });
+}
+
+void
+World::break_callers(size_t entry, uint64_t resend_ms)
+{
+    FakeEntry *e = entries[entry].get();
+
+    trace("entry %zu: callers' connections break", entry);
+    for (auto &p : calls) {
+        Call *c = p.second.get();
+        uint64_t id = e->id;
+
+        if (!c->awaiting_answer || c->entry_id != id) {
+            continue;
+        }
+        FakeWaiter *waiter = c->waiter;
+        c->waiter = nullptr;
+        c->awaiting_answer = false;
+        if (waiter != nullptr) {
+            on_entry(e, [this, e, waiter] { caller_left(e, waiter); });
+        }
+        if (now + resend_ms < c->deadline) {
+            after(resend_ms, [this, c] { send_call(c); });
+        }
+    }
+}
+
 void
 World::drop_entry_messages(size_t from, size_t to, uint64_t for_ms)
 {
@@ -809,17 +868,20 @@
         return;
     }
     a->frozen_until = now + for_ms;
-    after(for_ms, [this, a, id] {
+    after(for_ms, [this, a, id, for_ms] {
         if (!a->up || a->id != id) {
             return;
         }
         a->frozen_until = 0;
-        ag_tick(&a->agent_state, now);
+        if (for_ms > PAUSE_MS) {
+            ag_tick(&a->agent_state, now);
+        }
         auto unread = std::move(a->unread);
         a->unread.clear();
         for (auto &fn : unread) {
             fn();
         }
+        ag_tick(&a->agent_state, now);
         ag_flush(&a->agent_state, now);
     });
 }
@@ -962,6 +1024,9 @@
         *result = RN_START_FENCED;
         return false;
     }
+    if (w.refusal_share > 0 && chance() < w.refusal_share) {
+        return false;
+    }
     if (terms.lease_until_ms < worker_clock(w)) {
         return false; /* the lease of the order has expired */
     }
@@ -1106,9 +1171,8 @@
         c->awaiting_answer = false;
         if (e->up && e->id == id) {
             on_entry(e, [this, e, c] {
-                if (c->waiter != nullptr &&
-                    !rl_cancel(&e->relay_state, now, c->waiter)) {
-                    co_caller_left(&e->coord_state, now, c->waiter);
+                if (c->waiter != nullptr) {
+                    caller_left(e, c->waiter);
                 }
                 c->waiter = nullptr;
             });
@@ -1116,6 +1180,14 @@
     });
 }
 
+void
+World::caller_left(FakeEntry *e, FakeWaiter *waiter)
+{
+    if (e->up && !rl_cancel(&e->relay_state, now, waiter)) {
+        co_caller_left(&e->coord_state, now, waiter);
+    }
+}
+
 /* Freed with the world: an entry that dies does not free its waiters. */
 FakeWaiter *
 World::new_waiter(Call *c, rl_accepted *forwarded)
@@ -1132,7 +1204,7 @@
     struct co_submit s = {};
 
     s.id = c->id;
-    s.wall_ms = now;
+    s.wall_ms = now + e->wall_offset_ms;
     s.spec = STR("spec");
     s.service = "s";
     s.max_attempts = 3;
--- a/test/world.hh
+++ b/test/world.hh
@@ -50,6 +50,10 @@
     /* Share of orders that are carried out at once, but their answer is lost.
      */
     double lost_answer_share = 0;
+    /* Share of stops that get lost. */
+    double lost_stop_share = 0;
+    /* Share of starts that are refused, as by an unhealthy worker. */
+    double refusal_share = 0;
     double slowdown = 1; /* tasks take this many times as long */
     bool fails_all = false;
     bool hangs = false;
@@ -77,6 +81,7 @@
     uint64_t id = 0;
     bool up = false;
     uint64_t frozen_until = 0;
+    uint64_t wall_offset_ms = 0; /* its time of day is later by this much */
     coord coord_state;
     relay relay_state;
     std::vector<std::function<void()>> unread;
@@ -127,6 +132,11 @@
     /* The machine loses power: unlike after a kill, no connection to it is
      * refused, so that peers have to notice its silence. */
     void power_off_entry(size_t i, uint64_t for_ms);
+    /* Resets a connection attempt of the entry to an agent that is alive. */
+    void refuse_connection(size_t entry, size_t agent);
+    /* Breaks the connections of callers that wait at an entry; they send again
+     * after resend_ms, to any entry. */
+    void break_callers(size_t entry, uint64_t resend_ms);
     void crash_worker(size_t i, uint64_t for_ms);
     /* A planned stop: the worker drains, then restarts. */
     void drain_worker(size_t i);
@@ -151,6 +161,10 @@
     double lost_waits = 0;
     double doubled_waits = 0;
     double late_waits = 0;
+    /* Shares of the other messages that are doubled, or late by up to
+     * LATE_MESSAGE_MS. */
+    double doubled_messages = 0;
+    double late_messages = 0;
 
     sc_settings settings; /* of all entries */
     uint64_t now = 1000;
@@ -191,6 +205,9 @@
     bool forward_by_wait(FakeEntry *e, Call *c);
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
+    void deliver_copy(
+        uint64_t from, uint64_t to, std::shared_ptr<dw_msg> copy);
+    void caller_left(FakeEntry *e, FakeWaiter *waiter);
     void stop_entry(size_t i, uint64_t for_ms, bool power_loss);
     FakeWaiter *new_waiter(Call *c, rl_accepted *forwarded);
     void submit_at(FakeEntry *e, Call *c, FakeWaiter *waiter);
