agent: count the time to stop runs from the end of the session's lease

Seen: after the session of an entry had run out, the agent renewed the worker's lease for up to 300 ms longer than the entry counts on, if its stops got lost. The entry had placed the task again by then, so it ran twice. Cause: the agent counted RN_STOP_LIMIT_MS from the tick that noticed the end, which a pause of the process delays (up to SESS_LEASE_MS; a late tick by 20 ms), and renewed once more before that tick. Now the limit counts from the end of the lease, and nothing is renewed while a session is over for longer and has not been ended yet.

--- a/agent.c
+++ b/agent.c
@@ -239,15 +239,41 @@
     a->ops->worker.poll(a->ctx, request, terms);
 }
 
+/* The latest time at which the entry was certainly alive. */
+static uint64_t
+last_alive(const struct ag_entry *e)
+{
+    return e->sess.own_clock_echo_ms != 0 ? e->sess.own_clock_echo_ms
+                                          : e->opened_ms;
+}
+
+static bool
+sessions_checked(void *ctx, uint64_t now)
+{
+    const struct agent *a = ctx;
+    const struct ag_entry *e;
+
+    for (e = a->entries; e != NULL; e = e->hh.next) {
+        if (e->open &&
+            now - last_alive(e) > SESS_LEASE_MS + RN_STOP_LIMIT_MS) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static const struct rn_ops worker_ops = {
-    worker_start, worker_stop, worker_poll, collect_outcome};
+    worker_start, worker_stop, worker_poll, collect_outcome, sessions_checked};
 
 /* --- sessions --- */
 
+/* The entry counts from the end of the lease, also if this process stood still
+ * then and notices it later. */
 static void
 end_session(struct agent *a, uint64_t now, struct ag_entry *e)
 {
     uint64_t number = e->sess.number;
+    uint64_t over_ms = num_min(now, last_alive(e) + SESS_LEASE_MS);
 
     if (e->open) {
         a->open_count--;
@@ -258,7 +284,7 @@
     msg_free(e->batch);
     e->batch = NULL;
     sess_end(&e->sess);
-    rn_session_ended(&a->runner, now, number);
+    rn_session_ended(&a->runner, now, number, over_ms);
 }
 
 static void
@@ -347,14 +373,6 @@
     }
 }
 
-/* The latest time at which the entry was certainly alive. */
-static uint64_t
-last_alive(const struct ag_entry *e)
-{
-    return e->sess.own_clock_echo_ms != 0 ? e->sess.own_clock_echo_ms
-                                          : e->opened_ms;
-}
-
 static void
 check_entry(struct agent *a, uint64_t now, struct ag_entry *e)
 {
--- a/agent.h
+++ b/agent.h
@@ -71,7 +71,8 @@
 
 /* Carries out what the agent decides. */
 struct ag_ops {
-    struct rn_ops worker; /* requests to the worker; `ended` is not called */
+    /* Requests to the worker; the other functions are not called. */
+    struct rn_ops worker;
     /* Sends msg to an entry; it may be lost.  The agent keeps owning msg. */
     void (*send)(void *ctx, uint64_t to, const dw_msg *msg);
     /* Opens a new connection to an entry whose session expired in silence. */
--- a/agentd.c
+++ b/agentd.c
@@ -251,7 +251,7 @@
         entry, silent_ms);
 }
 
-static const struct ag_ops ag_ops = {{do_start, do_stop, do_poll, NULL},
+static const struct ag_ops ag_ops = {{do_start, do_stop, do_poll, NULL, NULL},
     do_send, do_reconnect, log_run_end, log_session};
 
 static void
--- a/runner.c
+++ b/runner.c
@@ -188,7 +188,8 @@
             return false;
         }
     }
-    return r->worker_clock_ms != 0 && r->polls_failed == 0;
+    return r->worker_clock_ms != 0 && r->polls_failed == 0 &&
+           r->ops->sessions_checked(r->ctx, now);
 }
 
 static void
@@ -397,7 +398,8 @@
 }
 
 void
-rn_session_ended(struct runner *r, uint64_t now, uint64_t session)
+rn_session_ended(
+    struct runner *r, uint64_t now, uint64_t session, uint64_t over_ms)
 {
     struct rn_run *run;
     struct rn_run *tmp;
@@ -412,7 +414,7 @@
         }
         if (!run->session_ended) {
             run->session_ended = true;
-            run->session_ended_ms = now;
+            run->session_ended_ms = over_ms;
             stop_run(r, now, run);
         }
     }
--- a/runner.h
+++ b/runner.h
@@ -109,7 +109,7 @@
     /* A poll sent after this time decides whether the run exists; UINT64_MAX
      * while a stop has not been answered. */
     uint64_t conclusive_ms;
-    uint64_t session_ended_ms; /* when its session ended */
+    uint64_t session_ended_ms; /* when its session was over */
     uint64_t started_ms;       /* when its start was sent; 0: not confirmed */
     uint32_t progress_percent; /* as the worker last reported */
     uint64_t progress_ms;      /* when that report arrived */
@@ -182,6 +182,9 @@
      * confirmed. */
     void (*ended)(
         void *ctx, const struct rn_run *r, dw_end outcome, uint32_t ran_ms);
+    /* False if a session has been over for RN_STOP_LIMIT_MS and
+     * rn_session_ended() has not been called yet, as after a pause. */
+    bool (*sessions_checked)(void *ctx, uint64_t now);
 };
 
 /* Counters since rn_init(). */
@@ -254,8 +257,10 @@
     const dw_run_group *group, const dw_run *order);
 /* Stops a run, if it is known here. */
 void rn_stop(struct runner *r, uint64_t now, const dw_run_ref *ref);
-/* Stops all runs of a session; queued ones are dropped without a report. */
-void rn_session_ended(struct runner *r, uint64_t now, uint64_t session);
+/* Stops all runs of a session, which was over at over_ms, at the latest now;
+ * queued ones are dropped without a report. */
+void rn_session_ended(
+    struct runner *r, uint64_t now, uint64_t session, uint64_t over_ms);
 
 /* Reports of the worker. */
 /* Capacity announced by the worker, total or free: the largest values of an
--- a/simworker.c
+++ b/simworker.c
@@ -515,7 +515,7 @@
         s, (request->wait_ms + RN_POLL_MARGIN_MS) * 1000ULL, poll_done, c);
 }
 
-const struct rn_ops sim_worker_ops = {do_start, do_stop, do_poll, NULL};
+const struct rn_ops sim_worker_ops = {do_start, do_stop, do_poll, NULL, NULL};
 
 /* --- start and crash --- */
 
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -39,6 +39,17 @@
     w.refuse_connection(some(w, ENTRIES), some(w, AGENTS));
 }
 
+/* The lease of a session ends while its agent stands still. */
+void
+agent_pauses_at_the_lease(World &w)
+{
+    size_t a = some(w, AGENTS);
+
+    w.cut(some(w, ENTRIES), a, true, true, 300 + w.rng() % 1500);
+    w.after(100 + w.rng() % SESS_LEASE_MS,
+        [&w, a] { w.freeze_agent(a, 50 + w.rng() % 300); });
+}
+
 /* Messages are lost for longer or shorter than the lease. */
 void
 sessions_reopen(World &w)
@@ -86,6 +97,7 @@
 
 const AgainCase cases[] = {
     {"connection_refused_by_a_live_agent", {refused_while_alive}},
+    {"agent_pauses_at_the_lease", {agent_pauses_at_the_lease, stops_lost}},
     {"sessions_reopen", {sessions_reopen, stops_lost}},
     {"entry_pauses", {entry_pauses}},
     {"starts_refused", {starts_refused, sessions_reopen}},
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -1,6 +1,7 @@
 /* Entries' sessions with one agent. */
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstring>
 #include <map>
 #include <string>
@@ -20,11 +21,6 @@
 {
 }
 
-void
-no_poll(void *, const rn_poll_request *, const rn_terms *)
-{
-}
-
 /* Reports sent, and the free capacity last reported to each entry. */
 struct Recorder {
     size_t sent = 0;
@@ -32,8 +28,17 @@
     /* Held, entries, waiting and the first row's millicores of the last
      * DW_SUPPLY. */
     std::map<uint64_t, std::vector<uint32_t>> supplied;
+    uint64_t lease_until_ms = 0; /* latest end that a poll asked for */
 };
 
+void
+record_poll(void *ctx, const rn_poll_request *, const rn_terms *t)
+{
+    Recorder *r = static_cast<Recorder *>(ctx);
+
+    r->lease_until_ms = std::max(r->lease_until_ms, t->lease_until_ms);
+}
+
 void
 record_sent(void *ctx, uint64_t to, const dw_msg *m)
 {
@@ -65,8 +70,8 @@
 {
 }
 
-const ag_ops ops = {{no_start, no_stop, no_poll, nullptr}, record_sent,
-    no_reconnect, no_run_ended, no_session_event};
+const ag_ops ops = {{no_start, no_stop, record_poll, nullptr, nullptr},
+    record_sent, no_reconnect, no_run_ended, no_session_event};
 
 struct Sessions {
     agent a;
@@ -121,6 +126,42 @@
         a.runner.used_millicores = 10000 - free_millicores;
         a.runner.capacity_changed_ms = now;
     }
+    /* The entry orders task 0 of a job, the first message of its session. */
+    void
+    order(uint64_t entry, uint64_t job)
+    {
+        char spec[] = "spec";
+        dw_run run = {};
+        dw_run_group group = {};
+        dw_orders o = {};
+
+        run.run = 1;
+        run.millicores = 1000;
+        run.wait_ms = 40;
+        group.job = job;
+        group.spec.dw_bytes_val = spec;
+        group.runs.runs_len = 1;
+        group.runs.runs_val = &run;
+        o.head = {7, now, now, 1, 0};
+        o.groups.groups_len = 1;
+        o.groups.groups_val = &group;
+        ag_handle_orders(&a, now, entry, &o);
+    }
+    /* The worker, whose clock is the agent's, shows the job's task running. */
+    void
+    poll_shows(uint64_t job)
+    {
+        rn_poll_run running = {{job, 1, 0}, 5};
+        rn_poll p = {};
+
+        p.sent_ms = now;
+        p.ok = true;
+        p.worker_clock_ms = now;
+        p.incarnation = 5;
+        p.running = &running;
+        p.running_count = 1;
+        rn_poll_answered(&a.runner, now, &p);
+    }
     /* Free capacity that the last flush reported to an entry; -1 if none. */
     int
     reported(uint64_t entry)
@@ -357,3 +398,35 @@
     s.flush();
     EXPECT_EQ(s.reported(1), 2000);
 }
+
+/* Guards against a run that continues beside its successor: the agent stood
+ * still when its entry's lease ended, renews the worker's lease once more
+ * before or after it notices, and its stops get lost. */
+TEST(Agent, WorkersLeaseIsNotRenewedLongAfterTheSessionsLease)
+{
+    for (uint64_t paused_ms : {0, 50, 90, 150, 200, 260, 290}) {
+        Sessions s;
+        uint64_t over_ms;
+
+        s.set_free(10000);
+        s.order(1, 3);
+        rn_key key = {3, 1, 0};
+        rn_start_answered(&s.a.runner, s.now, &key, RN_START_OK, s.now);
+        over_ms = s.now + SESS_LEASE_MS;
+        while (s.now < over_ms - 20) {
+            s.now += 20;
+            s.poll_shows(3);
+            ag_tick(&s.a, s.now);
+        }
+        s.now += paused_ms;
+        while (s.now < over_ms + 800) {
+            s.now += 20;
+            s.poll_shows(3);
+            ag_tick(&s.a, s.now);
+        }
+        EXPECT_GE(s.recorded.lease_until_ms, over_ms) << paused_ms;
+        EXPECT_LE(s.recorded.lease_until_ms,
+            over_ms + RN_STOP_LIMIT_MS + RN_LEASE_MS)
+            << paused_ms;
+    }
+}
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -41,8 +41,14 @@
     static_cast<Recorder *>(ctx)->outcomes.push_back({r->key, outcome});
 }
 
+bool
+sessions_checked(void *, uint64_t)
+{
+    return true;
+}
+
 const rn_ops recorder_ops = {
-    record_start, record_stop, record_poll, record_outcome};
+    record_start, record_stop, record_poll, record_outcome, sessions_checked};
 
 /* A runner whose worker has 10 cores and has answered a poll. */
 struct Fixture {
@@ -198,7 +204,7 @@
     a.started(1, RN_START_OK);
     a.order(2, 1000, 2);
     a.started(2, RN_START_OK);
-    rn_session_ended(&a.r, a.now, 1);
+    rn_session_ended(&a.r, a.now, 1, a.now);
     a.now += RN_STOP_LIMIT_MS + 1;
     a.poll({{{1, 1, 0}, 5}, {{2, 1, 0}, 5}}, {});
     ASSERT_FALSE(a.sent.polls.empty());
--- a/test/world.cc
+++ b/test/world.cc
@@ -264,8 +264,8 @@
         "agent %zu: entry %lu %s, silent %lu", a->index, entry, what, ms);
 }
 
-const ag_ops agent_ops = {{do_start, do_stop, do_poll, nullptr}, agent_send,
-    agent_reconnect, agent_note_outcome, agent_note_session};
+const ag_ops agent_ops = {{do_start, do_stop, do_poll, nullptr, nullptr},
+    agent_send, agent_reconnect, agent_note_outcome, agent_note_session};
 
 /* --- callbacks of entries --- */
 
