test: a request read after its connection has broken is left at once

The test cluster forgot such a caller, so that its job ran on beside the copy that the caller had sent elsewhere. again-test also runs all faults at once.

--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -90,6 +90,12 @@
     w.break_callers(some(w, ENTRIES), 1300);
 }
 
+void
+agent_killed(World &w)
+{
+    w.kill_agent(some(w, AGENTS), 50 + w.rng() % 1000);
+}
+
 struct AgainCase {
     const char *name;
     std::vector<void (*)(World &)> faults;
@@ -103,6 +109,10 @@
     {"starts_refused", {starts_refused, sessions_reopen}},
     {"messages_doubled_and_late", {messages_doubled_and_late}},
     {"callers_send_again", {callers_send_again, sessions_reopen}},
+    {"all_but_refused",
+        {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
+            starts_refused, messages_doubled_and_late, callers_send_again,
+            agent_killed}},
 };
 
 std::string
--- a/test/world.cc
+++ b/test/world.cc
@@ -290,7 +290,9 @@
         rl_reply(waiter->forwarded, outcome, "", 0);
     }
     else {
-        c->waiter = nullptr;
+        if (c->waiter == waiter) {
+            c->waiter = nullptr;
+        }
         e->answers.push_back(
             [e, c, id, outcome] { e->w->answered(c, id, outcome); });
     }
@@ -506,12 +508,12 @@
 }
 
 bool
-World::forward_by_wait(FakeEntry *e, Call *c)
+World::forward_by_wait(FakeEntry *e, Call *c, FakeWaiter *waiter)
 {
     std::string path = std::to_string(c->id);
 
     return e->coord_state.settings.balance == SC_BALANCE_WAIT &&
-           rl_forward_by_wait(&e->relay_state, now, c->waiter, STR("s"), 0,
+           rl_forward_by_wait(&e->relay_state, now, waiter, STR("s"), 0,
                STR("host"), str_make(path.data(), path.size()), STR("body"),
                (uint32_t)(c->deadline - now));
 }
@@ -743,6 +745,7 @@
         }
         FakeWaiter *waiter = c->waiter;
         c->waiter = nullptr;
+        c->broken_sends = c->sends;
         c->awaiting_answer = false;
         if (waiter != nullptr) {
             on_entry(e, [this, e, waiter] { caller_left(e, waiter); });
@@ -1125,41 +1128,54 @@
         return;
     }
     uint64_t id = e->id;
-    after(MESSAGE_MS, [this, e, c, id] {
+    uint32_t send = c->sends;
+    after(MESSAGE_MS, [this, e, c, id, send] {
         if (!e->up || e->id != id) {
             return;
         }
         trace("entry %zu (%lu): job %lu arrives, send %u", e->index, e->id,
             c->id, c->sends);
-        on_entry(e, [this, e, c] {
+        on_entry(e, [this, e, c, id, send] {
             if (now >= c->deadline) {
                 return;
             }
-            c->waiter = new_waiter(c, nullptr);
+            FakeWaiter *waiter = new_waiter(c, nullptr);
             std::string path = std::to_string(c->id);
+            if (send > c->broken_sends) {
+                c->waiter = waiter;
+            }
+            else {
+                /* A request that is read after its connection has ended. */
+                after(1, [this, e, id, waiter] {
+                    if (e->up && e->id == id) {
+                        on_entry(
+                            e, [this, e, waiter] { caller_left(e, waiter); });
+                    }
+                });
+            }
             if (co_knows_job(&e->coord_state, c->id)) {
-                submit_at(e, c, c->waiter);
+                submit_at(e, c, waiter);
                 return;
             }
-            switch (rl_forward_copy(&e->relay_state, now, c->waiter,
-                STR("host"), str_make(path.data(), path.size()), STR("body"),
+            switch (rl_forward_copy(&e->relay_state, now, waiter, STR("host"),
+                str_make(path.data(), path.size()), STR("body"),
                 (uint32_t)(c->deadline - now))) {
             case RL_NO_COPY:
                 break;
             case RL_COPY_LOST:
-                entry_answer(e, c->waiter, CO_GAVE_UP, "taker_lost", 0);
+                entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
                 return;
             case RL_COPY_SENT:
                 return;
             }
             if (forward_share > 0 && chance() < forward_share &&
-                rl_forward(&e->relay_state, now, c->waiter, STR("host"),
+                rl_forward(&e->relay_state, now, waiter, STR("host"),
                     str_make(path.data(), path.size()), STR("body"),
                     (uint32_t)(c->deadline - now))) {
                 return;
             }
-            if (!forward_by_wait(e, c)) {
-                submit_at(e, c, c->waiter);
+            if (!forward_by_wait(e, c, waiter)) {
+                submit_at(e, c, waiter);
             }
         });
     });
--- a/test/world.hh
+++ b/test/world.hh
@@ -107,6 +107,7 @@
     FakeWaiter *waiter = nullptr; /* at that entry */
     bool awaiting_answer = false; /* to the last send */
     uint32_t sends = 0;
+    uint32_t broken_sends = 0; /* sends whose connection broke, the first n */
     uint32_t answers = 0;
     bool done = false;
     bool completed = false;
@@ -202,7 +203,7 @@
     void tick_both(FakeEntry *e);
     void deliver_waits(uint64_t from, uint64_t to, const dw_msg *m);
     void update_waits(FakeEntry *e);
-    bool forward_by_wait(FakeEntry *e, Call *c);
+    bool forward_by_wait(FakeEntry *e, Call *c, FakeWaiter *waiter);
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
     void deliver_copy(
