--- a/test/world.cc
+++ b/test/world.cc
@@ -16,6 +16,10 @@
 constexpr uint64_t RESEND_MS = 1300;
 /* Delay of a late report: several later ones arrive before it. */
 constexpr uint64_t LATE_WAITS_MS = 300;
+/* Longest extra delay of a message. */
+constexpr uint64_t LATE_MESSAGE_MS = 800;
+/* A daemon that stood still for longer expires leases before it reads. */
+constexpr uint64_t PAUSE_MS = 300;
 
 std::string
 task_of(const rn_key &key)
@@ -103,6 +107,12 @@
     uint64_t id = a->id;
     bool late = w->chance() < f->late_order_share;
 
+    if (f->lost_stop_share > 0 && w->chance() < f->lost_stop_share) {
+        to_agent(a, id, RN_ANSWER_TIMEOUT_MS, [a, key] {
+            rn_stop_answered(&a->agent_state.runner, a->w->now, &key, false);
+        });
+        return;
+    }
     w->after(late ? 2000 + w->rng() % 10000 : CALL_MS, [=] {
         bool up = f->up;
 
@@ -254,8 +264,8 @@
         "agent %zu: entry %lu %s, silent %lu", a->index, entry, what, ms);
 }
 
-const ag_ops agent_ops = {{do_start, do_stop, do_poll, nullptr}, agent_send,
-    agent_reconnect, agent_note_outcome, agent_note_session};
+const ag_ops agent_ops = {{do_start, do_stop, do_poll, nullptr, nullptr},
+    agent_send, agent_reconnect, agent_note_outcome, agent_note_session};
 
 /* --- callbacks of entries --- */
 
@@ -280,7 +290,9 @@
         rl_reply(waiter->forwarded, outcome, "", 0);
     }
     else {
-        c->waiter = nullptr;
+        if (c->waiter == waiter) {
+            c->waiter = nullptr;
+        }
         e->answers.push_back(
             [e, c, id, outcome] { e->w->answered(c, id, outcome); });
     }
@@ -496,12 +508,12 @@
 }
 
 bool
-World::forward_by_wait(FakeEntry *e, Call *c)
+World::forward_by_wait(FakeEntry *e, Call *c, FakeWaiter *waiter)
 {
     std::string path = std::to_string(c->id);
 
     return e->coord_state.settings.balance == SC_BALANCE_WAIT &&
-           rl_forward_by_wait(&e->relay_state, now, c->waiter, STR("s"), 0,
+           rl_forward_by_wait(&e->relay_state, now, waiter, STR("s"), 0,
                STR("host"), str_make(path.data(), path.size()), STR("body"),
                (uint32_t)(c->deadline - now));
 }
@@ -625,50 +637,60 @@
         return;
     }
     std::shared_ptr<dw_msg> copy(msg_clone(m), msg_free);
-    after(MESSAGE_MS, [this, from, to, copy] {
-        for (auto &e : entries) {
-            FakeEntry *p = e.get();
-            if (p->up && p->id == to && copy->type == DW_REPORT) {
-                on_entry(p, [this, p, from, copy] {
-                    co_report(
-                        &p->coord_state, now, from, &copy->dw_msg_u.report);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_SUPPLY) {
-                on_entry(p, [this, p, from, copy] {
-                    dm_handle_supply(
-                        &p->coord_state, now, from, &copy->dw_msg_u.supply);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_RELAY) {
-                on_entry(p, [this, p, from, copy] {
-                    rl_receive_requests(
-                        &p->relay_state, now, from, &copy->dw_msg_u.relay);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_RELAYED) {
-                on_entry(p, [this, p, from, copy] {
-                    rl_receive_replies(
-                        &p->relay_state, now, from, &copy->dw_msg_u.relayed);
-                });
-            }
+    int copies = doubled_messages > 0 && chance() < doubled_messages ? 2 : 1;
+
+    for (int i = 0; i < copies; i++) {
+        bool late = late_messages > 0 && chance() < late_messages;
+
+        after(MESSAGE_MS + (late ? rng() % LATE_MESSAGE_MS : 0),
+            [this, from, to, copy] { deliver_copy(from, to, copy); });
+    }
+}
+
+void
+World::deliver_copy(uint64_t from, uint64_t to, std::shared_ptr<dw_msg> copy)
+{
+    for (auto &e : entries) {
+        FakeEntry *p = e.get();
+        if (p->up && p->id == to && copy->type == DW_REPORT) {
+            on_entry(p, [this, p, from, copy] {
+                co_report(&p->coord_state, now, from, &copy->dw_msg_u.report);
+            });
         }
-        for (auto &a : agents) {
-            FakeAgent *p = a.get();
-            if (p->up && p->id == to && copy->type == DW_ORDERS) {
-                on_agent(p, [this, p, from, copy] {
-                    ag_handle_orders(
-                        &p->agent_state, now, from, &copy->dw_msg_u.orders);
-                });
-            }
-            else if (p->up && p->id == to && copy->type == DW_DEMAND) {
-                on_agent(p, [this, p, from, copy] {
-                    ag_handle_demand(
-                        &p->agent_state, now, from, &copy->dw_msg_u.demand);
-                });
-            }
+        else if (p->up && p->id == to && copy->type == DW_SUPPLY) {
+            on_entry(p, [this, p, from, copy] {
+                dm_handle_supply(
+                    &p->coord_state, now, from, &copy->dw_msg_u.supply);
+            });
         }
-    });
+        else if (p->up && p->id == to && copy->type == DW_RELAY) {
+            on_entry(p, [this, p, from, copy] {
+                rl_receive_requests(
+                    &p->relay_state, now, from, &copy->dw_msg_u.relay);
+            });
+        }
+        else if (p->up && p->id == to && copy->type == DW_RELAYED) {
+            on_entry(p, [this, p, from, copy] {
+                rl_receive_replies(
+                    &p->relay_state, now, from, &copy->dw_msg_u.relayed);
+            });
+        }
+    }
+    for (auto &a : agents) {
+        FakeAgent *p = a.get();
+        if (p->up && p->id == to && copy->type == DW_ORDERS) {
+            on_agent(p, [this, p, from, copy] {
+                ag_handle_orders(
+                    &p->agent_state, now, from, &copy->dw_msg_u.orders);
+            });
+        }
+        else if (p->up && p->id == to && copy->type == DW_DEMAND) {
+            on_agent(p, [this, p, from, copy] {
+                ag_handle_demand(
+                    &p->agent_state, now, from, &copy->dw_msg_u.demand);
+            });
+        }
+    }
 }
 
 void
@@ -694,6 +716,46 @@
     });
 }
 
+void
+World::refuse_connection(size_t entry, size_t agent)
+{
+    FakeEntry *e = entries[entry].get();
+    uint64_t id = agents[agent]->id;
+
+    trace("entry %zu: connection to agent %zu refused", entry, agent);
+    on_entry(e, [this, e, id] {
+        if (e->up) {
+            co_agent_dead(&e->coord_state, now, id);
+        }
+    });
+}
+
+void
+World::break_callers(size_t entry, uint64_t resend_ms)
+{
+    FakeEntry *e = entries[entry].get();
+
+    trace("entry %zu: callers' connections break", entry);
+    for (auto &p : calls) {
+        Call *c = p.second.get();
+        uint64_t id = e->id;
+
+        if (!c->awaiting_answer || c->entry_id != id) {
+            continue;
+        }
+        FakeWaiter *waiter = c->waiter;
+        c->waiter = nullptr;
+        c->broken_sends = c->sends;
+        c->awaiting_answer = false;
+        if (waiter != nullptr) {
+            on_entry(e, [this, e, waiter] { caller_left(e, waiter); });
+        }
+        if (now + resend_ms < c->deadline) {
+            after(resend_ms, [this, c] { send_call(c); });
+        }
+    }
+}
+
 void
 World::drop_entry_messages(size_t from, size_t to, uint64_t for_ms)
 {
@@ -809,17 +871,20 @@
         return;
     }
     a->frozen_until = now + for_ms;
-    after(for_ms, [this, a, id] {
+    after(for_ms, [this, a, id, for_ms] {
         if (!a->up || a->id != id) {
             return;
         }
         a->frozen_until = 0;
-        ag_tick(&a->agent_state, now);
+        if (for_ms > PAUSE_MS) {
+            ag_tick(&a->agent_state, now);
+        }
         auto unread = std::move(a->unread);
         a->unread.clear();
         for (auto &fn : unread) {
             fn();
         }
+        ag_tick(&a->agent_state, now);
         ag_flush(&a->agent_state, now);
     });
 }
@@ -962,6 +1027,9 @@
         *result = RN_START_FENCED;
         return false;
     }
+    if (w.refusal_share > 0 && chance() < w.refusal_share) {
+        return false;
+    }
     if (terms.lease_until_ms < worker_clock(w)) {
         return false; /* the lease of the order has expired */
     }
@@ -1060,41 +1128,54 @@
         return;
     }
     uint64_t id = e->id;
-    after(MESSAGE_MS, [this, e, c, id] {
+    uint32_t send = c->sends;
+    after(MESSAGE_MS, [this, e, c, id, send] {
         if (!e->up || e->id != id) {
             return;
         }
         trace("entry %zu (%lu): job %lu arrives, send %u", e->index, e->id,
             c->id, c->sends);
-        on_entry(e, [this, e, c] {
+        on_entry(e, [this, e, c, id, send] {
             if (now >= c->deadline) {
                 return;
             }
-            c->waiter = new_waiter(c, nullptr);
+            FakeWaiter *waiter = new_waiter(c, nullptr);
             std::string path = std::to_string(c->id);
+            if (send > c->broken_sends) {
+                c->waiter = waiter;
+            }
+            else {
+                /* A request that is read after its connection has ended. */
+                after(1, [this, e, id, waiter] {
+                    if (e->up && e->id == id) {
+                        on_entry(
+                            e, [this, e, waiter] { caller_left(e, waiter); });
+                    }
+                });
+            }
             if (co_knows_job(&e->coord_state, c->id)) {
-                submit_at(e, c, c->waiter);
+                submit_at(e, c, waiter);
                 return;
             }
-            switch (rl_forward_copy(&e->relay_state, now, c->waiter,
-                STR("host"), str_make(path.data(), path.size()), STR("body"),
+            switch (rl_forward_copy(&e->relay_state, now, waiter, STR("host"),
+                str_make(path.data(), path.size()), STR("body"),
                 (uint32_t)(c->deadline - now))) {
             case RL_NO_COPY:
                 break;
             case RL_COPY_LOST:
-                entry_answer(e, c->waiter, CO_GAVE_UP, "taker_lost", 0);
+                entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
                 return;
             case RL_COPY_SENT:
                 return;
             }
             if (forward_share > 0 && chance() < forward_share &&
-                rl_forward(&e->relay_state, now, c->waiter, STR("host"),
+                rl_forward(&e->relay_state, now, waiter, STR("host"),
                     str_make(path.data(), path.size()), STR("body"),
                     (uint32_t)(c->deadline - now))) {
                 return;
             }
-            if (!forward_by_wait(e, c)) {
-                submit_at(e, c, c->waiter);
+            if (!forward_by_wait(e, c, waiter)) {
+                submit_at(e, c, waiter);
             }
         });
     });
@@ -1106,9 +1187,8 @@
         c->awaiting_answer = false;
         if (e->up && e->id == id) {
             on_entry(e, [this, e, c] {
-                if (c->waiter != nullptr &&
-                    !rl_cancel(&e->relay_state, now, c->waiter)) {
-                    co_caller_left(&e->coord_state, now, c->waiter);
+                if (c->waiter != nullptr) {
+                    caller_left(e, c->waiter);
                 }
                 c->waiter = nullptr;
             });
@@ -1116,6 +1196,14 @@
     });
 }
 
+void
+World::caller_left(FakeEntry *e, FakeWaiter *waiter)
+{
+    if (e->up && !rl_cancel(&e->relay_state, now, waiter)) {
+        co_caller_left(&e->coord_state, now, waiter);
+    }
+}
+
 /* Freed with the world: an entry that dies does not free its waiters. */
 FakeWaiter *
 World::new_waiter(Call *c, rl_accepted *forwarded)
@@ -1132,7 +1220,7 @@
     struct co_submit s = {};
 
     s.id = c->id;
-    s.wall_ms = now;
+    s.wall_ms = now + e->wall_offset_ms;
     s.spec = STR("spec");
     s.service = "s";
     s.max_attempts = 3;
