runner-net-test: the runner behind a network with faults

The runner against a worker that follows the protocol. The network delays, loses, reorders and repeats calls and executes them late; agent and worker restart. A run that was reported as ended must neither run nor start, and the worker is never over its capacity.

--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 		-lpopt -lnettle
 
 TESTS = unit-test work-test link-test quota-test path-test member-test matrix-test \
-	property-test fleet world serve-test wire-test route-test sess-test runner-test agent-test \
+	property-test fleet world serve-test wire-test route-test sess-test runner-test runner-net-test agent-test \
 	coord-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
 	httpc-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
