runner: the fence increases with each agent, not only with each worker

Callers saw: a worker over its capacity after a restart of its agent. Cause: the fence came from the worker's start time only, so a late start of the earlier agent carried the same fence as the orders of its successor and was executed beside them within its lease. The time at which an agent starts increases on one machine; added to the fence, it makes the worker refuse late starts of an earlier agent once it has executed one request of the present one.

--- a/runner.c
+++ b/runner.c
@@ -425,13 +425,15 @@
  * A start may arrive seconds late at a worker that has restarted meanwhile:
  * its lease would then end far in the future by the new clock, while the task
  * has run elsewhere.  The fence increases with each incarnation, so that the
- * worker refuses such a start.
+ * worker refuses such a start.  It also increases with each agent, as
+ * started_ms does on one machine, so that the worker refuses late starts of an
+ * earlier agent, of which this one does not know the sizes.
  */
 static void
 set_incarnation(struct runner *r, uint64_t incarnation)
 {
     r->incarnation = incarnation;
-    r->fence = num_max(r->fence + 1, incarnation);
+    r->fence = num_max(r->fence + 1, incarnation + r->started_ms);
 }
 
 /*
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -296,3 +296,22 @@
     a.poll({}, {}, 78);
     EXPECT_EQ(a.capacity().fail_permille, 0u);
 }
+
+/* Guards against a late start of an earlier agent on the same worker: it would
+ * run beside the starts of this agent, over the worker's capacity.  The worker
+ * refuses it if this agent's fence is higher. */
+TEST(Runner, FenceOfALaterAgentOnTheSameWorkerIsHigher)
+{
+    Recorder sent;
+    runner r;
+    uint64_t fence = 0;
+
+    for (uint64_t started_ms : {100, 101, 900}) {
+        rn_init(&r, started_ms, &recorder_ops, &sent);
+        rn_set_capacity(&r, started_ms + 5, 10000, 1000, 0, 77);
+        rn_tick(&r, started_ms + 600);
+        EXPECT_GT(sent.polls.back().fence, fence);
+        fence = sent.polls.back().fence;
+        rn_free(&r);
+    }
+}
