runner: a poll must be sent after the longest lease to show nothing is left

An entry repeats the runs of a dead agent as soon as its successor reports that nothing is left. The time of the answer was compared with the longest lease; the worker may have executed the poll earlier and a late start of the former agent in between. Now the time at which the poll was sent counts, so that no start can follow it. Found by reading; the test fails without the change.

--- a/runner.c
+++ b/runner.c
@@ -684,7 +684,8 @@
     process_running(r, now, p);
     resolve_absent(r, now, p);
     update_speed(r);
-    if (r->orphans == 0 && now - r->started_ms > RN_LEASE_EXPIRY_MS) {
+    /* Until then a late start of an earlier agent may still be executed. */
+    if (r->orphans == 0 && p->sent_ms > r->started_ms + RN_LEASE_EXPIRY_MS) {
         r->clean = true;
     }
 }
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -315,3 +315,25 @@
         rn_free(&r);
     }
 }
+
+/* Guards against a run of an earlier agent beside its repetition: the poll
+ * that showed nothing was sent while a late start was still within its lease,
+ * and its answer came afterwards. */
+TEST(Runner, OnlyAPollSentAfterTheLongestLeaseShowsThatNothingIsLeft)
+{
+    Recorder sent;
+    runner r;
+    rn_poll p = {};
+
+    rn_init(&r, 100, &recorder_ops, &sent);
+    p.sent_ms = 100 + RN_LEASE_EXPIRY_MS - 10;
+    p.ok = true;
+    p.worker_clock_ms = 9;
+    p.incarnation = 77;
+    rn_poll_answered(&r, 100 + RN_LEASE_EXPIRY_MS + 10, &p);
+    EXPECT_FALSE(r.clean);
+    p.sent_ms = 100 + RN_LEASE_EXPIRY_MS + 11;
+    rn_poll_answered(&r, p.sent_ms + 2, &p);
+    EXPECT_TRUE(r.clean);
+    rn_free(&r);
+}
