runner: stop a run that a poll sent after its end still shows

Callers saw a task run twice; the agent had reported the first run as not run and did nothing about it while polls showed it running. Cause: the list of ended runs, meant for answers that crossed the end, hid the run for as long as it was among the last 64. The list now has the time of each end: a poll that was sent later and shows the run proves that it runs, so it is stopped like any unknown run. Whatever the cause of a wrong report, the second run lasts one poll and a stop. The test fails without the change.

--- a/runner.c
+++ b/runner.c
@@ -39,7 +39,8 @@
 remove_run(struct runner *r, uint64_t now, struct rn_run *run)
 {
     r->capacity_changed_ms = now;
-    r->recent[r->recent_next++ % RN_RECENT_MAX] = run->key;
+    r->recent[r->recent_next++ % RN_RECENT_MAX] =
+        (struct rn_recent){run->key, now};
     if (run->state != RN_QUEUED) {
         r->used_millicores -= run->millicores;
         r->used_memory_mb -= run->memory_mb;
@@ -575,11 +576,13 @@
     }
 }
 
+/* The end of the run became known after a poll was sent. */
 static bool
-ended_recently(const struct runner *r, const struct rn_key *key)
+ended_since(const struct runner *r, const struct rn_key *key, uint64_t sent_ms)
 {
     for (size_t i = 0; i < RN_RECENT_MAX; i++) {
-        if (memcmp(&r->recent[i], key, sizeof(*key)) == 0) {
+        if (memcmp(&r->recent[i].key, key, sizeof(*key)) == 0 &&
+            r->recent[i].ended_ms >= sent_ms) {
             return true;
         }
     }
@@ -594,7 +597,7 @@
         const struct rn_poll_run *reported = &p->running[i];
         struct rn_run *run = find_run(r, &reported->key);
 
-        if (run == NULL && ended_recently(r, &reported->key)) {
+        if (run == NULL && ended_since(r, &reported->key, p->sent_ms)) {
             continue;
         }
         if (run == NULL) {
--- a/runner.h
+++ b/runner.h
@@ -49,8 +49,8 @@
 /* ms within which runs of an ended session must have stopped; after that the
  * lease is not renewed, for any run, until they have. */
 #define RN_STOP_LIMIT_MS 100U
-/* Ended runs remembered, so that the answer of a poll that crossed an
- * outcome does not report the run as unknown. */
+/* Ended runs remembered, so that the answer of a poll that was sent before the
+ * end was known does not report the run as unknown. */
 #define RN_RECENT_MAX 64U
 /* The worker's clock may run slow by this percentage. */
 #define RN_DRIFT_PERCENT 2U
@@ -125,6 +125,12 @@
     RN_START_LOST         /* no answer: may have started, may start later */
 };
 
+/* A run that ended. */
+struct rn_recent {
+    struct rn_key key;
+    uint64_t ended_ms; /* when its end was known here */
+};
+
 /* A run that a poll showed running. */
 struct rn_poll_run {
     struct rn_key key;
@@ -227,7 +233,7 @@
     uint32_t polls_failed;    /* in a row */
     bool silent;              /* no answer lately; gets no starts */
     bool immediate_pending;
-    struct rn_key recent[RN_RECENT_MAX]; /* ring of ended runs */
+    struct rn_recent recent[RN_RECENT_MAX]; /* ring of ended runs */
     size_t recent_next; /* runs ended; modulo the size, the next slot */
     size_t orphans; /* running there but not known here, at the last poll */
     bool leaving;   /* this agent shuts down: start nothing more */
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -337,3 +337,22 @@
     EXPECT_TRUE(r.clean);
     rn_free(&r);
 }
+
+/* Guards against a run that continues beside its successor: it was reported as
+ * not run by mistake, and polls that show it are taken for ones that crossed
+ * its end. */
+TEST(Runner, RunThatALaterPollShowsIsStoppedThoughItWasReported)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.now += 3;
+    a.started(1, RN_START_REFUSED);
+    a.now -= 2; /* this poll was sent before the end was known */
+    a.poll({{{1, 1, 0}, 5}}, {});
+    EXPECT_TRUE(a.sent.stops.empty());
+    a.now += 5;
+    a.poll({{{1, 1, 0}, 5}}, {});
+    EXPECT_EQ(a.sent.stops.size(), 1u);
+    EXPECT_FALSE(a.capacity().serving);
+}
