runner: ignore the clock in answers to starts sent before a restart

An answer to a start does not name the worker's incarnation. Read after a restart was noticed, as after a pause of the agent, the former one's clock was taken for the new one's, and the next renewal ended far in the future: 1 s, the longest lease, instead of the 326 ms that entries wait. Only the answer to a start that was sent after the restart was noticed sets the clock. Found by reading; the test fails without the change.

--- a/runner.c
+++ b/runner.c
@@ -510,7 +510,12 @@
 {
     struct rn_run *run = find_run(r, key);
 
-    note_clock(r, now, clock_ms);
+    /* Answers to starts do not name the incarnation: one to a start that was
+     * sent before a restart was noticed may have the former one's clock. */
+    if (run != NULL && run->state == RN_STARTING &&
+        run->sent_ms > r->incarnation_seen_ms) {
+        note_clock(r, now, clock_ms);
+    }
     if (run == NULL || run->state == RN_RUNNING || run->state == RN_STOPPING) {
         return;
     }
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -356,3 +356,17 @@
     EXPECT_EQ(a.sent.stops.size(), 1u);
     EXPECT_FALSE(a.capacity().serving);
 }
+
+/* Guards against a lease far in the future by the clock of a restarted worker:
+ * the answer to a start, sent by the former incarnation, is read late. */
+TEST(Runner, ClockOfAFormerIncarnationIsIgnored)
+{
+    Fixture a;
+    rn_key k = {1, 1, 0};
+
+    a.order(1, 1000);
+    a.now += 2;
+    rn_set_capacity(&a.r, a.now, 10000, 1000, 0, 99);
+    rn_start_answered(&a.r, a.now, &k, RN_START_OK, 5000000);
+    EXPECT_EQ(a.r.worker_clock_ms, 0u);
+}
