runner: after a restart of the worker, resolve runs by a poll with the new fence

The poll that revealed a restart carries the former fence. A late start that the worker executes after it was reported as lost, and so ran beside the task's next run. Runs are now resolved by the first poll with the new fence, which is sent at once and does not wait for an outcome; the report comes one answer later. For the same reason the lease of runs on a restarted worker counts as the longest. Found by reading; the tests fail without the change.

--- a/runner.c
+++ b/runner.c
@@ -315,7 +315,7 @@
     }
     /* The first poll after a start does not wait for the idle interval. */
     if (r->poll_ms == 0 && r->polls_failed == 0 && rn_active_count(r) > 0) {
-        start_poll(r, now, RN_POLL_MS);
+        start_poll(r, now, r->polled ? RN_POLL_MS : 0);
     }
 }
 
@@ -439,8 +439,9 @@
 
 /*
  * Which runs belonged to the former incarnation is not known: a start in
- * transit may have reached the new one.  The poll that revealed the restart,
- * or the next, shows for each run whether it exists.
+ * transit may have reached the new one.  The first poll with the new fence
+ * shows for each run whether it exists.  Calls with a time by the former clock
+ * may have given the new incarnation its longest lease.
  */
 static void
 worker_restarted(struct runner *r, uint64_t now, uint64_t incarnation)
@@ -451,6 +452,7 @@
     r->polled = false;
     set_incarnation(r, incarnation);
     r->incarnation_seen_ms = now;
+    r->lease_expiry_ms = num_max(r->lease_expiry_ms, now + RN_LEASE_MAX_MS);
     r->capacity_known = false;
     r->draining = false;
     r->worker_exit_ms = 0;
@@ -690,7 +692,10 @@
     }
     process_outcomes(r, now, p);
     process_running(r, now, p);
-    resolve_absent(r, now, p);
+    /* Until the worker has seen the new fence it executes late starts. */
+    if (r->polled) {
+        resolve_absent(r, now, p);
+    }
     update_speed(r);
     /* Until then a late start of an earlier agent may still be executed. */
     if (r->orphans == 0 && p->sent_ms > r->started_ms + RN_LEASE_EXPIRY_MS) {
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -370,3 +370,40 @@
     rn_start_answered(&a.r, a.now, &k, RN_START_OK, 5000000);
     EXPECT_EQ(a.r.worker_clock_ms, 0u);
 }
+
+/* Guards against a run that starts on a restarted worker after it was reported
+ * as lost: a late start is executed until the worker has seen the new fence.
+ */
+TEST(Runner, RestartedWorkerResolvesRunsOnceItKnowsTheNewFence)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    a.now += 5;
+    a.poll({}, {}, 99); /* sent with the former fence */
+    EXPECT_TRUE(a.sent.outcomes.empty());
+    a.now += 5;
+    a.poll({}, {}, 99);
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    EXPECT_EQ(a.sent.outcomes[0].second, DW_END_LOST);
+}
+
+/* Guards against a run that is reported as lost while it may run: calls with a
+ * time by the former clock may have given the restarted worker its longest
+ * lease. */
+TEST(Runner, LeaseOfARestartedWorkerMayBeTheLongest)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    a.now += 5;
+    a.poll({{{1, 1, 0}, 5}}, {}, 99);
+    a.now += RN_LEASE_MAX_MS - 10;
+    rn_tick(&a.r, a.now);
+    EXPECT_TRUE(a.sent.outcomes.empty());
+    a.now += 30;
+    rn_tick(&a.r, a.now);
+    EXPECT_EQ(a.sent.outcomes.size(), 1u);
+}
