runner, wire: a partial poll does not show that a run is gone

A worker lists 500 ends at a time. A run whose end was on the next page was in neither list and was reported as lost, and repeated though it had ended done; so was one with an unreadable run number. Such polls are marked as partial and resolve no absent run; the next one does.

--- a/runner.c
+++ b/runner.c
@@ -693,7 +693,7 @@
     process_outcomes(r, now, p);
     process_running(r, now, p);
     /* Until the worker has seen the new fence it executes late starts. */
-    if (r->polled) {
+    if (r->polled && !p->partial) {
         resolve_absent(r, now, p);
     }
     update_speed(r);
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -407,3 +407,23 @@
     rn_tick(&a.r, a.now);
     EXPECT_EQ(a.sent.outcomes.size(), 1u);
 }
+
+/* Guards against a run that is reported as lost, and repeated, though it has
+ * ended done: its end is on the next page of the poll. */
+TEST(Runner, PartialPollIsNoEvidenceThatARunIsGone)
+{
+    Fixture a;
+    rn_poll p = {};
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    p.sent_ms = a.now + 5;
+    p.ok = true;
+    p.partial = true;
+    p.worker_clock_ms = a.now;
+    p.incarnation = 77;
+    a.now += 7;
+    rn_poll_answered(&a.r, a.now, &p);
+    EXPECT_TRUE(a.sent.outcomes.empty());
+    EXPECT_EQ(rn_active_count(&a.r), 1u);
+}
--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -120,6 +120,39 @@
     rt_free(&t);
 }
 
+/* Guards against a run that is taken for gone since its end is on the next
+ * page or its row cannot be read. */
+TEST(Wire, PollThatMayLackARunIsPartial)
+{
+    std::string full;
+
+    for (int i = 1; i <= 500; i++) {
+        full += (i > 1 ? ",[" : "[") + std::to_string(i) +
+                ",\"5c0e7a21d94b36f8.0.0.9\",1,\"done\",\"\"]";
+    }
+    const struct {
+        std::string running;
+        std::string finished;
+        bool partial;
+    } cases[] = {
+        {"", "", false},
+        {"[\"5c0e7a21d94b36f8.0.0.17\",2,\"\",41]", "", false},
+        {"[\"5c0e7a21d94b36f8.0.0.17\",\"2\",\"\",41]", "", true},
+        {"", full, true},
+    };
+
+    for (auto &c : cases) {
+        wire_poll poll;
+        err e = {""};
+        std::string text = "{\"clock_ms\":9,\"born\":3,\"running\":[" +
+                           c.running + "],\"finished\":[" + c.finished + "]}";
+
+        ASSERT_EQ(wire_read_poll(&poll, str_of(text.c_str()), &e), WIRE_OK);
+        EXPECT_EQ(poll.result.partial, c.partial) << c.running;
+        wire_poll_free(&poll);
+    }
+}
+
 TEST(Wire, ReadsRunsAndOutcomesOfAPoll)
 {
     wire_poll poll;
