runner-net-test: outages; calls that reach the next incarnation, known red

Outages lose all requests, all answers or all stops for up to 1.2 s.

Red: a worker that has just restarted has seen no fence. A late start to its former incarnation that reaches it then is executed, whatever the agent has reported.

--- a/test/runner-net-test.cc
+++ b/test/runner-net-test.cc
@@ -49,6 +49,7 @@
     uint32_t agent_restarts;
     uint32_t worker_restarts;
     uint32_t session_ends;
+    uint32_t outages; /* for 50 to 1200 ms; see enum Outage */
     uint32_t stops;
     bool slow_clock; /* the worker's clock is 2 % slow */
     /* A call in transit reaches the next incarnation of the worker. */
@@ -85,6 +86,9 @@
     std::vector<rn_outcome> outcomes;
 };
 
+/* What an outage of the network loses. */
+enum class Outage { NONE, REQUESTS, ANSWERS, STOPS };
+
 using Reply = std::function<void(const Answer &)>;
 using Task = std::pair<uint64_t, uint64_t>;
 
@@ -150,6 +154,8 @@
     std::vector<rn_key> former;
     std::vector<std::string> violations;
     uint64_t done = 0;
+    Outage outage = Outage::NONE;
+    uint64_t outage_until = 0;
 
     Net(uint64_t seed, const Faults &faults);
     ~Net();
@@ -317,7 +323,8 @@
     if (w.highest.count(t) != 0 && q.key.run <= w.highest[t]) {
         return 409;
     }
-    w.runs[t] = {q.key, q.millicores, now + between(5, 150),
+    w.runs[t] = {q.key, q.millicores,
+        now + (happens(50) ? between(500, 3000) : between(5, 150)),
         happens(100) ? DW_END_FAILED : DW_END_DONE};
     return 200;
 }
@@ -408,6 +415,14 @@
         after(back, [=] { finish(&a, true); });
     };
     after(timeout_ms, [=] { finish(nullptr, true); });
+    if (now < outage_until && outage == Outage::ANSWERS) {
+        after(forth, [=] { deliver(q, sent_to, none); });
+        return;
+    }
+    if (now < outage_until &&
+        (outage == Outage::REQUESTS || q.what == Call::STOP)) {
+        return;
+    }
     if (happens(f.lost_requests)) {
         return;
     }
@@ -664,6 +679,10 @@
 
         rn_stop(&r, now, &ref);
     }
+    if (now >= outage_until && happens(f.outages)) {
+        outage = static_cast<Outage>(between(1, 3));
+        outage_until = now + between(50, 1200);
+    }
     if (happens(f.session_ends)) {
         end_session(rng() % 2);
     }
@@ -795,6 +814,14 @@
              f.lost_answers = 50;
          })},
         {"session ends", with([](Faults &f) { f.session_ends = 50; })},
+        {"outages, session ends", with([](Faults &f) {
+             f.outages = 20;
+             f.session_ends = 30;
+         })},
+        {"outages, slow clock", with([](Faults &f) {
+             f.outages = 20;
+             f.slow_clock = true;
+         })},
         {"agent pauses", with([](Faults &f) { f.agent_pauses = 15; })},
         {"agent restarts", with([](Faults &f) { f.agent_restarts = 15; })},
         {"late calls, agent restarts", with([](Faults &f) {
@@ -809,11 +836,11 @@
              f.agent_pauses = 15;
          })},
         {"all on one worker", with([](Faults &f) {
-             f = {300, 20, 20, 20, 20, 20, 20, 8, 4, 0, 15, 20, true, false,
+             f = {300, 20, 20, 20, 20, 20, 20, 8, 4, 0, 15, 5, 20, true, false,
                  false};
          })},
         {"all", with([](Faults &f) {
-             f = {300, 20, 20, 20, 20, 20, 20, 8, 4, 5, 15, 20, true, false,
+             f = {300, 20, 20, 20, 20, 20, 20, 8, 4, 5, 15, 5, 20, true, false,
                  false};
          })},
     };
@@ -844,3 +871,33 @@
 
     EXPECT_NE(explore(f, 20), "");
 }
+
+/* Guards against a run that was reported as ended and then starts on the next
+ * incarnation of the worker: a call to the former one is executed by it before
+ * it has seen the new fence. */
+TEST(RunnerNet, CallsToAFormerIncarnationStartNothing)
+{
+    const Kind cases[] = {
+        {"late calls", with([](Faults &f) {
+             f.late_calls = 50;
+             f.worker_restarts = 10;
+             f.calls_outlive_worker = true;
+         })},
+        {"with agent restarts", with([](Faults &f) {
+             f.late_calls = 50;
+             f.worker_restarts = 10;
+             f.agent_restarts = 15;
+             f.calls_outlive_worker = true;
+         })},
+        {"with agent pauses", with([](Faults &f) {
+             f.late_calls = 50;
+             f.worker_restarts = 10;
+             f.agent_pauses = 15;
+             f.calls_outlive_worker = true;
+         })},
+    };
+
+    for (const Kind &k : cases) {
+        EXPECT_EQ(explore(k.f, seed_count(60)), "") << k.name;
+    }
+}
