--- a/runner.c
+++ b/runner.c
@@ -39,7 +39,8 @@
 remove_run(struct runner *r, uint64_t now, struct rn_run *run)
 {
     r->capacity_changed_ms = now;
-    r->recent[r->recent_next++ % RN_RECENT_MAX] = run->key;
+    r->recent[r->recent_next++ % RN_RECENT_MAX] =
+        (struct rn_recent){run->key, now};
     if (run->state != RN_QUEUED) {
         r->used_millicores -= run->millicores;
         r->used_memory_mb -= run->memory_mb;
@@ -315,7 +316,7 @@
     }
     /* The first poll after a start does not wait for the idle interval. */
     if (r->poll_ms == 0 && r->polls_failed == 0 && rn_active_count(r) > 0) {
-        start_poll(r, now, RN_POLL_MS);
+        start_poll(r, now, r->polled ? RN_POLL_MS : 0);
     }
 }
 
@@ -427,19 +428,22 @@
  * A start may arrive seconds late at a worker that has restarted meanwhile:
  * its lease would then end far in the future by the new clock, while the task
  * has run elsewhere.  The fence increases with each incarnation, so that the
- * worker refuses such a start.
+ * worker refuses such a start.  It also increases with each agent, as
+ * started_ms does on one machine, so that the worker refuses late starts of an
+ * earlier agent, of which this one does not know the sizes.
  */
 static void
 set_incarnation(struct runner *r, uint64_t incarnation)
 {
     r->incarnation = incarnation;
-    r->fence = num_max(r->fence + 1, incarnation);
+    r->fence = num_max(r->fence + 1, incarnation + r->started_ms);
 }
 
 /*
  * Which runs belonged to the former incarnation is not known: a start in
- * transit may have reached the new one.  The poll that revealed the restart,
- * or the next, shows for each run whether it exists.
+ * transit may have reached the new one.  The first poll with the new fence
+ * shows for each run whether it exists.  Calls with a time by the former clock
+ * may have given the new incarnation its longest lease.
  */
 static void
 worker_restarted(struct runner *r, uint64_t now, uint64_t incarnation)
@@ -450,6 +454,7 @@
     r->polled = false;
     set_incarnation(r, incarnation);
     r->incarnation_seen_ms = now;
+    r->lease_expiry_ms = num_max(r->lease_expiry_ms, now + RN_LEASE_MAX_MS);
     r->capacity_known = false;
     r->draining = false;
     r->worker_exit_ms = 0;
@@ -509,7 +514,12 @@
 {
     struct rn_run *run = find_run(r, key);
 
-    note_clock(r, now, clock_ms);
+    /* Answers to starts do not name the incarnation: one to a start that was
+     * sent before a restart was noticed may have the former one's clock. */
+    if (run != NULL && run->state == RN_STARTING &&
+        run->sent_ms > r->incarnation_seen_ms) {
+        note_clock(r, now, clock_ms);
+    }
     if (run == NULL || run->state == RN_RUNNING || run->state == RN_STOPPING) {
         return;
     }
@@ -575,11 +585,13 @@
     }
 }
 
+/* The end of the run became known after a poll was sent. */
 static bool
-ended_recently(const struct runner *r, const struct rn_key *key)
+ended_since(const struct runner *r, const struct rn_key *key, uint64_t sent_ms)
 {
     for (size_t i = 0; i < RN_RECENT_MAX; i++) {
-        if (memcmp(&r->recent[i], key, sizeof(*key)) == 0) {
+        if (memcmp(&r->recent[i].key, key, sizeof(*key)) == 0 &&
+            r->recent[i].ended_ms >= sent_ms) {
             return true;
         }
     }
@@ -594,7 +606,7 @@
         const struct rn_poll_run *reported = &p->running[i];
         struct rn_run *run = find_run(r, &reported->key);
 
-        if (run == NULL && ended_recently(r, &reported->key)) {
+        if (run == NULL && ended_since(r, &reported->key, p->sent_ms)) {
             continue;
         }
         if (run == NULL) {
@@ -682,9 +694,13 @@
     }
     process_outcomes(r, now, p);
     process_running(r, now, p);
-    resolve_absent(r, now, p);
+    /* Until the worker has seen the new fence it executes late starts. */
+    if (r->polled && !p->partial) {
+        resolve_absent(r, now, p);
+    }
     update_speed(r);
-    if (r->orphans == 0 && now - r->started_ms > RN_LEASE_EXPIRY_MS) {
+    /* Until then a late start of an earlier agent may still be executed. */
+    if (r->orphans == 0 && p->sent_ms > r->started_ms + RN_LEASE_EXPIRY_MS) {
         r->clean = true;
     }
 }
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -302,3 +302,134 @@
     a.poll({}, {}, 78);
     EXPECT_EQ(a.capacity().fail_permille, 0u);
 }
+
+/* Guards against a late start of an earlier agent on the same worker: it would
+ * run beside the starts of this agent, over the worker's capacity.  The worker
+ * refuses it if this agent's fence is higher. */
+TEST(Runner, FenceOfALaterAgentOnTheSameWorkerIsHigher)
+{
+    Recorder sent;
+    runner r;
+    uint64_t fence = 0;
+
+    for (uint64_t started_ms : {100, 101, 900}) {
+        rn_init(&r, started_ms, &recorder_ops, &sent);
+        rn_set_capacity(&r, started_ms + 5, 10000, 1000, 0, 77);
+        rn_tick(&r, started_ms + 600);
+        EXPECT_GT(sent.polls.back().fence, fence);
+        fence = sent.polls.back().fence;
+        rn_free(&r);
+    }
+}
+
+/* Guards against a run of an earlier agent beside its repetition: the poll
+ * that showed nothing was sent while a late start was still within its lease,
+ * and its answer came afterwards. */
+TEST(Runner, OnlyAPollSentAfterTheLongestLeaseShowsThatNothingIsLeft)
+{
+    Recorder sent;
+    runner r;
+    rn_poll p = {};
+
+    rn_init(&r, 100, &recorder_ops, &sent);
+    p.sent_ms = 100 + RN_LEASE_EXPIRY_MS - 10;
+    p.ok = true;
+    p.worker_clock_ms = 9;
+    p.incarnation = 77;
+    rn_poll_answered(&r, 100 + RN_LEASE_EXPIRY_MS + 10, &p);
+    EXPECT_FALSE(r.clean);
+    p.sent_ms = 100 + RN_LEASE_EXPIRY_MS + 11;
+    rn_poll_answered(&r, p.sent_ms + 2, &p);
+    EXPECT_TRUE(r.clean);
+    rn_free(&r);
+}
+
+/* Guards against a run that continues beside its successor: it was reported as
+ * not run by mistake, and polls that show it are taken for ones that crossed
+ * its end. */
+TEST(Runner, RunThatALaterPollShowsIsStoppedThoughItWasReported)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.now += 3;
+    a.started(1, RN_START_REFUSED);
+    a.now -= 2; /* this poll was sent before the end was known */
+    a.poll({{{1, 1, 0}, 5}}, {});
+    EXPECT_TRUE(a.sent.stops.empty());
+    a.now += 5;
+    a.poll({{{1, 1, 0}, 5}}, {});
+    EXPECT_EQ(a.sent.stops.size(), 1u);
+    EXPECT_FALSE(a.capacity().serving);
+}
+
+/* Guards against a lease far in the future by the clock of a restarted worker:
+ * the answer to a start, sent by the former incarnation, is read late. */
+TEST(Runner, ClockOfAFormerIncarnationIsIgnored)
+{
+    Fixture a;
+    rn_key k = {1, 1, 0};
+
+    a.order(1, 1000);
+    a.now += 2;
+    rn_set_capacity(&a.r, a.now, 10000, 1000, 0, 99);
+    rn_start_answered(&a.r, a.now, &k, RN_START_OK, 5000000);
+    EXPECT_EQ(a.r.worker_clock_ms, 0u);
+}
+
+/* Guards against a run that starts on a restarted worker after it was reported
+ * as lost: a late start is executed until the worker has seen the new fence.
+ */
+TEST(Runner, RestartedWorkerResolvesRunsOnceItKnowsTheNewFence)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    a.now += 5;
+    a.poll({}, {}, 99); /* sent with the former fence */
+    EXPECT_TRUE(a.sent.outcomes.empty());
+    a.now += 5;
+    a.poll({}, {}, 99);
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    EXPECT_EQ(a.sent.outcomes[0].second, DW_END_LOST);
+}
+
+/* Guards against a run that is reported as lost while it may run: calls with a
+ * time by the former clock may have given the restarted worker its longest
+ * lease. */
+TEST(Runner, LeaseOfARestartedWorkerMayBeTheLongest)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    a.now += 5;
+    a.poll({{{1, 1, 0}, 5}}, {}, 99);
+    a.now += RN_LEASE_MAX_MS - 10;
+    rn_tick(&a.r, a.now);
+    EXPECT_TRUE(a.sent.outcomes.empty());
+    a.now += 30;
+    rn_tick(&a.r, a.now);
+    EXPECT_EQ(a.sent.outcomes.size(), 1u);
+}
+
+/* Guards against a run that is reported as lost, and repeated, though it has
+ * ended done: its end is on the next page of the poll. */
+TEST(Runner, PartialPollIsNoEvidenceThatARunIsGone)
+{
+    Fixture a;
+    rn_poll p = {};
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    p.sent_ms = a.now + 5;
+    p.ok = true;
+    p.partial = true;
+    p.worker_clock_ms = a.now;
+    p.incarnation = 77;
+    a.now += 7;
+    rn_poll_answered(&a.r, a.now, &p);
+    EXPECT_TRUE(a.sent.outcomes.empty());
+    EXPECT_EQ(rn_active_count(&a.r), 1u);
+}
