runner: a poll that is refused by the fence raises it

A fence that is lower than an earlier agent's is possible since it includes the time of the agent's machine, which starts anew with the machine. The worker refuses all requests then; only the refusal of a start raised the fence, and a worker that answers no poll gets no start, so the agent would have served nobody until its worker restarted. Runner.FencedPollRaisesTheFence does not pass without the change.

--- a/agentd.c
+++ b/agentd.c
@@ -177,6 +177,8 @@
     poll.result.sent_ms = c->sent_ms;
     poll.result.immediate = c->immediate;
     poll.result.unreachable = d->status == HTTPC_NOT_SENT;
+    poll.result.fenced = d->status == HTTPC_OK && d->http_status == 409 &&
+                         wire_is_fenced(d->body);
     rn_poll_answered(&c->ad->agent.runner, proc_now(), &poll.result);
     wire_poll_free(&poll);
     free(c);
--- a/runner.c
+++ b/runner.c
@@ -19,7 +19,8 @@
 #define PACE_RUNS_MAX 6U
 #define SPEED_HALF_MS 8000U
 /* Added to the fence when the worker has seen a higher one, as happens when
- * the time of day was set back; in ms, more than clocks are set back by. */
+ * its time of day was set back or the agent's machine was started again; in
+ * ms, more than clocks are set back by. */
 #define FENCE_STEP 86400000U
 #define SPEED_MIN_PERMILLE 50U
 #define SPEED_MAX_PERMILLE 4000U
@@ -735,6 +736,9 @@
         process_poll(r, now, p);
         r->polls_failed = 0;
     }
+    else if (p->fenced) {
+        r->fence += FENCE_STEP;
+    }
     else if (!p->ok && !p->immediate) {
         poll_failed(r, now, p);
     }
--- a/runner.h
+++ b/runner.h
@@ -150,6 +150,7 @@
     bool immediate;   /* sent beside the poll that waits for an outcome */
     bool ok; /* answered; if not, fields below unreachable are unset */
     bool unreachable; /* failed as no connection could be made */
+    bool fenced;      /* refused: the worker has seen a higher fence */
     bool partial; /* a run that is in neither list may exist or have ended */
     uint64_t worker_clock_ms;
     uint64_t incarnation; /* start time of the worker's program, ms */
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -433,3 +433,25 @@
     EXPECT_TRUE(a.sent.outcomes.empty());
     EXPECT_EQ(rn_active_count(&a.r), 1u);
 }
+
+/* Guards against an agent that gets no poll answered for good: its machine was
+ * started again, so that its fence is lower than its predecessor's. */
+TEST(Runner, FencedPollRaisesTheFence)
+{
+    Fixture a;
+    rn_poll p = {};
+    uint64_t fence;
+
+    a.now += RN_IDLE_POLL_MS;
+    rn_tick(&a.r, a.now);
+    ASSERT_EQ(a.sent.polls.size(), 1u);
+    fence = a.sent.polls[0].fence;
+    p.sent_ms = a.now;
+    p.fenced = true;
+    a.now += 30;
+    rn_poll_answered(&a.r, a.now, &p);
+    a.now += RN_IDLE_POLL_MS;
+    rn_tick(&a.r, a.now);
+    ASSERT_EQ(a.sent.polls.size(), 2u);
+    EXPECT_GT(a.sent.polls[1].fence, fence);
+}
