web: a caller that disconnected gets no response

What callers saw: a 503 for a job that may run. To the users' platform a 503 says that the job was not accepted and never runs.

Cause: the end of the caller's sending side counts as a disconnect while a request waits. To end the request, an empty 503 was then sent, on the assumption that nobody reads it; a caller that closed only its sending side does.

Evidence: Web.ADisconnectedCallerGetsNoResponse, which failed before: the caller received a response.

Fix: the connection is closed without a response, which says what is known: the request may have had an effect.

--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -1,6 +1,7 @@
 /* HTTP server over loopback sockets: disconnecting callers and draining. */
 #include <gtest/gtest.h>
 
+#include <cerrno>
 #include <cstring>
 #include <string>
 
@@ -214,3 +215,26 @@
         close(fd);
     }
 }
+
+/* Guards against a 503, which says that a request had no effect, for one that
+ * is being worked on: a caller that closes only its sending side still reads,
+ * and got it in place of no response. */
+TEST_F(Web, ADisconnectedCallerGetsNoResponse)
+{
+    int fd = connect_server();
+    char byte;
+    ssize_t n = -1;
+
+    send_get(fd, "/hold");
+    ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+    shutdown(fd, SHUT_WR);
+    ASSERT_TRUE(until([&] { return disconnects == 1; }));
+    until([&] {
+        n = recv(fd, &byte, 1, MSG_DONTWAIT);
+        return n >= 0 || errno != EAGAIN;
+    });
+    EXPECT_LE(n, 0);
+    EXPECT_EQ(disconnects, 1);
+    EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+    close(fd);
+}
--- a/web.c
+++ b/web.c
@@ -31,6 +31,7 @@
     bool too_large; /* the body exceeds cfg.body_max */
     bool handled;   /* passed to the handler, or rejected */
     bool replied;
+    bool disconnected;   /* by the caller, before the reply */
     bool suspended;      /* by libmicrohttpd, until the reply */
     ev_io disconnect_io; /* detects a disconnect; active while suspended */
     struct MHD_Response *response; /* not yet queued; else NULL */
@@ -145,7 +146,7 @@
     if (r->suspended) {
         ev_io_stop(w->loop, &r->disconnect_io);
     }
-    if (r->handled && !r->replied) {
+    if (r->handled && !r->replied && !r->disconnected) {
         w->disconnected(w->ctx, r);
     }
     if (r->response != NULL) {
@@ -194,10 +195,7 @@
         return; /* a pipelined request */
     }
     r->w->disconnected(r->w->ctx, r);
-    r->replied = true;
-    r->status = MHD_HTTP_SERVICE_UNAVAILABLE;
-    r->response =
-        MHD_create_response_from_buffer(0, NULL, MHD_RESPMEM_PERSISTENT);
+    r->disconnected = true;
     resume(r);
 }
 
@@ -215,6 +213,11 @@
 static enum MHD_Result
 handle_complete(struct web_req *r)
 {
+    if (r->disconnected) {
+        /* Close the connection.  A caller that has closed only its sending
+         * side would believe any response. */
+        return MHD_NO;
+    }
     if (r->replied) {
         return queue_reply(r);
     }
