coord: a run that its agent reports as left over is not placed again

Cause: a refused connection counts as the death of the agent. The agent was alive, had a new session and reported that runs of the former one were left; only the report that none are left was used. Now a lost run waits while its agent's newest report says so. It delays nothing after a real death, as a successor has another id, and the agent resolves its leftover runs by the end of the worker's lease.

Coord.RunOfASilentAgentIsRetriedOnlyAfterItEnded let a reconnected agent that reported leftover runs be overruled at the end of the time; it now checks that the agent is believed, and the time itself with an agent that stays silent.

--- a/coord.c
+++ b/coord.c
@@ -565,6 +565,7 @@
         c->ops->log_agent(c->ctx, a, "agent_live");
     }
     fl_update_status(a, r->head.ack, &r->room);
+    a->leftover = !r->clean;
     if (r->clean) {
         release_lost_runs(c, now, a);
     }
@@ -610,6 +611,17 @@
     }
 }
 
+/* The time has come at which the lost run is over by all rules.  The agent
+ * knows better: a connection may have been refused while it was alive. */
+static bool
+is_over(struct coord *c, uint64_t now, const struct co_task *t)
+{
+    const struct fl_agent *a = fl_find(&c->fleet, t->agent);
+
+    return now >= t->retry_at_ms &&
+           !(a != NULL && a->session_open && a->leftover);
+}
+
 /* False if it ended the job. */
 static bool
 tick_job(struct coord *c, uint64_t now, struct co_job *j)
@@ -625,7 +637,7 @@
     for (uint32_t i = 0; i < j->task_count; i++) {
         struct co_task *t = &j->tasks[i];
 
-        if (t->state == CO_LOST && now >= t->retry_at_ms) {
+        if (t->state == CO_LOST && is_over(c, now, t)) {
             run_lost(c, now, j, t);
         }
     }
--- a/fleet.h
+++ b/fleet.h
@@ -68,8 +68,10 @@
     char service[FL_NAME_MAX]; /* run by its worker */
     bool member;               /* listed in the platform's store */
     bool session_open;
-    bool withdrawn;       /* its failure domain is */
-    bool selected;        /* this entry keeps a session with it */
+    bool leftover;  /* in its last report: runs of an earlier session may be
+                     * left there */
+    bool withdrawn; /* its failure domain is */
+    bool selected;  /* this entry keeps a session with it */
     uint64_t selected_ms; /* when selected, or last seen with an open session;
                            * kept while an agent that did not reply waits to be
                            * retried; 0: not selected */
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -102,7 +102,7 @@
 };
 
 const AgainCase cases[] = {
-    {"connection_refused_by_a_live_agent", {refused_while_alive}},
+    {"connection_refused_by_a_live_agent", {refused_while_alive, stops_lost}},
     {"agent_pauses_at_the_lease", {agent_pauses_at_the_lease, stops_lost}},
     {"sessions_reopen", {sessions_reopen, stops_lost}},
     {"entry_pauses", {entry_pauses}},
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -90,10 +90,11 @@
         return fl_find(&c.fleet, 3);
     }
     void
-    report(std::vector<dw_run_end> outcomes)
+    report(std::vector<dw_run_end> outcomes, bool clean = false)
     {
         dw_report r = {};
 
+        r.clean = clean;
         r.head.session = agent()->sess.number;
         r.head.clock_ms = now;
         r.head.echo_ms = now;
@@ -248,30 +249,36 @@
 
 /* Guards against running a task twice: its agent stops reporting, and the
  * entry starts it on another one while the first, or its worker, still runs
- * it. */
+ * it.  An agent that has reconnected is believed for longer. */
 TEST(Coord, RunOfASilentAgentIsRetriedOnlyAfterItEnded)
 {
-    Entry e;
-
-    e.submit(5, 1, &caller, 9000);
-    uint64_t first = e.run_of(5);
-    uint64_t ended_ms = sess_peer_expiry_ms(&e.agent()->sess) +
-                        RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS;
-
-    while (e.now + 20 < ended_ms) {
-        e.now += 20;
-        co_tick(&e.c, e.now);
-        if (e.agent()->sess.number != 0 && !e.agent()->session_open) {
-            e.report({}); /* reconnected, but earlier runs may remain */
+    for (bool reconnects : {false, true}) {
+        Entry e;
+
+        e.submit(5, 1, &caller, 9000);
+        uint64_t first = e.run_of(5);
+        uint64_t ended_ms = sess_peer_expiry_ms(&e.agent()->sess) +
+                            RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS;
+
+        while (e.now + 20 < ended_ms) {
+            e.now += 20;
+            co_tick(&e.c, e.now);
+            if (reconnects && e.agent()->sess.number != 0 &&
+                !e.agent()->session_open) {
+                e.report({}); /* earlier runs may remain */
+            }
+            EXPECT_EQ(e.run_of(5), first) << e.now;
+            EXPECT_EQ(e.c.stats.lost, 0u) << e.now;
         }
-        EXPECT_EQ(e.run_of(5), first) << e.now;
+        e.now = ended_ms + 20;
+        co_tick(&e.c, e.now);
+        EXPECT_EQ(e.c.stats.lost, reconnects ? 0u : 1u);
+        e.report({}, true);
+        co_tick(&e.c, e.now);
+        co_flush(&e.c, e.now);
+        EXPECT_EQ(e.c.stats.lost, 1u);
+        EXPECT_GT(e.run_of(5), first);
     }
-    e.now = ended_ms + 20;
-    co_tick(&e.c, e.now);
-    e.report({});
-    co_tick(&e.c, e.now);
-    co_flush(&e.c, e.now);
-    EXPECT_GT(e.run_of(5), first);
 }
 
 TEST(Coord, RefusalOnArrivalStartsNothingAndNamesTheReason)
