coord: a refused connection does not shorten the wait for lost runs

Cause: the refusal was taken for the death of the agent. On a host without filters it is one; in general a live agent acts on its session for the rest of the lease. So the wait is that for a silent agent.

--- a/coord.c
+++ b/coord.c
@@ -524,12 +524,13 @@
 /* The agent acts on the session for at most its lease; then it stops the runs,
  * or the worker's own lease expires. */
 static void
-close_silent_session(struct coord *c, uint64_t now, struct fl_agent *a)
+close_session(
+    struct coord *c, uint64_t now, struct fl_agent *a, const char *event)
 {
     uint64_t ended_ms =
         sess_peer_expiry_ms(&a->sess) + RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS;
 
-    c->ops->log_agent(c->ctx, a, "agent_silent");
+    c->ops->log_agent(c->ctx, a, event);
     mark_runs_lost(c, a, num_max(ended_ms, now));
     fl_close(a);
 }
@@ -542,9 +543,8 @@
     if (a == NULL || !a->session_open) {
         return;
     }
-    c->ops->log_agent(c->ctx, a, "agent_dead");
-    mark_runs_lost(c, a, now + RN_LEASE_EXPIRY_MS);
-    fl_close(a);
+    /* No proof of its death: a packet filter refuses connections, too. */
+    close_session(c, now, a, "agent_dead");
 }
 
 void
@@ -580,7 +580,7 @@
 tick_session(struct coord *c, uint64_t now, struct fl_agent *a)
 {
     if (a->session_open && !sess_live(&a->sess, now)) {
-        close_silent_session(c, now, a);
+        close_session(c, now, a, "agent_silent");
     }
     if (a->session_open) {
         a->closed_ms = 0;
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -39,6 +39,18 @@
     w.refuse_connection(some(w, ENTRIES), some(w, AGENTS));
 }
 
+/* A packet filter: the connection is refused and nothing passes. */
+void
+refused_and_cut(World &w)
+{
+    size_t e = some(w, ENTRIES);
+    size_t a = some(w, AGENTS);
+
+    w.cut(e, a, true, true, 300 + w.rng() % 1500);
+    w.after(
+        w.rng() % SESS_LEASE_MS, [&w, e, a] { w.refuse_connection(e, a); });
+}
+
 /* The lease of a session ends while its agent stands still. */
 void
 agent_pauses_at_the_lease(World &w)
@@ -103,6 +115,7 @@
 
 const AgainCase cases[] = {
     {"connection_refused_by_a_live_agent", {refused_while_alive, stops_lost}},
+    {"connection_refused_and_cut", {refused_and_cut}},
     {"agent_pauses_at_the_lease", {agent_pauses_at_the_lease, stops_lost}},
     {"sessions_reopen", {sessions_reopen, stops_lost}},
     {"entry_pauses", {entry_pauses}},
@@ -113,6 +126,10 @@
         {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
             starts_refused, messages_doubled_and_late, callers_send_again,
             agent_killed}},
+    {"all",
+        {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
+            starts_refused, messages_doubled_and_late, callers_send_again,
+            agent_killed, refused_while_alive, refused_and_cut}},
 };
 
 std::string
