runner: keep the evidence for the end of a run, and log it

A task ran twice after an agent had reported its first run as not run. Four decisions give that report: the worker refused the start, refused it by the fence, could not be reached, or a stop was answered and a later poll did not show the run. No line told which one it was. run_ended and run_full now tell it as why=, with the HTTP code, the copies sent and the body if a response to the start decided, and dw_runs_not_run_* count the four. No decision changes.

--- a/agentd.c
+++ b/agentd.c
@@ -33,6 +33,8 @@
     uint64_t heartbeat_seq;  /* of the last heartbeat */
     uint64_t heartbeat_started_ms; /* start time of the worker that sent it */
     bool draining_logged;
+    /* Response to a start while the runner decides on it; otherwise NULL. */
+    const struct httpc_result *start_response;
     struct hist run_ms; /* of runs that succeeded */
 };
 
@@ -111,8 +113,10 @@
             proc_now() - c->sent_ms, result == RN_START_LOST, d->sends,
             (int)num_min(d->body.n, 100), d->body.n > 0 ? d->body.p : "");
     }
+    c->ad->start_response = d;
     rn_start_answered(&c->ad->agent.runner, proc_now(), &c->key, result,
         d->status == HTTPC_OK ? wire_clock_ms(d->body) : 0);
+    c->ad->start_response = NULL;
     free(c);
 }
 
@@ -204,13 +208,50 @@
     [RN_STOPPING] = "stopping",
 };
 
+static const char *const evidence_names[] = {
+    [RN_EVIDENCE_NONE] = "unknown",
+    [RN_EVIDENCE_LISTED] = "listed",
+    [RN_EVIDENCE_REFUSED] = "refused",
+    [RN_EVIDENCE_FENCED] = "fenced",
+    [RN_EVIDENCE_UNREACHABLE] = "unreachable",
+    [RN_EVIDENCE_ABSENT_STOPPED] = "absent_after_stop",
+    [RN_EVIDENCE_ABSENT] = "absent",
+    [RN_EVIDENCE_LEASE] = "lease_expired",
+    [RN_EVIDENCE_NOT_SENT] = "not_sent",
+    [RN_EVIDENCE_DROPPED] = "stopped_while_queued",
+};
+
+/* Appends the response to the start that shows that a run did not start. */
+static void
+add_start_response(
+    struct buf *b, const struct agentd *ad, enum rn_evidence evidence)
+{
+    const struct httpc_result *d = ad->start_response;
+
+    if (d == NULL ||
+        (evidence != RN_EVIDENCE_REFUSED && evidence != RN_EVIDENCE_FENCED &&
+            evidence != RN_EVIDENCE_UNREACHABLE)) {
+        return;
+    }
+    buf_addf(b, " code=%ld sends=%u", d->http_status, d->sends);
+    if (evidence == RN_EVIDENCE_UNREACHABLE) {
+        buf_addf(b, " error=\"%s\"", d->error);
+    }
+    else {
+        buf_addf(b, " body=\"%.*s\"", (int)num_min(d->body.n, 100),
+            d->body.n > 0 ? d->body.p : "");
+    }
+}
+
 static void
 log_run_end(
     void *ctx, const struct rn_run *run, dw_end outcome, uint32_t ran_ms)
 {
     struct agentd *ad = ctx;
     bool done = outcome == DW_END_DONE;
+    struct buf response = {0};
 
+    add_start_response(&response, ad, run->evidence);
     if (done) {
         hist_add(&ad->run_ms, ran_ms);
     }
@@ -219,10 +260,13 @@
         : outcome == DW_END_FULL ? "run_full"
                                  : "run_ended",
         "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
-        " how=%s state=%s waited_ms=%" PRIu64 " ran_ms=%u est_ms=%u pace=%u",
+        " how=%s why=%s state=%s waited_ms=%" PRIu64
+        " ran_ms=%u est_ms=%u pace=%u%s",
         run->key.job, run->key.index, run->key.run, outcome_names[outcome],
-        state_names[run->state], run->sent_ms - run->received_ms, ran_ms,
-        run->est_ms, ad->agent.runner.pace_permille);
+        evidence_names[run->evidence], state_names[run->state],
+        run->sent_ms - run->received_ms, ran_ms, run->est_ms,
+        ad->agent.runner.pace_permille, response.p != NULL ? response.p : "");
+    buf_free(&response);
 }
 
 /* --- entries --- */
@@ -454,6 +498,11 @@
         {"dw_runs_failed", st->failed},
         {"dw_runs_lost_starts", st->lost_starts},
         {"dw_runs_lapsed", st->lease_expired},
+        {"dw_runs_not_run", rn_not_run_count(st)},
+        {"dw_runs_not_run_refused", st->not_run[RN_EVIDENCE_REFUSED]},
+        {"dw_runs_not_run_fenced", st->not_run[RN_EVIDENCE_FENCED]},
+        {"dw_runs_not_run_unreachable", st->not_run[RN_EVIDENCE_UNREACHABLE]},
+        {"dw_runs_not_run_by_stop", st->not_run[RN_EVIDENCE_ABSENT_STOPPED]},
         {"dw_runs_orphans", st->orphans},
         {"dw_runs_full", st->no_capacity},
         {"dw_runs_active", rn_active_count(&ad->agent.runner)},
--- a/runner.c
+++ b/runner.c
@@ -122,6 +122,9 @@
     else if (outcome == DW_END_FAILED) {
         r->stats.failed++;
     }
+    else if (outcome == DW_END_NOT_RUN) {
+        r->stats.not_run[run->evidence]++;
+    }
     if (outcome == DW_END_DONE || outcome == DW_END_FAILED) {
         r->fail_permille =
             rn_fail_average(r->fail_permille, outcome == DW_END_FAILED);
@@ -306,6 +309,7 @@
         if (now >= run->wait_until_ms || !rn_serving(r) ||
             !ends_before_exit(r, now, run)) {
             r->stats.no_capacity++;
+            run->evidence = RN_EVIDENCE_NOT_SENT;
             finish_run(r, now, run, DW_END_FULL);
         }
         else if (may_start && fits(r, run) && !task_active(r, run)) {
@@ -363,6 +367,7 @@
     run = find_run(r, &key);
     if (run != NULL && run->state == RN_QUEUED && !task_active(r, run)) {
         r->stats.no_capacity++;
+        run->evidence = RN_EVIDENCE_NOT_SENT;
         finish_run(r, now, run, DW_END_FULL);
     }
 }
@@ -390,6 +395,7 @@
         return;
     }
     if (run->state == RN_QUEUED) {
+        run->evidence = RN_EVIDENCE_DROPPED;
         finish_run(r, now, run, DW_END_STOPPED);
         return;
     }
@@ -513,6 +519,7 @@
     }
     if (result == RN_START_FENCED) {
         r->fence += FENCE_STEP;
+        run->evidence = RN_EVIDENCE_FENCED;
         finish_run(r, now, run, DW_END_NOT_RUN);
         start_queued(r, now);
     }
@@ -525,6 +532,8 @@
         if (result == RN_START_UNREACHABLE) {
             set_silent(r, now);
         }
+        run->evidence = result == RN_START_REFUSED ? RN_EVIDENCE_REFUSED
+                                                   : RN_EVIDENCE_UNREACHABLE;
         finish_run(r, now, run, DW_END_NOT_RUN);
         start_queued(r, now);
     }
@@ -568,6 +577,7 @@
         }
         r->ack = o->seq;
         if (run != NULL && run->state != RN_QUEUED) {
+            run->evidence = RN_EVIDENCE_LISTED;
             finish_run(r, now, run, o->outcome);
         }
     }
@@ -641,6 +651,9 @@
             stop_run(r, now, run);
         }
         else {
+            run->evidence = run->state == RN_STOPPING
+                                ? RN_EVIDENCE_ABSENT_STOPPED
+                                : RN_EVIDENCE_ABSENT;
             finish_run(r, now, run,
                 run->state == RN_STOPPING && !run->reported ? DW_END_NOT_RUN
                                                             : DW_END_LOST);
@@ -736,6 +749,7 @@
     HASH_ITER (hh, r->runs, run, tmp) {
         if (run->state != RN_QUEUED) {
             r->stats.lease_expired++;
+            run->evidence = RN_EVIDENCE_LEASE;
             finish_run(r, now, run, DW_END_LOST);
         }
     }
@@ -794,6 +808,17 @@
     return n;
 }
 
+uint64_t
+rn_not_run_count(const struct rn_stats *st)
+{
+    uint64_t n = 0;
+
+    for (size_t i = 0; i < RN_EVIDENCE_COUNT; i++) {
+        n += st->not_run[i];
+    }
+    return n;
+}
+
 size_t
 rn_leftover_count(const struct runner *r, uint64_t entry, uint64_t session)
 {
--- a/runner.h
+++ b/runner.h
@@ -89,6 +89,22 @@
     RN_STOPPING /* stop sent, end not certain yet */
 };
 
+/* What shows that a run has ended. */
+enum rn_evidence {
+    RN_EVIDENCE_NONE,
+    RN_EVIDENCE_LISTED,         /* the worker lists its end */
+    RN_EVIDENCE_REFUSED,        /* the worker refused the start */
+    RN_EVIDENCE_FENCED,         /* refused: it has seen a higher fence */
+    RN_EVIDENCE_UNREACHABLE,    /* no connection for the start */
+    RN_EVIDENCE_ABSENT_STOPPED, /* a stop was answered, and a poll sent after
+                                   it did not show the run */
+    RN_EVIDENCE_ABSENT,         /* it ran, and a poll does not show it */
+    RN_EVIDENCE_LEASE,          /* the lease ran out without renewal */
+    RN_EVIDENCE_NOT_SENT,       /* no start was sent: no capacity */
+    RN_EVIDENCE_DROPPED,        /* no start was sent: stopped while queued */
+    RN_EVIDENCE_COUNT
+};
+
 /* A run that an entry ordered, until its end is certain. */
 struct rn_run {
     struct rn_key key;
@@ -101,8 +117,9 @@
     uint32_t priority;
     char *spec; /* the job's task specification */
     enum rn_state state;
-    bool reported;      /* a poll has shown it running */
-    bool session_ended; /* stopped because its session ended */
+    enum rn_evidence evidence; /* of its end; set before `ended` is called */
+    bool reported;             /* a poll has shown it running */
+    bool session_ended;        /* stopped because its session ended */
     uint64_t received_ms;
     uint64_t wait_until_ms; /* refused as full if it is still queued then */
     uint64_t sent_ms;       /* when its start, later its last stop, was sent */
@@ -194,6 +211,7 @@
     uint64_t orphans;       /* running there but not known here */
     uint64_t no_capacity;   /* refused as full */
     uint64_t worker_restarts;
+    uint64_t not_run[RN_EVIDENCE_COUNT]; /* DW_END_NOT_RUN, by evidence */
 };
 
 struct runner {
@@ -287,6 +305,8 @@
 /* Runs of an entry's earlier sessions. */
 size_t rn_leftover_count(
     const struct runner *r, uint64_t entry, uint64_t session);
+/* All runs reported as DW_END_NOT_RUN. */
+uint64_t rn_not_run_count(const struct rn_stats *st);
 /* Fills in total and free capacity, queued runs deducted, and speeds. */
 void rn_get_capacity(const struct runner *r, uint64_t now, dw_room *capacity);
 
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -13,6 +13,7 @@
     std::vector<rn_key> stops;
     std::vector<rn_terms> polls;
     std::vector<std::pair<rn_key, dw_end>> outcomes;
+    std::vector<rn_evidence> evidence; // of each outcome
     uint64_t fence = 0;
 };
 
@@ -39,6 +40,7 @@
 record_outcome(void *ctx, const rn_run *r, dw_end outcome, uint32_t)
 {
     static_cast<Recorder *>(ctx)->outcomes.push_back({r->key, outcome});
+    static_cast<Recorder *>(ctx)->evidence.push_back(r->evidence);
 }
 
 const rn_ops recorder_ops = {
@@ -296,3 +298,128 @@
     a.poll({}, {}, 78);
     EXPECT_EQ(a.capacity().fail_permille, 0u);
 }
+
+namespace {
+
+void
+stop_ordered(Fixture &a)
+{
+    dw_run_ref ref = {1, 0, 1};
+
+    rn_stop(&a.r, a.now, &ref);
+}
+
+void
+answer_stop(Fixture &a)
+{
+    rn_key k = {1, 1, 0};
+
+    rn_stop_answered(&a.r, a.now, &k, true);
+    a.now += 2;
+}
+
+// Orders run 2 of the task whose run 1 is active: it is queued.
+void
+order_second_run(Fixture &a)
+{
+    dw_run_group g = {};
+    dw_run run = {};
+
+    g.job = 1;
+    run.run = 2;
+    run.millicores = 1000;
+    run.wait_ms = 40;
+    rn_order(&a.r, a.now, 9, 1, &g, &run);
+}
+
+struct EndCase {
+    const char *name;
+    rn_start_result start; // answer to the start of run 1
+    void (*then)(Fixture &a);
+    dw_end outcome;
+    rn_evidence evidence;
+};
+
+const EndCase end_cases[] = {
+    {"Refused", RN_START_REFUSED, nullptr, DW_END_NOT_RUN,
+        RN_EVIDENCE_REFUSED},
+    {"Fenced", RN_START_FENCED, nullptr, DW_END_NOT_RUN, RN_EVIDENCE_FENCED},
+    {"Unreachable", RN_START_UNREACHABLE, nullptr, DW_END_NOT_RUN,
+        RN_EVIDENCE_UNREACHABLE},
+    {"AbsentAfterAStop", RN_START_LOST,
+        [](Fixture &a) {
+            a.now += 2;
+            a.poll({}, {});
+            answer_stop(a);
+            a.poll({}, {});
+        },
+        DW_END_NOT_RUN, RN_EVIDENCE_ABSENT_STOPPED},
+    {"SeenThenAbsentAfterAStop", RN_START_OK,
+        [](Fixture &a) {
+            a.poll({{{1, 1, 0}, 5}}, {});
+            stop_ordered(a);
+            answer_stop(a);
+            a.poll({}, {});
+        },
+        DW_END_LOST, RN_EVIDENCE_ABSENT_STOPPED},
+    {"AbsentWithoutAStop", RN_START_OK,
+        [](Fixture &a) {
+            a.now += 2;
+            a.poll({}, {});
+        },
+        DW_END_LOST, RN_EVIDENCE_ABSENT},
+    {"Listed", RN_START_OK,
+        [](Fixture &a) {
+            a.poll({}, {{1, {1, 1, 0}, DW_END_FAILED}});
+        },
+        DW_END_FAILED, RN_EVIDENCE_LISTED},
+    {"LeaseExpired", RN_START_OK,
+        [](Fixture &a) {
+            a.now += RN_LEASE_EXPIRY_MS + 100;
+            rn_tick(&a.r, a.now);
+        },
+        DW_END_LOST, RN_EVIDENCE_LEASE},
+    {"StoppedWhileQueued", RN_START_OK,
+        [](Fixture &a) {
+            dw_run_ref second = {1, 0, 2};
+
+            order_second_run(a);
+            rn_stop(&a.r, a.now, &second);
+        },
+        DW_END_STOPPED, RN_EVIDENCE_DROPPED},
+    {"QueuedForTooLong", RN_START_OK,
+        [](Fixture &a) {
+            order_second_run(a);
+            a.now += 41;
+            rn_tick(&a.r, a.now);
+        },
+        DW_END_FULL, RN_EVIDENCE_NOT_SENT},
+};
+
+class RunnerEvidence : public testing::TestWithParam<EndCase> {};
+
+} // namespace
+
+/* Guards against a log that cannot tell by what an agent took a run for over:
+ * runs reported as not run were found running, and no line told which of the
+ * four producers of that report was wrong. */
+TEST_P(RunnerEvidence, IsKnownForEveryEnd)
+{
+    const EndCase &c = GetParam();
+    Fixture a;
+    uint64_t not_run = c.outcome == DW_END_NOT_RUN;
+
+    a.order(1, 1000);
+    a.started(1, c.start);
+    if (c.then != nullptr) {
+        c.then(a);
+    }
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    EXPECT_EQ(a.sent.outcomes[0].second, c.outcome);
+    EXPECT_EQ(a.sent.evidence[0], c.evidence);
+    EXPECT_EQ(a.r.stats.not_run[c.evidence], not_run);
+    EXPECT_EQ(rn_not_run_count(&a.r.stats), not_run);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, RunnerEvidence, testing::ValuesIn(end_cases),
+    [](const auto &tested) { return tested.param.name; });
