agent: log the loss of the worker, its return, its restart and orphans

An agent had no contact with its worker for 5 s and learned an end late. Its log did not tell that, nor when the worker answered again; a restart of the worker and runs found there only moved counters. worker_silent, worker_answers, worker_reborn, worker_orphans and worker_orphans_gone tell each change of state with one line, however many polls fail. No decision changes.

--- a/agent.c
+++ b/agent.c
@@ -239,8 +239,16 @@
     a->ops->worker.poll(a->ctx, request, terms);
 }
 
+static void
+worker_event(void *ctx, const struct rn_event *e)
+{
+    struct agent *a = ctx;
+
+    a->ops->worker.event(a->ctx, e);
+}
+
 static const struct rn_ops worker_ops = {
-    worker_start, worker_stop, worker_poll, collect_outcome};
+    worker_start, worker_stop, worker_poll, collect_outcome, worker_event};
 
 /* --- sessions --- */
 
--- a/agentd.c
+++ b/agentd.c
@@ -269,6 +269,63 @@
     buf_free(&response);
 }
 
+/* --- changes of the worker --- */
+
+static void
+log_worker_silent(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_WARN, "worker_silent",
+        "polls_failed=%u unheard_ms=%" PRIu64 " active=%zu", e->polls_failed,
+        e->unheard_ms, e->active);
+}
+
+static void
+log_worker_answers(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_WARN, "worker_answers",
+        "polls_failed=%u unheard_ms=%" PRIu64 " active=%zu outcomes=%zu",
+        e->polls_failed, e->unheard_ms, e->active, e->outcomes);
+}
+
+static void
+log_worker_restarted(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_WARN, "worker_reborn",
+        "was_born=%" PRIu64 " born=%" PRIu64 " unheard_ms=%" PRIu64
+        " active=%zu",
+        e->former, e->incarnation, e->unheard_ms, e->active);
+}
+
+static void
+log_worker_orphans(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_WARN, "worker_orphans",
+        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
+        " orphans=%zu active=%zu",
+        e->key.job, e->key.index, e->key.run, e->orphans, e->active);
+}
+
+static void
+log_no_orphans(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_INFO, "worker_orphans_gone", "active=%zu", e->active);
+}
+
+static void
+log_worker_event(void *ctx, const struct rn_event *e)
+{
+    static void (*const writers[])(const struct rn_event *e) = {
+        [RN_EVENT_SILENT] = log_worker_silent,
+        [RN_EVENT_ANSWERS] = log_worker_answers,
+        [RN_EVENT_RESTARTED] = log_worker_restarted,
+        [RN_EVENT_ORPHANS] = log_worker_orphans,
+        [RN_EVENT_NO_ORPHANS] = log_no_orphans,
+    };
+
+    (void)ctx;
+    writers[e->kind](e);
+}
+
 /* --- entries --- */
 
 static void
@@ -295,8 +352,9 @@
         entry, silent_ms);
 }
 
-static const struct ag_ops ag_ops = {{do_start, do_stop, do_poll, NULL},
-    do_send, do_reconnect, log_run_end, log_session};
+static const struct ag_ops ag_ops = {
+    {do_start, do_stop, do_poll, NULL, log_worker_event}, do_send,
+    do_reconnect, log_run_end, log_session};
 
 static void
 update_peer_address(struct agentd *ad, uint64_t from, const dw_orders *o)
--- a/runner.c
+++ b/runner.c
@@ -235,6 +235,39 @@
     }
 }
 
+/* When the worker last answered; before its first answer, our start. */
+static uint64_t
+heard_ms(const struct runner *r)
+{
+    return num_max(r->worker_clock_at_ms, r->started_ms);
+}
+
+static void
+note_silent(struct runner *r, uint64_t now)
+{
+    struct rn_event e = {.kind = RN_EVENT_SILENT,
+        .active = rn_active_count(r),
+        .polls_failed = r->polls_failed};
+
+    r->silent_from_ms = heard_ms(r);
+    e.unheard_ms = num_sub_sat(now, r->silent_from_ms);
+    r->ops->event(r->ctx, &e);
+}
+
+static void
+note_answer(struct runner *r, uint64_t now, const struct rn_poll *p)
+{
+    struct rn_event e = {.kind = RN_EVENT_ANSWERS,
+        .active = rn_active_count(r),
+        .unheard_ms = num_sub_sat(now, r->silent_from_ms),
+        .polls_failed = r->polls_failed};
+
+    for (size_t i = 0; i < p->outcome_count; i++) {
+        e.outcomes += p->outcomes[i].seq > r->ack;
+    }
+    r->ops->event(r->ctx, &e);
+}
+
 /*
  * An unreachable worker fails starts faster than any other worker completes
  * them: if it counted as free, it would attract all tasks.  It gets none
@@ -243,6 +276,9 @@
 static void
 set_silent(struct runner *r, uint64_t now)
 {
+    if (!r->silent) {
+        note_silent(r, now);
+    }
     r->silent = true;
     r->capacity_changed_ms = now;
 }
@@ -448,6 +484,13 @@
 static void
 worker_restarted(struct runner *r, uint64_t now, uint64_t incarnation)
 {
+    struct rn_event e = {.kind = RN_EVENT_RESTARTED,
+        .active = rn_active_count(r),
+        .unheard_ms = num_sub_sat(now, heard_ms(r)),
+        .former = r->incarnation,
+        .incarnation = incarnation};
+
+    r->ops->event(r->ctx, &e);
     r->fail_permille = 0;
     r->stats.worker_restarts++;
     r->worker_clock_ms = 0;
@@ -594,9 +637,28 @@
     return false;
 }
 
+/* Tells when the first orphan appears and when the last one is gone. */
+static void
+note_orphans(struct runner *r, size_t before, const struct rn_key *first)
+{
+    struct rn_event e = {
+        .kind = r->orphans > 0 ? RN_EVENT_ORPHANS : RN_EVENT_NO_ORPHANS,
+        .active = rn_active_count(r),
+        .orphans = r->orphans,
+        .key = *first};
+
+    if ((before > 0) == (r->orphans > 0)) {
+        return;
+    }
+    r->ops->event(r->ctx, &e);
+}
+
 static void
 process_running(struct runner *r, uint64_t now, const struct rn_poll *p)
 {
+    size_t before = r->orphans;
+    struct rn_key first = {0};
+
     r->orphans = 0;
     for (size_t i = 0; i < p->running_count; i++) {
         const struct rn_poll_run *reported = &p->running[i];
@@ -608,6 +670,7 @@
         if (run == NULL) {
             /* Started by an earlier agent, or by a late request: its size is
              * unknown, so nothing is started beside it. */
+            first = r->orphans == 0 ? reported->key : first;
             r->orphans++;
             r->stats.orphans++;
             send_stop(r, &reported->key);
@@ -621,6 +684,7 @@
             run->conclusive_ms = now;
         }
     }
+    note_orphans(r, before, &first);
 }
 
 static bool
@@ -683,6 +747,9 @@
     if (r->incarnation != 0 && p->incarnation != r->incarnation) {
         worker_restarted(r, now, p->incarnation);
     }
+    if (r->silent) {
+        note_answer(r, now, p);
+    }
     note_clock(r, now, p->worker_clock_ms);
     if (r->incarnation == 0) {
         set_incarnation(r, p->incarnation);
--- a/runner.h
+++ b/runner.h
@@ -183,6 +183,29 @@
     bool immediate;   /* sent beside the poll that waits for an outcome */
 };
 
+enum rn_event_kind {
+    RN_EVENT_SILENT,    /* contact with the worker is lost */
+    RN_EVENT_ANSWERS,   /* a poll is answered again */
+    RN_EVENT_RESTARTED, /* the worker has a new incarnation */
+    RN_EVENT_ORPHANS,   /* runs that are not known here appeared there */
+    RN_EVENT_NO_ORPHANS
+};
+
+/* A change in what is known of the worker, for logs; fields that a kind does
+ * not name are 0. */
+struct rn_event {
+    enum rn_event_kind kind;
+    size_t active;         /* runs that hold resources */
+    uint64_t unheard_ms;   /* since its last answer; SILENT, ANSWERS,
+                              RESTARTED */
+    uint32_t polls_failed; /* in a row; SILENT, ANSWERS */
+    size_t outcomes;       /* that the answer brought; ANSWERS */
+    uint64_t former;       /* incarnation; RESTARTED */
+    uint64_t incarnation;  /* RESTARTED */
+    size_t orphans;        /* ORPHANS */
+    struct rn_key key;     /* of the first orphan; ORPHANS */
+};
+
 /*
  * Requests to the worker and the report of outcomes.  start, stop and poll
  * return at once; their results come back by rn_start_answered(),
@@ -199,6 +222,7 @@
      * confirmed. */
     void (*ended)(
         void *ctx, const struct rn_run *r, dw_end outcome, uint32_t ran_ms);
+    void (*event)(void *ctx, const struct rn_event *e);
 };
 
 /* Counters since rn_init(). */
@@ -244,6 +268,7 @@
     uint64_t last_poll_ms;    /* when the last poll was sent */
     uint32_t polls_failed;    /* in a row */
     bool silent;              /* no answer lately; gets no starts */
+    uint64_t silent_from_ms;  /* its last answer before it fell silent */
     bool immediate_pending;
     struct rn_key recent[RN_RECENT_MAX]; /* ring of ended runs */
     size_t recent_next; /* runs ended; modulo the size, the next slot */
--- a/simworker.c
+++ b/simworker.c
@@ -515,7 +515,15 @@
         s, (request->wait_ms + RN_POLL_MARGIN_MS) * 1000ULL, poll_done, c);
 }
 
-const struct rn_ops sim_worker_ops = {do_start, do_stop, do_poll, NULL};
+static void
+ignore_event(void *ctx, const struct rn_event *e)
+{
+    (void)ctx;
+    (void)e;
+}
+
+const struct rn_ops sim_worker_ops = {
+    do_start, do_stop, do_poll, NULL, ignore_event};
 
 /* --- start and crash --- */
 
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -65,8 +65,13 @@
 {
 }
 
-const ag_ops ops = {{no_start, no_stop, no_poll, nullptr}, record_sent,
-    no_reconnect, no_run_ended, no_session_event};
+void
+no_event(void *, const rn_event *)
+{
+}
+
+const ag_ops ops = {{no_start, no_stop, no_poll, nullptr, no_event},
+    record_sent, no_reconnect, no_run_ended, no_session_event};
 
 struct Sessions {
     agent a;
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -14,6 +14,7 @@
     std::vector<rn_terms> polls;
     std::vector<std::pair<rn_key, dw_end>> outcomes;
     std::vector<rn_evidence> evidence; // of each outcome
+    std::vector<rn_event> events;
     uint64_t fence = 0;
 };
 
@@ -43,8 +44,14 @@
     static_cast<Recorder *>(ctx)->evidence.push_back(r->evidence);
 }
 
+void
+record_event(void *ctx, const rn_event *e)
+{
+    static_cast<Recorder *>(ctx)->events.push_back(*e);
+}
+
 const rn_ops recorder_ops = {
-    record_start, record_stop, record_poll, record_outcome};
+    record_start, record_stop, record_poll, record_outcome, record_event};
 
 /* A runner whose worker has 10 cores and has answered a poll. */
 struct Fixture {
@@ -423,3 +430,75 @@
 
 INSTANTIATE_TEST_SUITE_P(Ends, RunnerEvidence, testing::ValuesIn(end_cases),
     [](const auto &tested) { return tested.param.name; });
+
+namespace {
+
+void
+fail_poll(Fixture &a, bool unreachable)
+{
+    rn_poll p = {};
+
+    a.now += 20;
+    p.sent_ms = a.now;
+    p.unreachable = unreachable;
+    rn_poll_answered(&a.r, a.now, &p);
+}
+
+} // namespace
+
+/* Guards against a loss of contact that no log shows: an agent had no contact
+ * with its worker for 5 s, and only the worker knew.  One line for each change
+ * however many polls fail. */
+TEST(RunnerEvents, LossOfTheWorkerAndItsReturnAreToldOnce)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    uint64_t heard = a.now;
+    for (uint32_t i = 0; i < 2 * RN_SILENT_POLLS; i++) {
+        fail_poll(a, false);
+    }
+    ASSERT_EQ(a.sent.events.size(), 1u);
+    EXPECT_EQ(a.sent.events[0].kind, RN_EVENT_SILENT);
+    EXPECT_EQ(a.sent.events[0].polls_failed, RN_SILENT_POLLS);
+    EXPECT_EQ(a.sent.events[0].active, 1u);
+    EXPECT_EQ(a.sent.events[0].unheard_ms, 20 * RN_SILENT_POLLS);
+    a.poll({}, {{1, {1, 1, 0}, DW_END_DONE}});
+    a.poll({}, {{1, {1, 1, 0}, DW_END_DONE}});
+    ASSERT_EQ(a.sent.events.size(), 2u);
+    EXPECT_EQ(a.sent.events[1].kind, RN_EVENT_ANSWERS);
+    EXPECT_EQ(a.sent.events[1].outcomes, 1u);
+    EXPECT_EQ(a.sent.events[1].unheard_ms, a.now - 1 - heard);
+}
+
+/* Guards against a restart of the worker that only a counter shows: lost runs
+ * and a raised fence could not be told from a lost connection. */
+TEST(RunnerEvents, RestartTellsBothIncarnations)
+{
+    Fixture a;
+
+    a.poll({}, {}, 99);
+    rn_set_capacity(&a.r, a.now, 10000, 1000, 0, 99);
+    ASSERT_EQ(a.sent.events.size(), 1u);
+    EXPECT_EQ(a.sent.events[0].kind, RN_EVENT_RESTARTED);
+    EXPECT_EQ(a.sent.events[0].former, 77u);
+    EXPECT_EQ(a.sent.events[0].incarnation, 99u);
+}
+
+/* Guards against runs that an agent finds and stops without a trace of whose
+ * they were, and against a line for each poll that shows them. */
+TEST(RunnerEvents, OrphansAreToldWhenTheyAppearAndWhenTheyAreGone)
+{
+    Fixture a;
+
+    a.poll({{{5, 3, 2}, 1}, {{6, 3, 2}, 1}}, {});
+    a.poll({{{6, 3, 2}, 2}}, {});
+    ASSERT_EQ(a.sent.events.size(), 1u);
+    EXPECT_EQ(a.sent.events[0].kind, RN_EVENT_ORPHANS);
+    EXPECT_EQ(a.sent.events[0].orphans, 2u);
+    EXPECT_EQ(a.sent.events[0].key.job, 5u);
+    a.poll({}, {});
+    ASSERT_EQ(a.sent.events.size(), 2u);
+    EXPECT_EQ(a.sent.events[1].kind, RN_EVENT_NO_ORPHANS);
+}
--- a/test/world.cc
+++ b/test/world.cc
@@ -254,7 +254,17 @@
         "agent %zu: entry %lu %s, silent %lu", a->index, entry, what, ms);
 }
 
-const ag_ops agent_ops = {{do_start, do_stop, do_poll, nullptr}, agent_send,
+void
+agent_note_event(void *ctx, const rn_event *e)
+{
+    FakeAgent *a = self(ctx);
+
+    a->w->trace("agent %zu: worker event %d, %zu active", a->index, e->kind,
+        e->active);
+}
+
+const ag_ops agent_ops = {
+    {do_start, do_stop, do_poll, nullptr, agent_note_event}, agent_send,
     agent_reconnect, agent_note_outcome, agent_note_session};
 
 /* --- callbacks of entries --- */
