runner: notice that the reported end of a run was untrue

A run was reported as not run while it ran on its worker; its outcome, listed 5 s later, was dropped without a line, as nothing waited for it any more. The agent now keeps how each ended run was reported, by which evidence and when. run_ended_after_report tells that the worker lists another outcome, run_alive_after_report that a poll sent after the end shows the run, both once per run; dw_runs_contradicted counts them. The 64 runs that decide whether an unknown run is stopped stay as they are; the log looks at 1024, as hundreds of runs may end before the proof comes. No decision changes.

--- a/agentd.c
+++ b/agentd.c
@@ -311,6 +311,37 @@
     log_event(LOG_LEVEL_INFO, "worker_orphans_gone", "active=%zu", e->active);
 }
 
+/* Logs proof that the reported end of a run was untrue. */
+static void
+log_contradiction(
+    const struct rn_event *e, const char *event, const char *shown)
+{
+    log_event(LOG_LEVEL_WARN, event,
+        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
+        " %s reported=%s why=%s since_ms=%" PRIu64,
+        e->end.key.job, e->end.key.index, e->end.key.run, shown,
+        outcome_names[e->end.outcome], evidence_names[e->end.evidence],
+        e->since_ms);
+}
+
+static void
+log_end_contradicted(const struct rn_event *e)
+{
+    char shown[32];
+
+    snprintf(shown, sizeof(shown), "how=%s", outcome_names[e->outcome]);
+    log_contradiction(e, "run_ended_after_report", shown);
+}
+
+static void
+log_alive(const struct rn_event *e)
+{
+    char shown[32];
+
+    snprintf(shown, sizeof(shown), "percent=%u", e->percent);
+    log_contradiction(e, "run_alive_after_report", shown);
+}
+
 static void
 log_worker_event(void *ctx, const struct rn_event *e)
 {
@@ -320,6 +351,8 @@
         [RN_EVENT_RESTARTED] = log_worker_restarted,
         [RN_EVENT_ORPHANS] = log_worker_orphans,
         [RN_EVENT_NO_ORPHANS] = log_no_orphans,
+        [RN_EVENT_END_CONTRADICTED] = log_end_contradicted,
+        [RN_EVENT_ALIVE] = log_alive,
     };
 
     (void)ctx;
@@ -556,6 +589,7 @@
         {"dw_runs_failed", st->failed},
         {"dw_runs_lost_starts", st->lost_starts},
         {"dw_runs_lapsed", st->lease_expired},
+        {"dw_runs_contradicted", st->contradicted},
         {"dw_runs_not_run", rn_not_run_count(st)},
         {"dw_runs_not_run_refused", st->not_run[RN_EVIDENCE_REFUSED]},
         {"dw_runs_not_run_fenced", st->not_run[RN_EVIDENCE_FENCED]},
--- a/runner.c
+++ b/runner.c
@@ -39,7 +39,8 @@
 remove_run(struct runner *r, uint64_t now, struct rn_run *run)
 {
     r->capacity_changed_ms = now;
-    r->recent[r->recent_next++ % RN_RECENT_MAX] = run->key;
+    r->ends[r->ends_next++ % RN_ENDS_MAX] =
+        (struct rn_end){run->key, run->outcome, run->evidence, now, false};
     if (run->state != RN_QUEUED) {
         r->used_millicores -= run->millicores;
         r->used_memory_mb -= run->memory_mb;
@@ -129,6 +130,7 @@
         r->fail_permille =
             rn_fail_average(r->fail_permille, outcome == DW_END_FAILED);
     }
+    run->outcome = outcome;
     r->ops->ended(r->ctx, run, outcome, ran_ms);
     remove_run(r, now, run);
 }
@@ -449,6 +451,8 @@
             continue;
         }
         if (run->state == RN_QUEUED) {
+            run->evidence = RN_EVIDENCE_DROPPED;
+            run->outcome = DW_END_STOPPED;
             remove_run(r, now, run);
             continue;
         }
@@ -608,6 +612,66 @@
     }
 }
 
+/* One of the `count` runs that ended last; NULL if it is none of them. */
+static struct rn_end *
+find_end(struct runner *r, const struct rn_key *key, size_t count)
+{
+    size_t kept = num_min(r->ends_next, count);
+
+    for (size_t i = 1; i <= kept; i++) {
+        struct rn_end *end = &r->ends[(r->ends_next - i) % RN_ENDS_MAX];
+
+        if (memcmp(&end->key, key, sizeof(*key)) == 0) {
+            return end;
+        }
+    }
+    return NULL;
+}
+
+/* A run reported as lost has ended with an unknown outcome: that one comes
+ * late is no contradiction, but the task may have been repeated for nothing.
+ */
+static void
+note_contradiction(
+    struct runner *r, uint64_t now, struct rn_end *end, struct rn_event *e)
+{
+    end->contradicted = true;
+    r->stats.contradicted +=
+        e->kind == RN_EVENT_ALIVE || end->outcome != DW_END_LOST;
+    e->active = rn_active_count(r);
+    e->end = *end;
+    e->since_ms = num_sub_sat(now, end->ended_ms);
+    r->ops->event(r->ctx, e);
+}
+
+/* The worker lists the end of a run whose end was reported before.  However
+ * old the poll is, the run had that outcome. */
+static void
+check_listed_end(struct runner *r, uint64_t now, const struct rn_outcome *o)
+{
+    struct rn_end *end = find_end(r, &o->key, RN_ENDS_MAX);
+    struct rn_event e = {
+        .kind = RN_EVENT_END_CONTRADICTED, .outcome = o->outcome};
+
+    if (end != NULL && !end->contradicted && end->outcome != o->outcome) {
+        note_contradiction(r, now, end, &e);
+    }
+}
+
+/* A poll shows a run whose end was reported before.  Responses of polls may
+ * overtake each other: one to a poll sent before that end proves nothing. */
+static void
+check_alive(struct runner *r, uint64_t now, const struct rn_poll *p,
+    const struct rn_poll_run *alive)
+{
+    struct rn_end *end = find_end(r, &alive->key, RN_ENDS_MAX);
+    struct rn_event e = {.kind = RN_EVENT_ALIVE, .percent = alive->percent};
+
+    if (end != NULL && !end->contradicted && p->sent_ms > end->ended_ms) {
+        note_contradiction(r, now, end, &e);
+    }
+}
+
 static void
 process_outcomes(struct runner *r, uint64_t now, const struct rn_poll *p)
 {
@@ -623,18 +687,10 @@
             run->evidence = RN_EVIDENCE_LISTED;
             finish_run(r, now, run, o->outcome);
         }
-    }
-}
-
-static bool
-ended_recently(const struct runner *r, const struct rn_key *key)
-{
-    for (size_t i = 0; i < RN_RECENT_MAX; i++) {
-        if (memcmp(&r->recent[i], key, sizeof(*key)) == 0) {
-            return true;
+        else if (run == NULL) {
+            check_listed_end(r, now, o);
         }
     }
-    return false;
 }
 
 /* Tells when the first orphan appears and when the last one is gone. */
@@ -664,7 +720,10 @@
         const struct rn_poll_run *reported = &p->running[i];
         struct rn_run *run = find_run(r, &reported->key);
 
-        if (run == NULL && ended_recently(r, &reported->key)) {
+        if (run == NULL) {
+            check_alive(r, now, p, reported);
+        }
+        if (run == NULL && find_end(r, &reported->key, RN_RECENT_MAX)) {
             continue;
         }
         if (run == NULL) {
--- a/runner.h
+++ b/runner.h
@@ -52,6 +52,9 @@
 /* Ended runs remembered, so that the answer of a poll that crossed an
  * outcome does not report the run as unknown. */
 #define RN_RECENT_MAX 64U
+/* Ended runs kept for the log, to notice a report that proves untrue; some
+ * hundred runs a second end on a worker, and contact was lost for 5 s. */
+#define RN_ENDS_MAX 1024U
 /* The worker's clock may run slow by this percentage. */
 #define RN_DRIFT_PERCENT 2U
 
@@ -118,6 +121,7 @@
     char *spec; /* the job's task specification */
     enum rn_state state;
     enum rn_evidence evidence; /* of its end; set before `ended` is called */
+    dw_end outcome;            /* set with evidence */
     bool reported;             /* a poll has shown it running */
     bool session_ended;        /* stopped because its session ended */
     uint64_t received_ms;
@@ -183,15 +187,28 @@
     bool immediate;   /* sent beside the poll that waits for an outcome */
 };
 
+/* An ended run, as it was reported. */
+struct rn_end {
+    struct rn_key key;
+    dw_end outcome;
+    enum rn_evidence evidence;
+    uint64_t ended_ms; /* when its end was certain */
+    bool contradicted; /* already told */
+};
+
 enum rn_event_kind {
     RN_EVENT_SILENT,    /* contact with the worker is lost */
     RN_EVENT_ANSWERS,   /* a poll is answered again */
     RN_EVENT_RESTARTED, /* the worker has a new incarnation */
     RN_EVENT_ORPHANS,   /* runs that are not known here appeared there */
-    RN_EVENT_NO_ORPHANS
+    RN_EVENT_NO_ORPHANS,
+    RN_EVENT_END_CONTRADICTED, /* the worker lists another outcome than was
+                                  reported */
+    RN_EVENT_ALIVE             /* it shows a run that was reported as ended */
 };
 
-/* A change in what is known of the worker, for logs; fields that a kind does
+/* A change in what is known of the worker, or proof that a report was untrue,
+ * for logs; fields that a kind does
  * not name are 0. */
 struct rn_event {
     enum rn_event_kind kind;
@@ -204,6 +221,10 @@
     uint64_t incarnation;  /* RESTARTED */
     size_t orphans;        /* ORPHANS */
     struct rn_key key;     /* of the first orphan; ORPHANS */
+    struct rn_end end;     /* as reported; END_CONTRADICTED, ALIVE */
+    uint64_t since_ms;     /* since that end; END_CONTRADICTED, ALIVE */
+    dw_end outcome;        /* as listed; END_CONTRADICTED */
+    uint32_t percent;      /* progress of the run; ALIVE */
 };
 
 /*
@@ -236,6 +257,7 @@
     uint64_t no_capacity;   /* refused as full */
     uint64_t worker_restarts;
     uint64_t not_run[RN_EVIDENCE_COUNT]; /* DW_END_NOT_RUN, by evidence */
+    uint64_t contradicted; /* reports of an end that proved untrue */
 };
 
 struct runner {
@@ -270,10 +292,10 @@
     bool silent;              /* no answer lately; gets no starts */
     uint64_t silent_from_ms;  /* its last answer before it fell silent */
     bool immediate_pending;
-    struct rn_key recent[RN_RECENT_MAX]; /* ring of ended runs */
-    size_t recent_next; /* runs ended; modulo the size, the next slot */
-    size_t orphans; /* running there but not known here, at the last poll */
-    bool leaving;   /* this agent shuts down: start nothing more */
+    struct rn_end ends[RN_ENDS_MAX]; /* ring of ended runs */
+    size_t ends_next; /* runs ended; modulo the size, the next slot */
+    size_t orphans;   /* running there but not known here, at the last poll */
+    bool leaving;     /* this agent shuts down: start nothing more */
     uint64_t capacity_changed_ms;
     bool polled; /* a poll of the present incarnation has succeeded */
     bool clean;  /* no run of an earlier agent is left on the worker */
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -502,3 +502,133 @@
     ASSERT_EQ(a.sent.events.size(), 2u);
     EXPECT_EQ(a.sent.events[1].kind, RN_EVENT_NO_ORPHANS);
 }
+
+namespace {
+
+// What the worker shows after the end of run 1 was reported.
+struct LateCase {
+    const char *name;
+    rn_start_result start;
+    void (*then)(Fixture &a); // leads to the report; nullptr: the start did
+    int sent_ms;              // of the late poll, from the end of the run
+    bool listed;              // the poll lists the run's end
+    dw_end outcome;           // as listed
+    bool told;
+    bool counted = told; // as untrue
+};
+
+void
+expire(Fixture &a)
+{
+    a.now += RN_LEASE_EXPIRY_MS + 100;
+    rn_tick(&a.r, a.now);
+}
+
+void
+list_done(Fixture &a)
+{
+    a.poll({}, {{1, {1, 1, 0}, DW_END_DONE}});
+}
+
+void
+resolve_by_stop(Fixture &a)
+{
+    a.now += 2;
+    a.poll({}, {});
+    answer_stop(a);
+    a.poll({}, {});
+}
+
+const LateCase late_cases[] = {
+    {"RefusedButFailed", RN_START_REFUSED, nullptr, 5000, true, DW_END_FAILED,
+        true},
+    {"RefusedButStopped", RN_START_REFUSED, nullptr, 5, true, DW_END_STOPPED,
+        true},
+    {"UnreachableButDone", RN_START_UNREACHABLE, nullptr, 5, true, DW_END_DONE,
+        true},
+    {"ResolvedByStopButDone", RN_START_LOST, resolve_by_stop, 5, true,
+        DW_END_DONE, true},
+    {"OutcomeOfAnOldPollCounts", RN_START_REFUSED, nullptr, -5, true,
+        DW_END_DONE, true},
+    {"LeaseExpiredButDone", RN_START_OK, expire, 5, true, DW_END_DONE, true,
+        false},
+    {"LeaseExpiredButAlive", RN_START_OK, expire, 5, false, DW_END_DONE, true},
+    {"LeaseExpiredAndLapsed", RN_START_OK, expire, 5, true, DW_END_LOST,
+        false},
+    {"SameOutcomeAgain", RN_START_OK, list_done, 5, true, DW_END_DONE, false},
+    {"RefusedButAlive", RN_START_REFUSED, nullptr, 1, false, DW_END_DONE,
+        true},
+    {"ResolvedByStopButAlive", RN_START_LOST, resolve_by_stop, 900, false,
+        DW_END_DONE, true},
+    {"AliveInAPollSentBeforeTheEnd", RN_START_OK, list_done, -1, false,
+        DW_END_DONE, false},
+    {"AliveInAPollSentAtTheEnd", RN_START_OK, list_done, 0, false, DW_END_DONE,
+        false},
+};
+
+class RunnerLate : public testing::TestWithParam<LateCase> {};
+
+} // namespace
+
+/* Guards against an untrue report that nobody notices: a run was reported as
+ * not run while it ran, and its task was started again beside it.  Polls that
+ * crossed the end must raise no false alarm, and repeated ones no second. */
+TEST_P(RunnerLate, ReportIsComparedWithWhatTheWorkerShows)
+{
+    const LateCase &c = GetParam();
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, c.start);
+    if (c.then != nullptr) {
+        c.then(a);
+    }
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    a.sent.events.clear();
+    uint64_t ended = a.now;
+    for (uint64_t seq = 2; seq < 4; seq++) {
+        a.now = ended + c.sent_ms;
+        if (c.listed) {
+            a.poll({}, {{seq, {1, 1, 0}, c.outcome}});
+        }
+        else {
+            a.poll({{{1, 1, 0}, 7}}, {});
+        }
+    }
+    std::vector<rn_event> told;
+    for (const rn_event &e : a.sent.events) {
+        if (e.kind == RN_EVENT_ALIVE || e.kind == RN_EVENT_END_CONTRADICTED) {
+            told.push_back(e);
+        }
+    }
+    ASSERT_EQ(told.size(), size_t(c.told));
+    EXPECT_EQ(a.r.stats.contradicted, uint64_t(c.counted));
+    EXPECT_EQ(a.sent.outcomes.size(), 1u);
+    if (c.told) {
+        EXPECT_EQ(told[0].kind,
+            c.listed ? RN_EVENT_END_CONTRADICTED : RN_EVENT_ALIVE);
+        EXPECT_EQ(told[0].end.outcome, a.sent.outcomes[0].second);
+        EXPECT_EQ(told[0].end.evidence, a.sent.evidence[0]);
+        EXPECT_EQ(told[0].end.key.job, 1u);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Late, RunnerLate, testing::ValuesIn(late_cases),
+    [](const auto &tested) { return tested.param.name; });
+
+/* Guards against a proof that is lost because many runs ended between the
+ * untrue report and the late outcome. */
+TEST(RunnerEvents, UntrueReportIsNoticedAfterHundredsOfOtherRuns)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_REFUSED);
+    for (uint64_t job = 2; job < 2 + RN_ENDS_MAX - 1; job++) {
+        a.order(job, 1000);
+        a.started(job, RN_START_OK);
+        a.poll({}, {{job, {job, 1, 0}, DW_END_DONE}});
+    }
+    a.poll({}, {{9000, {1, 1, 0}, DW_END_FAILED}});
+    EXPECT_EQ(a.r.stats.contradicted, 1u);
+}
