coord: run_again tells how the run ended

One event told runs that were lost, stopped, not run, or whose session ended; a reader had to guess which from the run numbers. how= tells it, and run= is the run that ended also when it was not run: it used to be 5000 higher, so that the line did not match the agent's.

--- a/comove.c
+++ b/comove.c
@@ -68,7 +68,7 @@
         t->avoid_agent = t->agent;
         c->move_budget -= req.millicores;
         c->stats.moved++;
-        c->ops->log_run(c->ctx, j, i, "run_moved");
+        c->ops->log_run(c->ctx, j, i, "run_moved", NULL);
         co_add_stop(a, j->id, i, t->run);
     }
 }
--- a/coord.c
+++ b/coord.c
@@ -392,7 +392,7 @@
         return;
     }
     c->stats.retried++;
-    c->ops->log_run(c->ctx, j, (uint32_t)(t - j->tasks), "run_failed");
+    c->ops->log_run(c->ctx, j, (uint32_t)(t - j->tasks), "run_failed", NULL);
     co_set_state(c, j, t, CO_WAITING);
 }
 
@@ -411,20 +411,35 @@
 
 /* The run has certainly ended, without a result. */
 static void
-run_lost(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+run_again(
+    struct coord *c, struct co_job *j, struct co_task *t, const char *how)
 {
-    (void)now;
     c->stats.lost++;
-    c->ops->log_run(c->ctx, j, (uint32_t)(t - j->tasks), "run_again");
+    c->ops->log_run(c->ctx, j, (uint32_t)(t - j->tasks), "run_again", how);
     co_set_state(c, j, t, CO_WAITING);
 }
 
+static void
+run_lost(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    (void)now;
+    run_again(c, j, t, "lost");
+}
+
+static void
+run_stopped(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
+{
+    (void)now;
+    run_again(c, j, t, "stopped");
+}
+
 static void
 run_not_started(
     struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
 {
+    (void)now;
+    run_again(c, j, t, "not_run");
     t->run += RUN_NUMBER_SKIP;
-    run_lost(c, now, j, t);
 }
 
 static void
@@ -442,7 +457,7 @@
 static const outcome_fn outcome_handlers[] = {
     [DW_END_DONE] = run_done,
     [DW_END_FAILED] = run_failed,
-    [DW_END_STOPPED] = run_lost,
+    [DW_END_STOPPED] = run_stopped,
     [DW_END_LOST] = run_lost,
     [DW_END_NOT_RUN] = run_not_started,
     [DW_END_FULL] = run_rejected,
@@ -626,7 +641,7 @@
         struct co_task *t = &j->tasks[i];
 
         if (t->state == CO_LOST && now >= t->retry_at_ms) {
-            run_lost(c, now, j, t);
+            run_again(c, j, t, "session_over");
         }
     }
     return true;
--- a/coord.h
+++ b/coord.h
@@ -172,12 +172,13 @@
      * retry_ms: ms after which to retry a job that was not run. */
     void (*answer)(void *ctx, void *handle, enum co_outcome outcome,
         const char *reason, uint32_t retry_ms);
-    /* Log what happens to a job, a run or an agent. */
+    /* Log what happens to a job, a run or an agent.  how is how the run ended
+     * without a result; NULL if it is not over or has failed. */
     void (*log_job)(void *ctx, const struct co_job *job, const char *reason);
     void (*log_refusal)(void *ctx, const struct co_submit *s,
         const struct es_estimate *est, const char *reason, uint64_t queued_ms);
     void (*log_run)(void *ctx, const struct co_job *job, uint32_t index,
-        const char *event);
+        const char *event, const char *how);
     void (*log_agent)(void *ctx, const struct fl_agent *a, const char *event);
 };
 
--- a/entrycall.c
+++ b/entrycall.c
@@ -67,7 +67,8 @@
 }
 
 static void
-log_run(void *ctx, const struct co_job *j, uint32_t index, const char *what)
+log_run(void *ctx, const struct co_job *j, uint32_t index, const char *what,
+    const char *how)
 {
     struct entry *e = ctx;
     const struct co_task *t = &j->tasks[index];
@@ -76,11 +77,12 @@
     log_event(LOG_LEVEL_WARN, what,
         "job=%016" PRIx64 " task=%u run=%" PRIu64
         " agent=%s failed=%u ms=%" PRIu64 " pace=%u room_age_ms=%" PRIu64
-        " evidence=%.1f",
+        " evidence=%.1f%s%s",
         j->id, index, t->run, a != NULL ? a->name : "gone", t->failures,
         proc_now() - t->sent_ms, a != NULL ? a->status.pace_permille : 0,
         a != NULL ? proc_now() - a->sess.peer_clock_at_ms : 0,
-        a != NULL ? tl_evidence(&a->tail, proc_now()) : 0);
+        a != NULL ? tl_evidence(&a->tail, proc_now()) : 0,
+        how != NULL ? " how=" : "", how != NULL ? how : "");
 }
 
 static void
--- a/simentry.c
+++ b/simentry.c
@@ -152,13 +152,14 @@
 }
 
 static void
-entry_note_run(
-    void *ctx, const struct co_job *job, uint32_t index, const char *what)
+entry_note_run(void *ctx, const struct co_job *job, uint32_t index,
+    const char *what, const char *how)
 {
     (void)ctx;
     (void)job;
     (void)index;
     (void)what;
+    (void)how;
 }
 
 static void
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -14,6 +14,7 @@
     std::vector<std::string> reasons;
     std::set<uint32_t> retry_times; /* ms */
     std::vector<dw_msg *> sent;
+    std::vector<std::pair<uint64_t, std::string>> again; // run, how
 
     ~Callers()
     {
@@ -52,8 +53,13 @@
 }
 
 void
-on_log_run(void *, const co_job *, uint32_t, const char *)
+on_log_run(void *ctx, const co_job *j, uint32_t index, const char *event,
+    const char *how)
 {
+    if (std::string(event) == "run_again") {
+        static_cast<Callers *>(ctx)->again.push_back(
+            {j->tasks[index].run, how});
+    }
 }
 
 void
@@ -272,6 +278,28 @@
     co_tick(&e.c, e.now);
     co_flush(&e.c, e.now);
     EXPECT_GT(e.run_of(5), first);
+    ASSERT_EQ(e.callers.again.size(), 1u);
+    EXPECT_EQ(e.callers.again[0],
+        std::make_pair(first, std::string("session_over")));
+}
+
+/* Guards against a log that names the run after the one that ended, and not
+ * how that one ended: a task ran twice, and no line of its entry told that its
+ * first run had been reported as not run. */
+TEST(Coord, RepeatedRunIsLoggedWithHowItEnded)
+{
+    const std::pair<dw_end, const char *> ends[] = {{DW_END_LOST, "lost"},
+        {DW_END_STOPPED, "stopped"}, {DW_END_NOT_RUN, "not_run"}};
+
+    for (const auto &[outcome, how] : ends) {
+        Entry e;
+
+        e.submit(5, 1, &caller);
+        e.report({{{5, 0, 51}, outcome, 9}});
+        ASSERT_EQ(e.callers.again.size(), 1u) << how;
+        EXPECT_EQ(e.callers.again[0],
+            std::make_pair(uint64_t{51}, std::string(how)));
+    }
 }
 
 TEST(Coord, RefusalOnArrivalStartsNothingAndNamesTheReason)
--- a/test/tail-test.cc
+++ b/test/tail-test.cc
@@ -224,7 +224,7 @@
 {
 }
 void
-on_log_run(void *, const co_job *, uint32_t, const char *)
+on_log_run(void *, const co_job *, uint32_t, const char *, const char *)
 {
 }
 void
--- a/test/world.cc
+++ b/test/world.cc
@@ -343,7 +343,7 @@
 }
 
 void
-entry_note_run(void *, const co_job *, uint32_t, const char *)
+entry_note_run(void *, const co_job *, uint32_t, const char *, const char *)
 {
 }
 
