--- a/agent.c
+++ b/agent.c
@@ -262,8 +262,16 @@
     return true;
 }
 
-static const struct rn_ops worker_ops = {
-    worker_start, worker_stop, worker_poll, collect_outcome, sessions_checked};
+static void
+worker_event(void *ctx, const struct rn_event *e)
+{
+    struct agent *a = ctx;
+
+    a->ops->worker.event(a->ctx, e);
+}
+
+static const struct rn_ops worker_ops = {worker_start, worker_stop,
+    worker_poll, collect_outcome, worker_event, sessions_checked};
 
 /* --- sessions --- */
 
--- a/runner.c
+++ b/runner.c
@@ -40,8 +40,8 @@
 remove_run(struct runner *r, uint64_t now, struct rn_run *run)
 {
     r->capacity_changed_ms = now;
-    r->recent[r->recent_next++ % RN_RECENT_MAX] =
-        (struct rn_recent){run->key, now};
+    r->ends[r->ends_next++ % RN_ENDS_MAX] =
+        (struct rn_end){run->key, run->outcome, run->evidence, now, false};
     if (run->state != RN_QUEUED) {
         r->used_millicores -= run->millicores;
         r->used_memory_mb -= run->memory_mb;
@@ -124,10 +124,14 @@
     else if (outcome == DW_END_FAILED) {
         r->stats.failed++;
     }
+    else if (outcome == DW_END_NOT_RUN) {
+        r->stats.not_run[run->evidence]++;
+    }
     if (outcome == DW_END_DONE || outcome == DW_END_FAILED) {
         r->fail_permille =
             rn_fail_average(r->fail_permille, outcome == DW_END_FAILED);
     }
+    run->outcome = outcome;
     r->ops->ended(r->ctx, run, outcome, ran_ms);
     remove_run(r, now, run);
 }
@@ -235,6 +239,39 @@
     }
 }
 
+/* When the worker last answered; before its first answer, our start. */
+static uint64_t
+heard_ms(const struct runner *r)
+{
+    return num_max(r->worker_clock_at_ms, r->started_ms);
+}
+
+static void
+note_silent(struct runner *r, uint64_t now)
+{
+    struct rn_event e = {.kind = RN_EVENT_SILENT,
+        .active = rn_active_count(r),
+        .polls_failed = r->polls_failed};
+
+    r->silent_from_ms = heard_ms(r);
+    e.unheard_ms = num_sub_sat(now, r->silent_from_ms);
+    r->ops->event(r->ctx, &e);
+}
+
+static void
+note_answer(struct runner *r, uint64_t now, const struct rn_poll *p)
+{
+    struct rn_event e = {.kind = RN_EVENT_ANSWERS,
+        .active = rn_active_count(r),
+        .unheard_ms = num_sub_sat(now, r->silent_from_ms),
+        .polls_failed = r->polls_failed};
+
+    for (size_t i = 0; i < p->outcome_count; i++) {
+        e.outcomes += p->outcomes[i].seq > r->ack;
+    }
+    r->ops->event(r->ctx, &e);
+}
+
 /*
  * An unreachable worker fails starts faster than any other worker completes
  * them: if it counted as free, it would attract all tasks.  It gets none
@@ -243,6 +280,9 @@
 static void
 set_silent(struct runner *r, uint64_t now)
 {
+    if (!r->silent) {
+        note_silent(r, now);
+    }
     r->silent = true;
     r->capacity_changed_ms = now;
 }
@@ -309,6 +349,7 @@
         if (now >= run->wait_until_ms || !rn_serving(r) ||
             !ends_before_exit(r, now, run)) {
             r->stats.no_capacity++;
+            run->evidence = RN_EVIDENCE_NOT_SENT;
             finish_run(r, now, run, DW_END_FULL);
         }
         else if (may_start && fits(r, run) && !task_active(r, run)) {
@@ -366,6 +407,7 @@
     run = find_run(r, &key);
     if (run != NULL && run->state == RN_QUEUED && !task_active(r, run)) {
         r->stats.no_capacity++;
+        run->evidence = RN_EVIDENCE_NOT_SENT;
         finish_run(r, now, run, DW_END_FULL);
     }
 }
@@ -393,6 +435,7 @@
         return;
     }
     if (run->state == RN_QUEUED) {
+        run->evidence = RN_EVIDENCE_DROPPED;
         finish_run(r, now, run, DW_END_STOPPED);
         return;
     }
@@ -411,6 +454,8 @@
             continue;
         }
         if (run->state == RN_QUEUED) {
+            run->evidence = RN_EVIDENCE_DROPPED;
+            run->outcome = DW_END_STOPPED;
             remove_run(r, now, run);
             continue;
         }
@@ -449,6 +494,13 @@
 static void
 worker_restarted(struct runner *r, uint64_t now, uint64_t incarnation)
 {
+    struct rn_event e = {.kind = RN_EVENT_RESTARTED,
+        .active = rn_active_count(r),
+        .unheard_ms = num_sub_sat(now, heard_ms(r)),
+        .former = r->incarnation,
+        .incarnation = incarnation};
+
+    r->ops->event(r->ctx, &e);
     r->fail_permille = 0;
     r->stats.worker_restarts++;
     r->worker_clock_ms = 0;
@@ -526,6 +578,7 @@
     }
     if (result == RN_START_FENCED) {
         r->fence += FENCE_STEP;
+        run->evidence = RN_EVIDENCE_FENCED;
         finish_run(r, now, run, DW_END_NOT_RUN);
         start_queued(r, now);
     }
@@ -538,6 +591,8 @@
         if (result == RN_START_UNREACHABLE) {
             set_silent(r, now);
         }
+        run->evidence = result == RN_START_REFUSED ? RN_EVIDENCE_REFUSED
+                                                   : RN_EVIDENCE_UNREACHABLE;
         finish_run(r, now, run, DW_END_NOT_RUN);
         start_queued(r, now);
     }
@@ -569,6 +624,66 @@
     }
 }
 
+/* NULL if the run is none of those that ended last. */
+static struct rn_end *
+find_end(struct runner *r, const struct rn_key *key)
+{
+    size_t kept = num_min(r->ends_next, RN_ENDS_MAX);
+
+    for (size_t i = 1; i <= kept; i++) {
+        struct rn_end *end = &r->ends[(r->ends_next - i) % RN_ENDS_MAX];
+
+        if (memcmp(&end->key, key, sizeof(*key)) == 0) {
+            return end;
+        }
+    }
+    return NULL;
+}
+
+/* A run reported as lost has ended with an unknown outcome: that one comes
+ * late is no contradiction, but the task may have been repeated for nothing.
+ */
+static void
+note_contradiction(
+    struct runner *r, uint64_t now, struct rn_end *end, struct rn_event *e)
+{
+    end->contradicted = true;
+    r->stats.contradicted +=
+        e->kind == RN_EVENT_ALIVE || end->outcome != DW_END_LOST;
+    e->active = rn_active_count(r);
+    e->end = *end;
+    e->since_ms = num_sub_sat(now, end->ended_ms);
+    r->ops->event(r->ctx, e);
+}
+
+/* The worker lists the end of a run whose end was reported before.  However
+ * old the poll is, the run had that outcome. */
+static void
+check_listed_end(struct runner *r, uint64_t now, const struct rn_outcome *o)
+{
+    struct rn_end *end = find_end(r, &o->key);
+    struct rn_event e = {
+        .kind = RN_EVENT_END_CONTRADICTED, .outcome = o->outcome};
+
+    if (end != NULL && !end->contradicted && end->outcome != o->outcome) {
+        note_contradiction(r, now, end, &e);
+    }
+}
+
+/* A poll shows a run whose end was reported before.  Responses of polls may
+ * overtake each other: one to a poll sent before that end proves nothing. */
+static void
+check_alive(struct runner *r, uint64_t now, const struct rn_poll *p,
+    const struct rn_poll_run *alive)
+{
+    struct rn_end *end = find_end(r, &alive->key);
+    struct rn_event e = {.kind = RN_EVENT_ALIVE, .percent = alive->percent};
+
+    if (end != NULL && !end->contradicted && p->sent_ms > end->ended_ms) {
+        note_contradiction(r, now, end, &e);
+    }
+}
+
 static void
 process_outcomes(struct runner *r, uint64_t now, const struct rn_poll *p)
 {
@@ -581,27 +696,46 @@
         }
         r->ack = o->seq;
         if (run != NULL && run->state != RN_QUEUED) {
+            run->evidence = RN_EVIDENCE_LISTED;
             finish_run(r, now, run, o->outcome);
         }
+        else if (run == NULL) {
+            check_listed_end(r, now, o);
+        }
     }
 }
 
 /* The end of the run became known after a poll was sent. */
 static bool
-ended_since(const struct runner *r, const struct rn_key *key, uint64_t sent_ms)
+ended_since(struct runner *r, const struct rn_key *key, uint64_t sent_ms)
 {
-    for (size_t i = 0; i < RN_RECENT_MAX; i++) {
-        if (memcmp(&r->recent[i].key, key, sizeof(*key)) == 0 &&
-            r->recent[i].ended_ms >= sent_ms) {
-            return true;
-        }
+    const struct rn_end *end = find_end(r, key);
+
+    return end != NULL && end->ended_ms >= sent_ms;
+}
+
+/* Tells when the first orphan appears and when the last one is gone. */
+static void
+note_orphans(struct runner *r, size_t before, const struct rn_key *first)
+{
+    struct rn_event e = {
+        .kind = r->orphans > 0 ? RN_EVENT_ORPHANS : RN_EVENT_NO_ORPHANS,
+        .active = rn_active_count(r),
+        .orphans = r->orphans,
+        .key = *first};
+
+    if ((before > 0) == (r->orphans > 0)) {
+        return;
     }
-    return false;
+    r->ops->event(r->ctx, &e);
 }
 
 static void
 process_running(struct runner *r, uint64_t now, const struct rn_poll *p)
 {
+    size_t before = r->orphans;
+    struct rn_key first = {0};
+
     r->orphans = 0;
     for (size_t i = 0; i < p->running_count; i++) {
         const struct rn_poll_run *reported = &p->running[i];
@@ -613,6 +747,8 @@
         if (run == NULL) {
             /* Started by an earlier agent, or by a late request: its size is
              * unknown, so nothing is started beside it. */
+            check_alive(r, now, p, reported);
+            first = r->orphans == 0 ? reported->key : first;
             r->orphans++;
             r->stats.orphans++;
             send_stop(r, &reported->key);
@@ -626,6 +762,7 @@
             run->conclusive_ms = now;
         }
     }
+    note_orphans(r, before, &first);
 }
 
 static bool
@@ -656,6 +793,9 @@
             stop_run(r, now, run);
         }
         else {
+            run->evidence = run->state == RN_STOPPING
+                                ? RN_EVIDENCE_ABSENT_STOPPED
+                                : RN_EVIDENCE_ABSENT;
             finish_run(r, now, run,
                 run->state == RN_STOPPING && !run->reported ? DW_END_NOT_RUN
                                                             : DW_END_LOST);
@@ -685,6 +825,9 @@
     if (r->incarnation != 0 && p->incarnation != r->incarnation) {
         worker_restarted(r, now, p->incarnation);
     }
+    if (r->silent) {
+        note_answer(r, now, p);
+    }
     note_clock(r, now, p->worker_clock_ms);
     if (r->incarnation == 0) {
         set_incarnation(r, p->incarnation);
@@ -758,6 +901,7 @@
     HASH_ITER (hh, r->runs, run, tmp) {
         if (run->state != RN_QUEUED) {
             r->stats.lease_expired++;
+            run->evidence = RN_EVIDENCE_LEASE;
             finish_run(r, now, run, DW_END_LOST);
         }
     }
@@ -816,6 +960,17 @@
     return n;
 }
 
+uint64_t
+rn_not_run_count(const struct rn_stats *st)
+{
+    uint64_t n = 0;
+
+    for (size_t i = 0; i < RN_EVIDENCE_COUNT; i++) {
+        n += st->not_run[i];
+    }
+    return n;
+}
+
 size_t
 rn_leftover_count(const struct runner *r, uint64_t entry, uint64_t session)
 {
--- a/runner.h
+++ b/runner.h
@@ -49,9 +49,10 @@
 /* ms within which runs of an ended session must have stopped; after that the
  * lease is not renewed, for any run, until they have. */
 #define RN_STOP_LIMIT_MS 100U
-/* Ended runs remembered, so that the answer of a poll that was sent before the
- * end was known does not report the run as unknown. */
-#define RN_RECENT_MAX 64U
+/* Ended runs remembered: the answer of a poll that was sent before the end was
+ * known does not report the run as unknown, and a report that proves untrue is
+ * noticed after seconds without contact, at some hundred runs a second. */
+#define RN_ENDS_MAX 1024U
 /* The worker's clock may run slow by this percentage. */
 #define RN_DRIFT_PERCENT 2U
 
@@ -89,6 +90,22 @@
     RN_STOPPING /* stop sent, end not certain yet */
 };
 
+/* What shows that a run has ended. */
+enum rn_evidence {
+    RN_EVIDENCE_NONE,
+    RN_EVIDENCE_LISTED,         /* the worker lists its end */
+    RN_EVIDENCE_REFUSED,        /* the worker refused the start */
+    RN_EVIDENCE_FENCED,         /* refused: it has seen a higher fence */
+    RN_EVIDENCE_UNREACHABLE,    /* no connection for the start */
+    RN_EVIDENCE_ABSENT_STOPPED, /* a stop was answered, and a poll sent after
+                                   it did not show the run */
+    RN_EVIDENCE_ABSENT,         /* it ran, and a poll does not show it */
+    RN_EVIDENCE_LEASE,          /* the lease ran out without renewal */
+    RN_EVIDENCE_NOT_SENT,       /* no start was sent: no capacity */
+    RN_EVIDENCE_DROPPED,        /* no start was sent: stopped while queued */
+    RN_EVIDENCE_COUNT
+};
+
 /* A run that an entry ordered, until its end is certain. */
 struct rn_run {
     struct rn_key key;
@@ -101,8 +118,10 @@
     uint32_t priority;
     char *spec; /* the job's task specification */
     enum rn_state state;
-    bool reported;      /* a poll has shown it running */
-    bool session_ended; /* stopped because its session ended */
+    enum rn_evidence evidence; /* of its end; set before `ended` is called */
+    dw_end outcome;            /* set with evidence */
+    bool reported;             /* a poll has shown it running */
+    bool session_ended;        /* stopped because its session ended */
     uint64_t received_ms;
     uint64_t wait_until_ms; /* refused as full if it is still queued then */
     uint64_t sent_ms;       /* when its start, later its last stop, was sent */
@@ -125,12 +144,6 @@
     RN_START_LOST         /* no answer: may have started, may start later */
 };
 
-/* A run that ended. */
-struct rn_recent {
-    struct rn_key key;
-    uint64_t ended_ms; /* when its end was known here */
-};
-
 /* A run that a poll showed running. */
 struct rn_poll_run {
     struct rn_key key;
@@ -174,6 +187,46 @@
     bool immediate;   /* sent beside the poll that waits for an outcome */
 };
 
+/* An ended run, as it was reported. */
+struct rn_end {
+    struct rn_key key;
+    dw_end outcome;
+    enum rn_evidence evidence;
+    uint64_t ended_ms; /* when its end was certain */
+    bool contradicted; /* already told */
+};
+
+enum rn_event_kind {
+    RN_EVENT_SILENT,    /* contact with the worker is lost */
+    RN_EVENT_ANSWERS,   /* a poll is answered again */
+    RN_EVENT_RESTARTED, /* the worker has a new incarnation */
+    RN_EVENT_ORPHANS,   /* runs that are not known here appeared there */
+    RN_EVENT_NO_ORPHANS,
+    RN_EVENT_END_CONTRADICTED, /* the worker lists another outcome than was
+                                  reported */
+    RN_EVENT_ALIVE             /* it shows a run that was reported as ended */
+};
+
+/* A change in what is known of the worker, or proof that a report was untrue,
+ * for logs; fields that a kind does
+ * not name are 0. */
+struct rn_event {
+    enum rn_event_kind kind;
+    size_t active;         /* runs that hold resources */
+    uint64_t unheard_ms;   /* since its last answer; SILENT, ANSWERS,
+                              RESTARTED */
+    uint32_t polls_failed; /* in a row; SILENT, ANSWERS */
+    size_t outcomes;       /* that the answer brought; ANSWERS */
+    uint64_t former;       /* incarnation; RESTARTED */
+    uint64_t incarnation;  /* RESTARTED */
+    size_t orphans;        /* ORPHANS */
+    struct rn_key key;     /* of the first orphan; ORPHANS */
+    struct rn_end end;     /* as reported; END_CONTRADICTED, ALIVE */
+    uint64_t since_ms;     /* since that end; END_CONTRADICTED, ALIVE */
+    dw_end outcome;        /* as listed; END_CONTRADICTED */
+    uint32_t percent;      /* progress of the run; ALIVE */
+};
+
 /*
  * Requests to the worker and the report of outcomes.  start, stop and poll
  * return at once; their results come back by rn_start_answered(),
@@ -190,6 +243,7 @@
      * confirmed. */
     void (*ended)(
         void *ctx, const struct rn_run *r, dw_end outcome, uint32_t ran_ms);
+    void (*event)(void *ctx, const struct rn_event *e);
     /* False if a session has been over for RN_STOP_LIMIT_MS and
      * rn_session_ended() has not been called yet, as after a pause. */
     bool (*sessions_checked)(void *ctx, uint64_t now);
@@ -205,6 +259,8 @@
     uint64_t orphans;       /* running there but not known here */
     uint64_t no_capacity;   /* refused as full */
     uint64_t worker_restarts;
+    uint64_t not_run[RN_EVIDENCE_COUNT]; /* DW_END_NOT_RUN, by evidence */
+    uint64_t contradicted; /* reports of an end that proved untrue */
 };
 
 struct runner {
@@ -237,11 +293,12 @@
     uint64_t last_poll_ms;    /* when the last poll was sent */
     uint32_t polls_failed;    /* in a row */
     bool silent;              /* no answer lately; gets no starts */
+    uint64_t silent_from_ms;  /* its last answer before it fell silent */
     bool immediate_pending;
-    struct rn_recent recent[RN_RECENT_MAX]; /* ring of ended runs */
-    size_t recent_next; /* runs ended; modulo the size, the next slot */
-    size_t orphans; /* running there but not known here, at the last poll */
-    bool leaving;   /* this agent shuts down: start nothing more */
+    struct rn_end ends[RN_ENDS_MAX]; /* ring of ended runs */
+    size_t ends_next; /* runs ended; modulo the size, the next slot */
+    size_t orphans;   /* running there but not known here, at the last poll */
+    bool leaving;     /* this agent shuts down: start nothing more */
     uint64_t capacity_changed_ms;
     bool polled; /* a poll of the present incarnation has succeeded */
     bool clean;  /* no run of an earlier agent is left on the worker */
@@ -300,6 +357,8 @@
 /* Runs of an entry's earlier sessions. */
 size_t rn_leftover_count(
     const struct runner *r, uint64_t entry, uint64_t session);
+/* All runs reported as DW_END_NOT_RUN. */
+uint64_t rn_not_run_count(const struct rn_stats *st);
 /* Fills in total and free capacity, queued runs deducted, and speeds. */
 void rn_get_capacity(const struct runner *r, uint64_t now, dw_room *capacity);
 
--- a/test/runner-net-test.cc
+++ b/test/runner-net-test.cc
@@ -529,6 +529,11 @@
     n->must_end(run->key, n->now);
 }
 
+void
+ignore_event(void *, const rn_event *)
+{
+}
+
 /* resume() ends the sessions before the agent acts. */
 bool
 sessions_checked(void *, uint64_t)
@@ -536,8 +541,8 @@
     return true;
 }
 
-const rn_ops net_ops = {
-    send_start, send_stop, send_poll, run_ended, sessions_checked};
+const rn_ops net_ops = {send_start, send_stop, send_poll, run_ended,
+    ignore_event, sessions_checked};
 
 void
 Net::must_end(const rn_key &key, uint64_t at)
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -13,6 +13,8 @@
     std::vector<rn_key> stops;
     std::vector<rn_terms> polls;
     std::vector<std::pair<rn_key, dw_end>> outcomes;
+    std::vector<rn_evidence> evidence; // of each outcome
+    std::vector<rn_event> events;
     uint64_t fence = 0;
 };
 
@@ -39,6 +41,13 @@
 record_outcome(void *ctx, const rn_run *r, dw_end outcome, uint32_t)
 {
     static_cast<Recorder *>(ctx)->outcomes.push_back({r->key, outcome});
+    static_cast<Recorder *>(ctx)->evidence.push_back(r->evidence);
+}
+
+void
+record_event(void *ctx, const rn_event *e)
+{
+    static_cast<Recorder *>(ctx)->events.push_back(*e);
 }
 
 bool
@@ -47,8 +56,8 @@
     return true;
 }
 
-const rn_ops recorder_ops = {
-    record_start, record_stop, record_poll, record_outcome, sessions_checked};
+const rn_ops recorder_ops = {record_start, record_stop, record_poll,
+    record_outcome, record_event, sessions_checked};
 
 /* A runner whose worker has 10 cores and has answered a poll. */
 struct Fixture {
@@ -303,6 +312,333 @@
     EXPECT_EQ(a.capacity().fail_permille, 0u);
 }
 
+namespace {
+
+void
+stop_ordered(Fixture &a)
+{
+    dw_run_ref ref = {1, 0, 1};
+
+    rn_stop(&a.r, a.now, &ref);
+}
+
+void
+answer_stop(Fixture &a)
+{
+    rn_key k = {1, 1, 0};
+
+    rn_stop_answered(&a.r, a.now, &k, true);
+    a.now += 2;
+}
+
+// Orders run 2 of the task whose run 1 is active: it is queued.
+void
+order_second_run(Fixture &a)
+{
+    dw_run_group g = {};
+    dw_run run = {};
+
+    g.job = 1;
+    run.run = 2;
+    run.millicores = 1000;
+    run.wait_ms = 40;
+    rn_order(&a.r, a.now, 9, 1, &g, &run);
+}
+
+struct EndCase {
+    const char *name;
+    rn_start_result start; // answer to the start of run 1
+    void (*then)(Fixture &a);
+    dw_end outcome;
+    rn_evidence evidence;
+};
+
+const EndCase end_cases[] = {
+    {"Refused", RN_START_REFUSED, nullptr, DW_END_NOT_RUN,
+        RN_EVIDENCE_REFUSED},
+    {"Fenced", RN_START_FENCED, nullptr, DW_END_NOT_RUN, RN_EVIDENCE_FENCED},
+    {"Unreachable", RN_START_UNREACHABLE, nullptr, DW_END_NOT_RUN,
+        RN_EVIDENCE_UNREACHABLE},
+    {"AbsentAfterAStop", RN_START_LOST,
+        [](Fixture &a) {
+            a.now += 2;
+            a.poll({}, {});
+            answer_stop(a);
+            a.poll({}, {});
+        },
+        DW_END_NOT_RUN, RN_EVIDENCE_ABSENT_STOPPED},
+    {"SeenThenAbsentAfterAStop", RN_START_OK,
+        [](Fixture &a) {
+            a.poll({{{1, 1, 0}, 5}}, {});
+            stop_ordered(a);
+            answer_stop(a);
+            a.poll({}, {});
+        },
+        DW_END_LOST, RN_EVIDENCE_ABSENT_STOPPED},
+    {"AbsentWithoutAStop", RN_START_OK,
+        [](Fixture &a) {
+            a.now += 2;
+            a.poll({}, {});
+        },
+        DW_END_LOST, RN_EVIDENCE_ABSENT},
+    {"Listed", RN_START_OK,
+        [](Fixture &a) {
+            a.poll({}, {{1, {1, 1, 0}, DW_END_FAILED}});
+        },
+        DW_END_FAILED, RN_EVIDENCE_LISTED},
+    {"LeaseExpired", RN_START_OK,
+        [](Fixture &a) {
+            a.now += RN_LEASE_EXPIRY_MS + 100;
+            rn_tick(&a.r, a.now);
+        },
+        DW_END_LOST, RN_EVIDENCE_LEASE},
+    {"StoppedWhileQueued", RN_START_OK,
+        [](Fixture &a) {
+            dw_run_ref second = {1, 0, 2};
+
+            order_second_run(a);
+            rn_stop(&a.r, a.now, &second);
+        },
+        DW_END_STOPPED, RN_EVIDENCE_DROPPED},
+    {"QueuedForTooLong", RN_START_OK,
+        [](Fixture &a) {
+            order_second_run(a);
+            a.now += 41;
+            rn_tick(&a.r, a.now);
+        },
+        DW_END_FULL, RN_EVIDENCE_NOT_SENT},
+};
+
+class RunnerEvidence : public testing::TestWithParam<EndCase> {};
+
+} // namespace
+
+/* Guards against a log that cannot tell by what an agent took a run for over:
+ * runs reported as not run were found running, and no line told which of the
+ * four producers of that report was wrong. */
+TEST_P(RunnerEvidence, IsKnownForEveryEnd)
+{
+    const EndCase &c = GetParam();
+    Fixture a;
+    uint64_t not_run = c.outcome == DW_END_NOT_RUN;
+
+    a.order(1, 1000);
+    a.started(1, c.start);
+    if (c.then != nullptr) {
+        c.then(a);
+    }
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    EXPECT_EQ(a.sent.outcomes[0].second, c.outcome);
+    EXPECT_EQ(a.sent.evidence[0], c.evidence);
+    EXPECT_EQ(a.r.stats.not_run[c.evidence], not_run);
+    EXPECT_EQ(rn_not_run_count(&a.r.stats), not_run);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends, RunnerEvidence, testing::ValuesIn(end_cases),
+    [](const auto &tested) { return tested.param.name; });
+
+namespace {
+
+void
+fail_poll(Fixture &a, bool unreachable)
+{
+    rn_poll p = {};
+
+    a.now += 20;
+    p.sent_ms = a.now;
+    p.unreachable = unreachable;
+    rn_poll_answered(&a.r, a.now, &p);
+}
+
+} // namespace
+
+/* Guards against a loss of contact that no log shows: an agent had no contact
+ * with its worker for 5 s, and only the worker knew.  One line for each change
+ * however many polls fail. */
+TEST(RunnerEvents, LossOfTheWorkerAndItsReturnAreToldOnce)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_OK);
+    uint64_t heard = a.now;
+    for (uint32_t i = 0; i < 2 * RN_SILENT_POLLS; i++) {
+        fail_poll(a, false);
+    }
+    ASSERT_EQ(a.sent.events.size(), 1u);
+    EXPECT_EQ(a.sent.events[0].kind, RN_EVENT_SILENT);
+    EXPECT_EQ(a.sent.events[0].polls_failed, RN_SILENT_POLLS);
+    EXPECT_EQ(a.sent.events[0].active, 1u);
+    EXPECT_EQ(a.sent.events[0].unheard_ms, 20 * RN_SILENT_POLLS);
+    a.poll({}, {{1, {1, 1, 0}, DW_END_DONE}});
+    a.poll({}, {{1, {1, 1, 0}, DW_END_DONE}});
+    ASSERT_EQ(a.sent.events.size(), 2u);
+    EXPECT_EQ(a.sent.events[1].kind, RN_EVENT_ANSWERS);
+    EXPECT_EQ(a.sent.events[1].outcomes, 1u);
+    EXPECT_EQ(a.sent.events[1].unheard_ms, a.now - 1 - heard);
+}
+
+/* Guards against a restart of the worker that only a counter shows: lost runs
+ * and a raised fence could not be told from a lost connection. */
+TEST(RunnerEvents, RestartTellsBothIncarnations)
+{
+    Fixture a;
+
+    a.poll({}, {}, 99);
+    rn_set_capacity(&a.r, a.now, 10000, 1000, 0, 99);
+    ASSERT_EQ(a.sent.events.size(), 1u);
+    EXPECT_EQ(a.sent.events[0].kind, RN_EVENT_RESTARTED);
+    EXPECT_EQ(a.sent.events[0].former, 77u);
+    EXPECT_EQ(a.sent.events[0].incarnation, 99u);
+}
+
+/* Guards against runs that an agent finds and stops without a trace of whose
+ * they were, and against a line for each poll that shows them. */
+TEST(RunnerEvents, OrphansAreToldWhenTheyAppearAndWhenTheyAreGone)
+{
+    Fixture a;
+
+    a.poll({{{5, 3, 2}, 1}, {{6, 3, 2}, 1}}, {});
+    a.poll({{{6, 3, 2}, 2}}, {});
+    ASSERT_EQ(a.sent.events.size(), 1u);
+    EXPECT_EQ(a.sent.events[0].kind, RN_EVENT_ORPHANS);
+    EXPECT_EQ(a.sent.events[0].orphans, 2u);
+    EXPECT_EQ(a.sent.events[0].key.job, 5u);
+    a.poll({}, {});
+    ASSERT_EQ(a.sent.events.size(), 2u);
+    EXPECT_EQ(a.sent.events[1].kind, RN_EVENT_NO_ORPHANS);
+}
+
+namespace {
+
+// What the worker shows after the end of run 1 was reported.
+struct LateCase {
+    const char *name;
+    rn_start_result start;
+    void (*then)(Fixture &a); // leads to the report; nullptr: the start did
+    int sent_ms;              // of the late poll, from the end of the run
+    bool listed;              // the poll lists the run's end
+    dw_end outcome;           // as listed
+    bool told;
+    bool counted = told; // as untrue
+};
+
+void
+expire(Fixture &a)
+{
+    a.now += RN_LEASE_EXPIRY_MS + 100;
+    rn_tick(&a.r, a.now);
+}
+
+void
+list_done(Fixture &a)
+{
+    a.poll({}, {{1, {1, 1, 0}, DW_END_DONE}});
+}
+
+void
+resolve_by_stop(Fixture &a)
+{
+    a.now += 2;
+    a.poll({}, {});
+    answer_stop(a);
+    a.poll({}, {});
+}
+
+const LateCase late_cases[] = {
+    {"RefusedButFailed", RN_START_REFUSED, nullptr, 5000, true, DW_END_FAILED,
+        true},
+    {"RefusedButStopped", RN_START_REFUSED, nullptr, 5, true, DW_END_STOPPED,
+        true},
+    {"UnreachableButDone", RN_START_UNREACHABLE, nullptr, 5, true, DW_END_DONE,
+        true},
+    {"ResolvedByStopButDone", RN_START_LOST, resolve_by_stop, 5, true,
+        DW_END_DONE, true},
+    {"OutcomeOfAnOldPollCounts", RN_START_REFUSED, nullptr, -5, true,
+        DW_END_DONE, true},
+    {"LeaseExpiredButDone", RN_START_OK, expire, 5, true, DW_END_DONE, true,
+        false},
+    {"LeaseExpiredButAlive", RN_START_OK, expire, 5, false, DW_END_DONE, true},
+    {"LeaseExpiredAndLapsed", RN_START_OK, expire, 5, true, DW_END_LOST,
+        false},
+    {"SameOutcomeAgain", RN_START_OK, list_done, 5, true, DW_END_DONE, false},
+    {"RefusedButAlive", RN_START_REFUSED, nullptr, 1, false, DW_END_DONE,
+        true},
+    {"ResolvedByStopButAlive", RN_START_LOST, resolve_by_stop, 900, false,
+        DW_END_DONE, true},
+    {"AliveInAPollSentBeforeTheEnd", RN_START_OK, list_done, -1, false,
+        DW_END_DONE, false},
+    {"AliveInAPollSentAtTheEnd", RN_START_OK, list_done, 0, false, DW_END_DONE,
+        false},
+};
+
+class RunnerLate : public testing::TestWithParam<LateCase> {};
+
+} // namespace
+
+/* Guards against an untrue report that nobody notices: a run was reported as
+ * not run while it ran, and its task was started again beside it.  Polls that
+ * crossed the end must raise no false alarm, and repeated ones no second. */
+TEST_P(RunnerLate, ReportIsComparedWithWhatTheWorkerShows)
+{
+    const LateCase &c = GetParam();
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, c.start);
+    if (c.then != nullptr) {
+        c.then(a);
+    }
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    a.sent.events.clear();
+    uint64_t ended = a.now;
+    for (uint64_t seq = 2; seq < 4; seq++) {
+        a.now = ended + c.sent_ms;
+        if (c.listed) {
+            a.poll({}, {{seq, {1, 1, 0}, c.outcome}});
+        }
+        else {
+            a.poll({{{1, 1, 0}, 7}}, {});
+        }
+    }
+    std::vector<rn_event> told;
+    for (const rn_event &e : a.sent.events) {
+        if (e.kind == RN_EVENT_ALIVE || e.kind == RN_EVENT_END_CONTRADICTED) {
+            told.push_back(e);
+        }
+    }
+    ASSERT_EQ(told.size(), size_t(c.told));
+    EXPECT_EQ(a.r.stats.contradicted, uint64_t(c.counted));
+    EXPECT_EQ(a.sent.outcomes.size(), 1u);
+    if (c.told) {
+        EXPECT_EQ(told[0].kind,
+            c.listed ? RN_EVENT_END_CONTRADICTED : RN_EVENT_ALIVE);
+        EXPECT_EQ(told[0].end.outcome, a.sent.outcomes[0].second);
+        EXPECT_EQ(told[0].end.evidence, a.sent.evidence[0]);
+        EXPECT_EQ(told[0].end.key.job, 1u);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Late, RunnerLate, testing::ValuesIn(late_cases),
+    [](const auto &tested) { return tested.param.name; });
+
+/* Guards against a proof that is lost because many runs ended between the
+ * untrue report and the late outcome. */
+TEST(RunnerEvents, UntrueReportIsNoticedAfterHundredsOfOtherRuns)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    a.started(1, RN_START_REFUSED);
+    for (uint64_t job = 2; job < 2 + RN_ENDS_MAX - 1; job++) {
+        a.order(job, 1000);
+        a.started(job, RN_START_OK);
+        a.poll({}, {{job, {job, 1, 0}, DW_END_DONE}});
+    }
+    a.poll({}, {{9000, {1, 1, 0}, DW_END_FAILED}});
+    EXPECT_EQ(a.r.stats.contradicted, 1u);
+}
+
 /* Guards against a late start of an earlier agent on the same worker: it would
  * run beside the starts of this agent, over the worker's capacity.  The worker
  * refuses it if this agent's fence is higher. */
