coord: a job submitted again waits for the runs of its former submission

Seen in the test cluster: a caller's connection breaks and the request is repeated on another at once, as proxies and client libraries do. A job refused then was also answered as not run. Cause: the entry forgot the runs of a job when it gave the job up. Now it keeps them until their end is certain.

--- a/coord.c
+++ b/coord.c
@@ -83,6 +83,87 @@
     }
 }
 
+/* --- runs that outlive their job --- */
+
+static void
+keep_outliving_runs(struct coord *c, const struct co_job *j)
+{
+    for (uint32_t i = 0; i < j->task_count; i++) {
+        const struct co_task *t = &j->tasks[i];
+        struct co_outliving *o;
+
+        if (t->state == CO_DISPATCHED || t->state == CO_LOST) {
+            o = dw_zero(1, sizeof(*o));
+            o->job = j->id;
+            o->index = i;
+            o->task = *t;
+            DL_APPEND(c->outliving, o);
+        }
+    }
+}
+
+static bool
+has_outliving_run(const struct coord *c, uint64_t job)
+{
+    const struct co_outliving *o;
+
+    DL_FOREACH (c->outliving, o) {
+        if (o->job == job) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+forget_outliving_run(struct coord *c, struct co_outliving *o)
+{
+    DL_DELETE(c->outliving, o);
+    free(o);
+}
+
+/* A job that is submitted again takes over the runs that are being stopped:
+ * its tasks are placed only when those have ended. */
+static void
+take_over_runs(struct coord *c, struct co_job *j)
+{
+    struct co_outliving *o;
+    struct co_outliving *tmp;
+
+    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+        struct co_task *t;
+
+        if (o->job != j->id || o->index >= j->task_count) {
+            continue;
+        }
+        t = &j->tasks[o->index];
+        t->run = o->task.run;
+        t->agent = o->task.agent;
+        t->session = o->task.session;
+        t->sent_ms = o->task.sent_ms;
+        t->retry_at_ms = o->task.retry_at_ms;
+        t->moving = true; /* its stop has been sent */
+        j->started = true;
+        co_set_state(c, j, t, o->task.state);
+        forget_outliving_run(c, o);
+    }
+}
+
+static void
+outliving_run_ended(
+    struct coord *c, const struct fl_agent *a, const dw_run_ref *ref)
+{
+    struct co_outliving *o;
+    struct co_outliving *tmp;
+
+    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+        if (o->job == ref->job && o->index == ref->index &&
+            o->task.run == ref->run && o->task.agent == a->id) {
+            forget_outliving_run(c, o);
+        }
+    }
+}
+
 /* --- ending a job --- */
 
 static void
@@ -143,6 +224,9 @@
     co_share_ended(j, outcome);
     co_admit_given_up(c, now, j, reason);
     stop_runs(c, j);
+    if (outcome != CO_COMPLETED) {
+        keep_outliving_runs(c, j);
+    }
     c->ops->log_job(c->ctx, j, reason);
     while (j->waiters != NULL) {
         struct co_waiter *w = j->waiters;
@@ -316,11 +400,13 @@
     if (reason != NULL) {
         c->stats.not_run++;
         c->ops->log_refusal(c->ctx, s, &est, reason, co_queued_ms(c, now));
-        c->ops->answer(c->ctx, handle, CO_NOT_RUN, reason,
+        c->ops->answer(c->ctx, handle,
+            has_outliving_run(c, s->id) ? CO_GAVE_UP : CO_NOT_RUN, reason,
             qp_retry_after_ms(c, now, get_service_load(c, s->service)));
         return;
     }
     j = admit(c, now, s, &est, handle);
+    take_over_runs(c, j);
     co_share_arrived(c, now, j, s);
     qp_record_job(now, j, &est);
     j->model = model;
@@ -328,7 +414,8 @@
     j->input = input;
     retry_ms = co_admit_arrival(c, now, j);
     if (retry_ms != 0) {
-        end_job_retry(c, now, j, CO_NOT_RUN, "admission", retry_ms);
+        end_job_retry(c, now, j, j->started ? CO_GAVE_UP : CO_NOT_RUN,
+            "admission", retry_ms);
         return;
     }
     qp_record_inflow(now, j, &est);
@@ -468,6 +555,7 @@
     struct co_task *t;
 
     fl_run_ended(a, now, end->how);
+    outliving_run_ended(c, a, &end->ref);
     if (j == NULL || end->ref.index >= j->task_count) {
         return;
     }
@@ -488,8 +576,15 @@
 static void
 mark_runs_lost(struct coord *c, const struct fl_agent *a, uint64_t retry_at_ms)
 {
+    struct co_outliving *o;
     struct co_job *j;
 
+    DL_FOREACH (c->outliving, o) {
+        if (o->task.state == CO_DISPATCHED && o->task.agent == a->id) {
+            o->task.state = CO_LOST;
+            o->task.retry_at_ms = retry_at_ms;
+        }
+    }
     for (j = c->jobs; j != NULL; j = j->hh.next) {
         for (uint32_t i = 0; i < j->task_count; i++) {
             struct co_task *t = &j->tasks[i];
@@ -507,8 +602,15 @@
 static void
 release_lost_runs(struct coord *c, uint64_t now, const struct fl_agent *a)
 {
+    struct co_outliving *o;
+    struct co_outliving *tmp;
     struct co_job *j;
 
+    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+        if (o->task.state == CO_LOST && o->task.agent == a->id) {
+            forget_outliving_run(c, o);
+        }
+    }
     for (j = c->jobs; j != NULL; j = j->hh.next) {
         for (uint32_t i = 0; i < j->task_count; i++) {
             struct co_task *t = &j->tasks[i];
@@ -644,6 +746,19 @@
     return true;
 }
 
+static void
+expire_outliving_runs(struct coord *c, uint64_t now)
+{
+    struct co_outliving *o;
+    struct co_outliving *tmp;
+
+    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+        if (o->task.state == CO_LOST && is_over(c, now, &o->task)) {
+            forget_outliving_run(c, o);
+        }
+    }
+}
+
 static void
 expire_completed(struct coord *c, uint64_t now)
 {
@@ -700,6 +815,7 @@
             co_move_runs(c, now, j);
         }
     }
+    expire_outliving_runs(c, now);
     expire_completed(c, now);
 }
 
@@ -724,6 +840,9 @@
         }
         free_job(c, j);
     }
+    while (c->outliving != NULL) {
+        forget_outliving_run(c, c->outliving);
+    }
     HASH_ITER (hh, c->ended, e, e_tmp) {
         HASH_DEL(c->ended, e);
         free(e);
@@ -754,7 +873,7 @@
     struct co_ended *e;
 
     HASH_FIND(hh, c->ended, &id, sizeof(id), e);
-    return e != NULL || co_has_job(c, id);
+    return e != NULL || co_has_job(c, id) || has_outliving_run(c, id);
 }
 
 size_t
--- a/coord.h
+++ b/coord.h
@@ -157,6 +157,17 @@
     UT_hash_handle hh;
 };
 
+/* A run that is being stopped, or may still be at work, after its job was
+ * given up; kept until it has certainly ended, as the job may be submitted
+ * again. */
+struct co_outliving {
+    uint64_t job;
+    uint32_t index;
+    struct co_task task; /* CO_DISPATCHED or CO_LOST */
+    struct co_outliving *prev;
+    struct co_outliving *next;
+};
+
 /* A completed job, kept to answer late copies of its request. */
 struct co_ended {
     uint64_t id;
@@ -216,6 +227,7 @@
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
     struct co_ended *ended;
+    struct co_outliving *outliving;
     struct am_state admission;     /* corrections and counters */
     struct es_table run_times;     /* learned run times, by route */
     struct co_service_load *loads; /* by service */
@@ -262,8 +274,9 @@
 /* Queries. */
 /* The job is in progress here. */
 bool co_has_job(const struct coord *c, uint64_t id);
-/* The job is in progress here, or ended here so recently that a copy of its
- * request gets the same answer. */
+/* The job is in progress here, ended here so recently that a copy of its
+ * request gets the same answer, or was given up and a run of it may be at
+ * work. */
 bool co_knows_job(const struct coord *c, uint64_t id);
 /* Jobs in progress here. */
 size_t co_job_count(const struct coord *c);
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -102,6 +102,13 @@
     w.break_callers(some(w, ENTRIES), 1300);
 }
 
+/* A proxy or a client library repeats requests by itself. */
+void
+callers_repeat_at_once(World &w)
+{
+    w.break_callers(some(w, ENTRIES), 1, true);
+}
+
 void
 agent_killed(World &w)
 {
@@ -122,14 +129,15 @@
     {"starts_refused", {starts_refused, sessions_reopen}},
     {"messages_doubled_and_late", {messages_doubled_and_late}},
     {"callers_send_again", {callers_send_again, sessions_reopen}},
+    {"callers_repeat_at_once", {callers_repeat_at_once, sessions_reopen}},
     {"all_but_refused",
         {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
             starts_refused, messages_doubled_and_late, callers_send_again,
-            agent_killed}},
-    {"all",
-        {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
-            starts_refused, messages_doubled_and_late, callers_send_again,
-            agent_killed, refused_while_alive, refused_and_cut}},
+            callers_repeat_at_once, agent_killed}},
+    {"all", {sessions_reopen, agent_pauses_at_the_lease, entry_pauses,
+                stops_lost, starts_refused, messages_doubled_and_late,
+                callers_send_again, callers_repeat_at_once, agent_killed,
+                refused_while_alive, refused_and_cut}},
 };
 
 std::string
--- a/test/world.cc
+++ b/test/world.cc
@@ -731,7 +731,7 @@
 }
 
 void
-World::break_callers(size_t entry, uint64_t resend_ms)
+World::break_callers(size_t entry, uint64_t resend_ms, bool same_entry)
 {
     FakeEntry *e = entries[entry].get();
 
@@ -751,7 +751,14 @@
             on_entry(e, [this, e, waiter] { caller_left(e, waiter); });
         }
         if (now + resend_ms < c->deadline) {
-            after(resend_ms, [this, c] { send_call(c); });
+            after(resend_ms, [this, c, entry, same_entry] {
+                if (same_entry) {
+                    send_call_to(c, entry);
+                }
+                else {
+                    send_call(c);
+                }
+            });
         }
     }
 }
@@ -1118,6 +1125,12 @@
     if (extra_share > 0 && chance() < extra_share) {
         i = 0;
     }
+    send_call_to(c, i);
+}
+
+void
+World::send_call_to(Call *c, size_t i)
+{
     FakeEntry *e = entries[i].get();
 
     c->sends++;
--- a/test/world.hh
+++ b/test/world.hh
@@ -136,8 +136,9 @@
     /* Resets a connection attempt of the entry to an agent that is alive. */
     void refuse_connection(size_t entry, size_t agent);
     /* Breaks the connections of callers that wait at an entry; they send again
-     * after resend_ms, to any entry. */
-    void break_callers(size_t entry, uint64_t resend_ms);
+     * after resend_ms, to any entry or to the same one. */
+    void break_callers(
+        size_t entry, uint64_t resend_ms, bool same_entry = false);
     void crash_worker(size_t i, uint64_t for_ms);
     /* A planned stop: the worker drains, then restarts. */
     void drain_worker(size_t i);
@@ -206,6 +207,7 @@
     bool forward_by_wait(FakeEntry *e, Call *c, FakeWaiter *waiter);
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
+    void send_call_to(Call *c, size_t i);
     void deliver_copy(
         uint64_t from, uint64_t to, std::shared_ptr<dw_msg> copy);
     void caller_left(FakeEntry *e, FakeWaiter *waiter);
