soak: faults between agents and workers, and workers that refuse starts

The soak had no proxy before the workers, and its workers never refused a start with 429 or 503, so it could not find a start that was sent twice and whose refused copy stood for both. Now connections to a worker are reset or closed, also after a request was executed and before its response; a worker is cut off from its agent (silent, one way, slow, or refusing connections) for up to 7 s while it runs on; an unhealthy worker refuses part of the starts. With -w most faults are on workers. -v logs the runs.

--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -37,8 +37,11 @@
     struct ev_loop *loop;
     ev_io accept;
     int fd;
+    uint16_t from;
     uint16_t to;
     enum proxy_mode mode;
+    uint32_t cut_interval; /* see px_set_cut() */
+    uint32_t pieces;       /* sent by the server, for cut_interval */
     struct pair *pairs;
 };
 
@@ -77,6 +80,16 @@
            (mode == PROXY_ONE_WAY && d->to_client);
 }
 
+/* True if the connection is to be closed in place of this piece. */
+static bool
+cuts_piece(const struct direction *d)
+{
+    struct proxy *p = d->pair->proxy;
+
+    return d->to_client && p->cut_interval != 0 &&
+           ++p->pieces % p->cut_interval == 0;
+}
+
 /* Bytes of a silent direction are read and dropped, as by a middlebox that has
  * lost the state of the connection. */
 static void
@@ -97,6 +110,11 @@
         d->dropping = true;
         return;
     }
+    if (cuts_piece(d)) {
+        free_pair(d->pair,
+            d->pair->proxy->pieces / d->pair->proxy->cut_interval % 2);
+        return;
+    }
     while (written < n) {
         ssize_t sent =
             send(d->to, bytes + written, (size_t)(n - written), MSG_NOSIGNAL);
@@ -200,12 +218,49 @@
     init_direction(p, pair, 1, server, client);
 }
 
+static void
+start_listening(struct proxy *p)
+{
+    struct sockaddr_in sa = address(p->from);
+    int one = 1;
+
+    p->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setsockopt(p->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(p->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
+        listen(p->fd, 64) != 0) {
+        fprintf(stderr, "soak: port %u: %s\n", p->from, strerror(errno));
+        exit(2);
+    }
+    ev_io_init(&p->accept, on_accept, p->fd, EV_READ);
+    p->accept.data = p;
+    ev_io_start(p->loop, &p->accept);
+}
+
+static void
+stop_listening(struct proxy *p)
+{
+    ev_io_stop(p->loop, &p->accept);
+    close(p->fd);
+}
+
 void
 px_set_mode(struct proxy *p, enum proxy_mode mode)
 {
+    if (mode == PROXY_REFUSE && p->mode != PROXY_REFUSE) {
+        stop_listening(p);
+    }
+    else if (mode != PROXY_REFUSE && p->mode == PROXY_REFUSE) {
+        start_listening(p);
+    }
     p->mode = mode;
 }
 
+void
+px_set_cut(struct proxy *p, uint32_t n)
+{
+    p->cut_interval = n;
+}
+
 void
 px_reset(struct proxy *p)
 {
@@ -218,21 +273,11 @@
 px_new(struct ev_loop *loop, uint16_t from, uint16_t to)
 {
     struct proxy *p = dw_zero(1, sizeof(*p));
-    struct sockaddr_in sa = address(from);
-    int one = 1;
 
     p->loop = loop;
+    p->from = from;
     p->to = to;
-    p->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    setsockopt(p->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(p->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
-        listen(p->fd, 64) != 0) {
-        fprintf(stderr, "soak: port %u: %s\n", from, strerror(errno));
-        exit(2);
-    }
-    ev_io_init(&p->accept, on_accept, p->fd, EV_READ);
-    p->accept.data = p;
-    ev_io_start(loop, &p->accept);
+    start_listening(p);
     return p;
 }
 
@@ -240,7 +285,8 @@
 px_free(struct proxy *p)
 {
     px_reset(p);
-    ev_io_stop(p->loop, &p->accept);
-    close(p->fd);
+    if (p->mode != PROXY_REFUSE) {
+        stop_listening(p);
+    }
     free(p);
 }
--- a/test/soak-worker.c
+++ b/test/soak-worker.c
@@ -70,6 +70,7 @@
     uint64_t next_outcome;
     uint32_t lost_permille;
     uint32_t late_permille;
+    uint32_t refused_permille;
     uint32_t slowdown; /* factor on run times */
     struct run runs[RUNS_MAX];
     size_t run_count;
@@ -132,19 +133,26 @@
     return run;
 }
 
+static void
+report_end(struct fake_worker *w, const struct run *r, const char *outcome)
+{
+    struct fw_run report = {r->task.job, r->task.index, r->run};
+
+    w->events->end(w->ctx, w, &report, outcome);
+}
+
 static void
 end_run(struct fake_worker *w, struct run *r, const char *outcome_name)
 {
     struct outcome *listed =
         &w->outcomes[w->outcome_count < OUTCOMES_MAX ? w->outcome_count++ : 0];
-    bool done = strcmp(outcome_name, "done") == 0;
 
     listed->number = w->next_outcome++;
     listed->task = r->task;
     listed->run = r->run;
     listed->outcome_name = outcome_name;
     record_past(w, &r->task, r->run);
-    w->events->end(w->ctx, w, r->task.job, r->task.index, done);
+    report_end(w, r, outcome_name);
     *r = w->runs[--w->run_count];
 }
 
@@ -255,7 +263,8 @@
     r->ends_ms =
         w->now + (uint64_t)w->slowdown *
                      w->events->run_ms(w->ctx, o->task.job, o->task.index);
-    w->events->start(w->ctx, w, o->task.job, o->task.index);
+    w->events->start(
+        w->ctx, w, &(struct fw_run){o->task.job, o->task.index, o->run});
     return NULL;
 }
 
@@ -425,6 +434,9 @@
             poll(w, r, &o);
         }
     }
+    else if (!is_stop && soak_random(w->s, 1000) < w->refused_permille) {
+        web_reply(r, chance % 2 ? 429 : 503, "application/json", STR("{}"), 0);
+    }
     else if (chance < w->late_permille && w->delayed_count < DELAYED_MAX) {
         struct delayed_order *delayed = &w->delayed[w->delayed_count++];
 
@@ -551,8 +563,7 @@
         return;
     }
     for (size_t i = 0; i < w->run_count; i++) {
-        w->events->end(
-            w->ctx, w, w->runs[i].task.job, w->runs[i].task.index, false);
+        report_end(w, &w->runs[i], "lost");
     }
     begin_incarnation(w, now + for_ms);
     w->down_until_ms = now + for_ms;
@@ -566,6 +577,12 @@
     w->late_permille = late_permille;
 }
 
+void
+fw_set_refusals(struct fake_worker *w, uint32_t permille)
+{
+    w->refused_permille = permille;
+}
+
 void
 fw_set_slowdown(struct fake_worker *w, uint32_t factor)
 {
--- a/test/soak.c
+++ b/test/soak.c
@@ -37,7 +37,8 @@
     PORT_AGENT_LINK = 120,
     PORT_AGENT_ANNOUNCE = 200,
     PORT_WORKER = 300,
-    PORT_AGENT_PROXY = 400
+    PORT_AGENT_PROXY = 400,
+    PORT_WORKER_PROXY = 470
 };
 
 struct daemon_proc {
@@ -83,6 +84,7 @@
     struct fake_store *store;
     struct fake_worker *workers[SOAK_AGENTS_MAX];
     struct proxy *proxies[SOAK_AGENTS_MAX]; /* before the agents */
+    struct proxy *worker_proxies[SOAK_AGENTS_MAX];
     struct proxy *store_proxies[SOAK_AGENTS_MAX + SOAK_ENTRIES_MAX];
     struct daemon_proc procs[SOAK_AGENTS_MAX + SOAK_ENTRIES_MAX];
     int proc_count;
@@ -104,6 +106,7 @@
     } undo[64];
     size_t undo_count;
     bool verbose;
+    bool worker_mode; /* most faults are on workers */
     ev_timer tick;
 };
 
@@ -165,7 +168,8 @@
         fprintf(f,
             "announce = \"127.0.0.1:%d\"\nworker = \"127.0.0.1:%d\"\n"
             "service = \"s\"\n",
-            s->base + PORT_AGENT_ANNOUNCE + i, s->base + PORT_WORKER + i);
+            s->base + PORT_AGENT_ANNOUNCE + i,
+            s->base + PORT_WORKER_PROXY + i);
     }
     else {
         fprintf(f,
@@ -239,18 +243,45 @@
     return i < s->call_count && s->calls[i].id == id ? &s->calls[i] : NULL;
 }
 
+static int
+worker_index(const struct soak *s, const struct fake_worker *w)
+{
+    int i = 0;
+
+    while (s->workers[i] != w) {
+        i++;
+    }
+    return i;
+}
+
+static void
+log_run(struct soak *s, struct fake_worker *w, const struct fw_run *r,
+    const char *event)
+{
+    if (s->verbose) {
+        printf("%" PRIu64 " run %016" PRIx64 ".%u run=%" PRIu64 " a%d %s\n",
+            s->now - s->epoch_ms, r->job, r->index, r->run, worker_index(s, w),
+            event);
+    }
+}
+
 static void
-on_start(void *ctx, struct fake_worker *w, uint64_t job, uint32_t index)
+on_start(void *ctx, struct fake_worker *w, const struct fw_run *r)
 {
     struct soak *s = ctx;
+    uint64_t job = r->job;
     struct call *c = find_call(s, job);
     char text[200];
 
     s->starts++;
+    log_run(s, w, r, "started");
     for (int i = 0; i < s->agents; i++) {
-        if (s->workers[i] != w && fw_is_running(s->workers[i], job, index)) {
+        if (s->workers[i] != w &&
+            fw_is_running(s->workers[i], job, r->index)) {
             snprintf(text, sizeof(text),
-                "task %016" PRIx64 ".%u runs twice at a time", job, index);
+                "task %016" PRIx64 ".%u runs twice at a time, on the workers "
+                "of a%d and a%d",
+                job, r->index, i, worker_index(s, w));
             report_violation(s, text);
         }
     }
@@ -269,14 +300,14 @@
 }
 
 static void
-on_outcome(
-    void *ctx, struct fake_worker *w, uint64_t job, uint32_t index, bool done)
+on_outcome(void *ctx, struct fake_worker *w, const struct fw_run *r,
+    const char *outcome)
 {
-    struct call *c = find_call(ctx, job);
+    struct call *c = find_call(ctx, r->job);
 
-    (void)w;
-    if (c != NULL && done) {
-        c->done[index] = true;
+    log_run(ctx, w, r, outcome);
+    if (c != NULL && strcmp(outcome, "done") == 0) {
+        c->done[r->index] = true;
     }
 }
 
@@ -640,7 +671,9 @@
 undo_worker(struct soak *s, int i)
 {
     fw_set_loss(s->workers[i], 0, 0);
+    fw_set_refusals(s->workers[i], 0);
     fw_set_slowdown(s->workers[i], 1);
+    px_set_cut(s->worker_proxies[i], 0);
 }
 
 static void
@@ -666,13 +699,77 @@
     undo_later(s, ms, undo_worker, i);
 }
 
-static void (*const faults[])(struct soak *s) = {kill_one, term_one, pause_one,
-    pause_one, reload_one, store_unreachable, link_fault, link_fault,
-    link_reset, store_cut, start_without_store, worker_crash, worker_lossy,
-    worker_slow};
+/* A worker that refuses part of the starts while connections to it break
+ * before or after it has carried out an order. */
+static void
+worker_unhealthy(struct soak *s)
+{
+    int i = any_agent(s);
+    uint64_t ms = 500 + soak_random(s, 3000);
+
+    log_fault(s, "worker_unhealthy", s->procs[i].name, ms);
+    fw_set_refusals(s->workers[i], (uint32_t)soak_random(s, 700));
+    px_set_cut(s->worker_proxies[i], (uint32_t)soak_random(s, 8));
+    undo_later(s, ms, undo_worker, i);
+}
+
+static void
+worker_reset(struct soak *s)
+{
+    int i = any_agent(s);
+
+    log_fault(s, "worker_reset", s->procs[i].name, 0);
+    px_reset(s->worker_proxies[i]);
+}
+
+static void
+undo_worker_proxy(struct soak *s, int i)
+{
+    px_set_mode(s->worker_proxies[i], PROXY_PASS);
+}
+
+/* Cuts a worker, which runs on, off from its agent. */
+static void
+worker_cut(struct soak *s)
+{
+    static const enum proxy_mode modes[] = {
+        PROXY_SILENT, PROXY_ONE_WAY, PROXY_SLOW, PROXY_REFUSE};
+    int i = any_agent(s);
+    uint64_t ms = soak_random(s, 2) ? 20 + soak_random(s, 1000)
+                                    : 1000 + soak_random(s, 6000);
+    enum proxy_mode mode = modes[soak_random(s, 4)];
+
+    log_fault(s, "worker_cut", s->procs[i].name, ms);
+    px_set_mode(s->worker_proxies[i], mode);
+    if (soak_random(s, 2)) {
+        px_reset(s->worker_proxies[i]);
+    }
+    undo_later(s, ms, undo_worker_proxy, i);
+}
+
+typedef void (*fault_fn)(struct soak *s);
+
+static const fault_fn worker_faults[] = {worker_crash, worker_lossy,
+    worker_slow, worker_unhealthy, worker_unhealthy, worker_reset, worker_cut};
+
+static const fault_fn faults[] = {kill_one, term_one, pause_one, pause_one,
+    reload_one, store_unreachable, link_fault, link_fault, link_reset,
+    store_cut, start_without_store, worker_crash, worker_lossy, worker_slow,
+    worker_unhealthy, worker_unhealthy, worker_reset, worker_cut};
+
+static void
+inject_fault(struct soak *s)
+{
+    if (s->worker_mode && soak_random(s, 8) != 0) {
+        worker_faults[soak_random(
+            s, sizeof(worker_faults) / sizeof(worker_faults[0]))](s);
+        return;
+    }
+    faults[soak_random(s, sizeof(faults) / sizeof(faults[0]))](s);
+}
 
-/* Injects a fault every 0.2 to 1 s, so that faults overlap, and clears those
- * whose time is up. */
+/* Injects a fault every 0.2 to 1 s, or four times as often with worker_mode,
+ * so that faults overlap, and clears those whose time is up. */
 static void
 update_faults(struct soak *s)
 {
@@ -688,9 +785,10 @@
         i++;
     }
     if (s->now >= s->next_fault_ms && s->now < s->faults_end_ms) {
-        s->next_fault_ms = s->now + 200 + soak_random(s, 800);
+        s->next_fault_ms =
+            s->now + (200 + soak_random(s, 800)) / (s->worker_mode ? 4 : 1);
         s->faults++;
-        faults[soak_random(s, sizeof(faults) / sizeof(faults[0]))](s);
+        inject_fault(s);
         if (soak_random(s, 5) == 0) {
             write_config(s);
         }
@@ -754,6 +852,9 @@
     for (int i = 0; i < s->agents; i++) {
         s->workers[i] = fw_new(s, s->loop,
             (uint16_t)(s->base + PORT_WORKER + i), &worker_events, s);
+        s->worker_proxies[i] =
+            px_new(s->loop, (uint16_t)(s->base + PORT_WORKER_PROXY + i),
+                (uint16_t)(s->base + PORT_WORKER + i));
         s->proxies[i] =
             px_new(s->loop, (uint16_t)(s->base + PORT_AGENT_PROXY + i),
                 (uint16_t)(s->base + PORT_AGENT_LINK + i));
@@ -808,6 +909,7 @@
     struct soak *s = dw_zero(1, sizeof(*s));
     int seed = 1;
     int seconds = 10;
+    int worker_mode = 0;
     int verbose = 0;
     char *dir = NULL;
     char *bin = NULL;
@@ -822,6 +924,8 @@
         {"dir", 'd', POPT_ARG_STRING, &dir, 0,
             "directory of settings and logs", "DIR"},
         {"bin", 'b', POPT_ARG_STRING, &bin, 0, "dunlinweird program", "FILE"},
+        {"workers", 'w', POPT_ARG_NONE, &worker_mode, 0,
+            "most faults are on workers", NULL},
         {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "print the faults", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext ctx =
@@ -840,6 +944,7 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     s->random = mix64((uint64_t)seed, 1);
     s->verbose = verbose != 0;
+    s->worker_mode = worker_mode != 0;
     s->bin = bin;
     snprintf(s->dir, sizeof(s->dir), "%s", dir);
     s->epoch_ms = s->now = clock_ms();
--- a/test/soak.h
+++ b/test/soak.h
@@ -3,11 +3,12 @@
  *
  * One process stands in for the platform's store, the workers and the callers,
  * and starts, signals and restarts dunlinweird processes.  Connections from
- * entries to agents, and from each process to the store, pass through proxies
- * that reset, delay or silence them.  It checks the guarantees by what callers
- * and workers observe: no task runs twice at a time, a job answered as refused
- * was not started, a job answered as complete ran completely, and every job
- * completes once the faults are over.
+ * entries to agents, from agents to workers, and from each process to the
+ * store, pass through proxies that reset, delay, silence or refuse them.  It
+ * checks the guarantees by what callers and workers observe: no task runs
+ * twice at a time, a job answered as refused was not started, a job answered
+ * as complete ran completely, and every job completes once the faults are
+ * over.
  */
 #ifndef SOAK_H
 #define SOAK_H
@@ -57,12 +58,20 @@
 
 struct fake_worker;
 
+/* A run of a task, as a worker reports it to the test. */
+struct fw_run {
+    uint64_t job;
+    uint32_t index; /* of the task in the job */
+    uint64_t run;   /* run number; rises with each run of the task */
+};
+
 /* A run started. */
 typedef void (*fw_start_fn)(
-    void *ctx, struct fake_worker *w, uint64_t job, uint32_t index);
-/* A run ended; done is false if it did not run to its end. */
-typedef void (*fw_end_fn)(
-    void *ctx, struct fake_worker *w, uint64_t job, uint32_t index, bool done);
+    void *ctx, struct fake_worker *w, const struct fw_run *r);
+/* A run ended.  outcome is "done", "failed", "stopped", "lapsed" or, in a
+ * crash, "lost". */
+typedef void (*fw_end_fn)(void *ctx, struct fake_worker *w,
+    const struct fw_run *r, const char *outcome);
 /* Run time of a task in ms. */
 typedef uint32_t (*fw_run_time_fn)(void *ctx, uint64_t job, uint32_t index);
 /* The worker detected a violation of a guarantee. */
@@ -85,6 +94,8 @@
  * seconds late without an answer. */
 void fw_set_loss(
     struct fake_worker *w, uint32_t lost_permille, uint32_t late_permille);
+/* Of 1000 starts, how many are refused with 429 or 503 and not carried out. */
+void fw_set_refusals(struct fake_worker *w, uint32_t permille);
 /* Multiply the run time of tasks started from now on. */
 void fw_set_slowdown(struct fake_worker *w, uint32_t factor);
 bool fw_is_running(const struct fake_worker *w, uint64_t job, uint32_t index);
@@ -97,7 +108,8 @@
     PROXY_PASS,
     PROXY_SILENT,  /* drops all bytes */
     PROXY_ONE_WAY, /* drops bytes from the server to the client */
-    PROXY_SLOW     /* delays all bytes */
+    PROXY_SLOW,    /* delays all bytes */
+    PROXY_REFUSE   /* accepts no connections; open ones are served */
 };
 
 struct proxy;
@@ -108,6 +120,10 @@
 /* A connection direction that has dropped bytes drops them for good, also
  * after the mode goes back to PROXY_PASS; new connections work. */
 void px_set_mode(struct proxy *p, enum proxy_mode mode);
+/* Instead of forwarding every n-th piece that the server sends, close its
+ * connection, by turns with a TCP reset and in order; 0: never.  The server
+ * has then read and executed a request that gets no response. */
+void px_set_cut(struct proxy *p, uint32_t n);
 /* Close all connections with a TCP reset. */
 void px_reset(struct proxy *p);
 
