soak: one server for all workers, for runs with many agents

A server for each worker cost a system call for each in every loop iteration, and with 200 agents nothing was started. Workers are now told apart by the Host header. Proxies to the store connect to 127.0.0.1 also for agents on other loopback addresses.

A run with -a 200 -e 16 still hangs: the stand-in blocks in the connect() of soak-proxy.c, probably to a listener of its own whose backlog is full.

--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -38,6 +38,7 @@
     ev_io accept;
     int fd;
     char addr[16];
+    char to_addr[16];
     uint16_t from;
     uint16_t to;
     enum proxy_mode mode;
@@ -172,13 +173,13 @@
 }
 
 static struct sockaddr_in
-address(const struct proxy *p, uint16_t port)
+address(const char *addr, uint16_t port)
 {
     struct sockaddr_in sa = {0};
 
     sa.sin_family = AF_INET;
     sa.sin_port = htons(port);
-    inet_pton(AF_INET, p->addr, &sa.sin_addr);
+    inet_pton(AF_INET, addr, &sa.sin_addr);
     return sa;
 }
 
@@ -189,7 +190,7 @@
 {
     struct proxy *p = io->data;
     int client = accept4(p->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    struct sockaddr_in sa = address(p, p->to);
+    struct sockaddr_in sa = address(p->to_addr, p->to);
     struct linger abort_on_close = {1, 0};
     struct pair *pair;
     int server;
@@ -222,7 +223,7 @@
 static void
 start_listening(struct proxy *p)
 {
-    struct sockaddr_in sa = address(p, p->from);
+    struct sockaddr_in sa = address(p->addr, p->from);
     int one = 1;
 
     p->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -271,12 +272,15 @@
 }
 
 struct proxy *
-px_new(struct ev_loop *loop, const char *addr, uint16_t from, uint16_t to)
+px_new(struct ev_loop *loop, const char *addr, uint16_t from, uint16_t to,
+    bool same_addr)
 {
     struct proxy *p = dw_zero(1, sizeof(*p));
 
     p->loop = loop;
     str_copy(p->addr, sizeof(p->addr), str_of(addr));
+    str_copy(p->to_addr, sizeof(p->to_addr),
+        str_of(same_addr ? addr : "127.0.0.1"));
     p->from = from;
     p->to = to;
     start_listening(p);
--- a/test/soak-worker.c
+++ b/test/soak-worker.c
@@ -58,7 +58,7 @@
 
 struct fake_worker {
     struct soak *s;
-    struct web *web;
+    char host[32]; /* see fw_new() */
     const struct fw_events *events;
     void *ctx;
     uint64_t now;
@@ -90,6 +90,12 @@
     size_t unanswered_count;
 };
 
+struct fw_server {
+    struct web *web;
+    struct fake_worker *workers[SOAK_AGENTS_MAX];
+    size_t count;
+};
+
 static uint64_t
 worker_clock_ms(const struct fake_worker *w)
 {
@@ -422,9 +428,8 @@
 }
 
 static void
-on_request(void *ctx, struct web_req *r)
+handle_request(struct fake_worker *w, struct web_req *r)
 {
-    struct fake_worker *w = ctx;
     struct order o;
     bool is_stop = ends_with(web_path(r), "/run-stop");
     uint32_t chance = (uint32_t)soak_random(w->s, 1000);
@@ -460,10 +465,31 @@
     }
 }
 
+static void
+on_request(void *ctx, struct web_req *r)
+{
+    struct fw_server *server = ctx;
+    const char *host = web_header(r, "Host");
+
+    for (size_t i = 0; host != NULL && i < server->count; i++) {
+        if (strcmp(server->workers[i]->host, host) == 0) {
+            web_set_ctx(r, server->workers[i]);
+            handle_request(server->workers[i], r);
+            return;
+        }
+    }
+    web_reply(r, 400, "application/json", STR("{}"), 0);
+}
+
 static void
 on_disconnect(void *ctx, struct web_req *r)
 {
-    struct fake_worker *w = ctx;
+    struct fake_worker *w = web_ctx(r);
+
+    (void)ctx;
+    if (w == NULL) {
+        return;
+    }
 
     for (size_t i = 0; i < w->poll_count; i++) {
         if (w->polls[i].r == r) {
@@ -639,24 +665,34 @@
     buf_addf(out, "}");
 }
 
+struct fw_server *
+fw_server_new(struct ev_loop *loop, uint16_t port)
+{
+    struct fw_server *server = dw_zero(1, sizeof(*server));
+    struct web_cfg cfg = {"127.0.0.1", port, 4000, 1 << 16, 120};
+    struct err e = {""};
+
+    if (web_open(&server->web, loop, &cfg, on_request, on_disconnect, server,
+            &e) != WEB_OK) {
+        fprintf(stderr, "soak: %s\n", e.msg);
+        exit(2);
+    }
+    return server;
+}
+
 struct fake_worker *
-fw_new(struct soak *s, struct ev_loop *loop, const char *addr, uint16_t port,
+fw_new(struct soak *s, struct fw_server *server, const char *host,
     const struct fw_events *events, void *ctx)
 {
     struct fake_worker *w = dw_zero(1, sizeof(*w));
-    struct web_cfg cfg = {addr, port, 200, 1 << 16, 120};
-    struct err e = {""};
 
     w->s = s;
     w->events = events;
     w->ctx = ctx;
     w->slowdown = 1;
+    str_copy(w->host, sizeof(w->host), str_of(host));
     begin_incarnation(w, 0);
-    if (web_open(&w->web, loop, &cfg, on_request, on_disconnect, w, &e) !=
-        WEB_OK) {
-        fprintf(stderr, "soak: %s\n", e.msg);
-        exit(2);
-    }
+    server->workers[server->count++] = w;
     return w;
 }
 
@@ -671,7 +707,6 @@
         web_reply(w->unanswered[--w->unanswered_count], 503,
             "application/json", STR("{}"), 0);
     }
-    web_close(w->web);
     for (size_t i = 0; i < w->delayed_count; i++) {
         free(w->delayed[i].body);
     }
--- a/test/soak.c
+++ b/test/soak.c
@@ -53,7 +53,8 @@
 #define AGENT_GROUP 64
 enum {
     PORT_STORE = 0,
-    PORT_ENTRY_CALLERS = 1,
+    PORT_WORKERS = 1, /* the server of all workers */
+    PORT_ENTRY_CALLERS = 2,
     PORT_ENTRY_READY = PORT_ENTRY_CALLERS + SOAK_ENTRIES_MAX,
     PORT_ENTRY_LINK = PORT_ENTRY_READY + SOAK_ENTRIES_MAX,
     PORT_ENTRY_STORE = PORT_ENTRY_LINK + SOAK_ENTRIES_MAX,
@@ -61,8 +62,7 @@
     PORT_AGENT_ANNOUNCE = PORT_AGENT_LINK + AGENT_GROUP,
     PORT_AGENT_PROXY = PORT_AGENT_ANNOUNCE + AGENT_GROUP,
     PORT_AGENT_STORE = PORT_AGENT_PROXY + AGENT_GROUP,
-    PORT_WORKER = PORT_AGENT_STORE + AGENT_GROUP,
-    PORT_WORKER_PROXY = PORT_WORKER + AGENT_GROUP,
+    PORT_WORKER_PROXY = PORT_AGENT_STORE + AGENT_GROUP,
     PORTS = PORT_WORKER_PROXY + AGENT_GROUP
 };
 
@@ -115,6 +115,7 @@
     char dir[256];
     const char *bin;
     struct fake_store *store;
+    struct fw_server *worker_server;
     struct fake_worker *workers[SOAK_AGENTS_MAX];
     struct proxy *proxies[SOAK_AGENTS_MAX]; /* before the agents */
     struct proxy *worker_proxies[SOAK_AGENTS_MAX];
@@ -1261,7 +1262,7 @@
     snprintf(p->addr, sizeof(p->addr), "127.0.0.%d",
         1 + (is_agent ? number / AGENT_GROUP : 0));
     s->store_proxies[p->index] = px_new(s->loop, p->addr,
-        (uint16_t)store_port(p), (uint16_t)(s->base + PORT_STORE));
+        (uint16_t)store_port(p), (uint16_t)(s->base + PORT_STORE), false);
     snprintf(p->name, sizeof(p->name), "%c%d", is_agent ? 'a' : 'e', number);
     start_proc(p);
 }
@@ -1270,16 +1271,18 @@
 add_agent(struct soak *s, int i)
 {
     struct daemon_proc *p = &s->procs[i];
+    char host[48];
 
     add_proc(s, true, i);
-    s->workers[i] = fw_new(s, s->loop, p->addr,
-        (uint16_t)port_of(p, PORT_WORKER), &worker_events, s);
+    snprintf(
+        host, sizeof(host), "%s:%d", p->addr, port_of(p, PORT_WORKER_PROXY));
+    s->workers[i] = fw_new(s, s->worker_server, host, &worker_events, s);
     s->worker_proxies[i] =
         px_new(s->loop, p->addr, (uint16_t)port_of(p, PORT_WORKER_PROXY),
-            (uint16_t)port_of(p, PORT_WORKER));
+            (uint16_t)(s->base + PORT_WORKERS), false);
     s->proxies[i] =
         px_new(s->loop, p->addr, (uint16_t)port_of(p, PORT_AGENT_PROXY),
-            (uint16_t)port_of(p, PORT_AGENT_LINK));
+            (uint16_t)port_of(p, PORT_AGENT_LINK), true);
 }
 
 static void
@@ -1291,6 +1294,8 @@
     s->store = fs_new(s->loop, (uint16_t)(s->base + PORT_STORE),
         PORT_AGENT_PROXY - PORT_AGENT_LINK);
     write_config(s);
+    s->worker_server =
+        fw_server_new(s->loop, (uint16_t)(s->base + PORT_WORKERS));
     for (int i = 0; i < s->agents; i++) {
         add_agent(s, i);
     }
--- a/test/soak.h
+++ b/test/soak.h
@@ -88,9 +88,16 @@
     fw_violation_fn violation;
 };
 
-struct fake_worker *fw_new(struct soak *s, struct ev_loop *loop,
-    const char *addr, uint16_t port, const struct fw_events *events,
-    void *ctx);
+/* The HTTP server of all workers.  It finds a request's worker by its Host
+ * header: one server for each worker would take a system call for each worker
+ * in each loop iteration. */
+struct fw_server;
+
+struct fw_server *fw_server_new(struct ev_loop *loop, uint16_t port);
+
+/* host is the address and port to which the agent sends requests. */
+struct fake_worker *fw_new(struct soak *s, struct fw_server *server,
+    const char *host, const struct fw_events *events, void *ctx);
 void fw_free(struct fake_worker *w);
 void fw_tick(struct fake_worker *w, uint64_t now);
 /* End all runs without an outcome and start a new incarnation after for_ms. */
@@ -123,9 +130,10 @@
 
 struct proxy;
 
-/* Listens on port `from` of addr and connects to its port `to`. */
-struct proxy *px_new(
-    struct ev_loop *loop, const char *addr, uint16_t from, uint16_t to);
+/* Listens on port `from` of addr and connects to port `to` of 127.0.0.1 or, if
+ * same_addr, of addr. */
+struct proxy *px_new(struct ev_loop *loop, const char *addr, uint16_t from,
+    uint16_t to, bool same_addr);
 void px_free(struct proxy *p);
 /* A connection direction that has dropped bytes drops them for good, also
  * after the mode goes back to PROXY_PASS; new connections work. */
