--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -37,8 +37,13 @@
     struct ev_loop *loop;
     ev_io accept;
     int fd;
+    char addr[16];
+    char to_addr[16];
+    uint16_t from;
     uint16_t to;
     enum proxy_mode mode;
+    uint32_t cut_interval; /* see px_set_cut() */
+    uint32_t pieces;       /* sent by the server, for cut_interval */
     struct pair *pairs;
 };
 
@@ -77,6 +82,16 @@
            (mode == PROXY_ONE_WAY && d->to_client);
 }
 
+/* True if the connection is to be closed in place of this piece. */
+static bool
+cuts_piece(const struct direction *d)
+{
+    struct proxy *p = d->pair->proxy;
+
+    return d->to_client && p->cut_interval != 0 &&
+           ++p->pieces % p->cut_interval == 0;
+}
+
 /* Bytes of a silent direction are read and dropped, as by a middlebox that has
  * lost the state of the connection. */
 static void
@@ -97,6 +112,11 @@
         d->dropping = true;
         return;
     }
+    if (cuts_piece(d)) {
+        free_pair(d->pair,
+            d->pair->proxy->pieces / d->pair->proxy->cut_interval % 2);
+        return;
+    }
     while (written < n) {
         ssize_t sent =
             send(d->to, bytes + written, (size_t)(n - written), MSG_NOSIGNAL);
@@ -153,13 +173,13 @@
 }
 
 static struct sockaddr_in
-address(uint16_t port)
+address(const char *addr, uint16_t port)
 {
     struct sockaddr_in sa = {0};
 
     sa.sin_family = AF_INET;
     sa.sin_port = htons(port);
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, addr, &sa.sin_addr);
     return sa;
 }
 
@@ -170,7 +190,7 @@
 {
     struct proxy *p = io->data;
     int client = accept4(p->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    struct sockaddr_in sa = address(p->to);
+    struct sockaddr_in sa = address(p->to_addr, p->to);
     struct linger abort_on_close = {1, 0};
     struct pair *pair;
     int server;
@@ -200,12 +220,49 @@
     init_direction(p, pair, 1, server, client);
 }
 
+static void
+start_listening(struct proxy *p)
+{
+    struct sockaddr_in sa = address(p->addr, p->from);
+    int one = 1;
+
+    p->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setsockopt(p->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(p->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
+        listen(p->fd, 64) != 0) {
+        fprintf(stderr, "soak: port %u: %s\n", p->from, strerror(errno));
+        exit(2);
+    }
+    ev_io_init(&p->accept, on_accept, p->fd, EV_READ);
+    p->accept.data = p;
+    ev_io_start(p->loop, &p->accept);
+}
+
+static void
+stop_listening(struct proxy *p)
+{
+    ev_io_stop(p->loop, &p->accept);
+    close(p->fd);
+}
+
 void
 px_set_mode(struct proxy *p, enum proxy_mode mode)
 {
+    if (mode == PROXY_REFUSE && p->mode != PROXY_REFUSE) {
+        stop_listening(p);
+    }
+    else if (mode != PROXY_REFUSE && p->mode == PROXY_REFUSE) {
+        start_listening(p);
+    }
     p->mode = mode;
 }
 
+void
+px_set_cut(struct proxy *p, uint32_t n)
+{
+    p->cut_interval = n;
+}
+
 void
 px_reset(struct proxy *p)
 {
@@ -215,24 +272,18 @@
 }
 
 struct proxy *
-px_new(struct ev_loop *loop, uint16_t from, uint16_t to)
+px_new(struct ev_loop *loop, const char *addr, uint16_t from, uint16_t to,
+    bool same_addr)
 {
     struct proxy *p = dw_zero(1, sizeof(*p));
-    struct sockaddr_in sa = address(from);
-    int one = 1;
 
     p->loop = loop;
+    str_copy(p->addr, sizeof(p->addr), str_of(addr));
+    str_copy(p->to_addr, sizeof(p->to_addr),
+        str_of(same_addr ? addr : "127.0.0.1"));
+    p->from = from;
     p->to = to;
-    p->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    setsockopt(p->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(p->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
-        listen(p->fd, 64) != 0) {
-        fprintf(stderr, "soak: port %u: %s\n", from, strerror(errno));
-        exit(2);
-    }
-    ev_io_init(&p->accept, on_accept, p->fd, EV_READ);
-    p->accept.data = p;
-    ev_io_start(loop, &p->accept);
+    start_listening(p);
     return p;
 }
 
@@ -240,7 +291,8 @@
 px_free(struct proxy *p)
 {
     px_reset(p);
-    ev_io_stop(p->loop, &p->accept);
-    close(p->fd);
+    if (p->mode != PROXY_REFUSE) {
+        stop_listening(p);
+    }
     free(p);
 }
--- a/test/soak-worker.c
+++ b/test/soak-worker.c
@@ -31,10 +31,11 @@
     uint32_t millicores;
     uint64_t ends_ms;
     uint64_t started_ms;
+    bool fails;
     bool stopping; /* a stop was ordered; ends at ends_ms */
 };
 
-/* How a run ended: "done", "stopped" or "lapsed". */
+/* How a run ended: "done", "failed", "stopped" or "lapsed". */
 struct outcome {
     uint64_t number; /* compared with ack_cursor */
     struct task task;
@@ -57,10 +58,12 @@
 
 struct fake_worker {
     struct soak *s;
-    struct web *web;
+    char host[32]; /* see fw_new() */
     const struct fw_events *events;
     void *ctx;
     uint64_t now;
+    uint64_t drain_ms;       /* see fw_drain_ms() */
+    uint64_t exit_ms;        /* end of the time that is left then */
     uint64_t down_until_ms;  /* no request is answered before */
     uint64_t started_ms;     /* identifies the incarnation to the agent */
     uint64_t incarnation_ms; /* when it began, clock of the test */
@@ -70,6 +73,7 @@
     uint64_t next_outcome;
     uint32_t lost_permille;
     uint32_t late_permille;
+    uint32_t refused_permille;
     uint32_t slowdown; /* factor on run times */
     struct run runs[RUNS_MAX];
     size_t run_count;
@@ -86,6 +90,12 @@
     size_t unanswered_count;
 };
 
+struct fw_server {
+    struct web *web;
+    struct fake_worker *workers[SOAK_AGENTS_MAX];
+    size_t count;
+};
+
 static uint64_t
 worker_clock_ms(const struct fake_worker *w)
 {
@@ -132,19 +142,26 @@
     return run;
 }
 
+static void
+report_end(struct fake_worker *w, const struct run *r, const char *outcome)
+{
+    struct fw_run report = {r->task.job, r->task.index, r->run, false};
+
+    w->events->end(w->ctx, w, &report, outcome);
+}
+
 static void
 end_run(struct fake_worker *w, struct run *r, const char *outcome_name)
 {
     struct outcome *listed =
         &w->outcomes[w->outcome_count < OUTCOMES_MAX ? w->outcome_count++ : 0];
-    bool done = strcmp(outcome_name, "done") == 0;
 
     listed->number = w->next_outcome++;
     listed->task = r->task;
     listed->run = r->run;
     listed->outcome_name = outcome_name;
     record_past(w, &r->task, r->run);
-    w->events->end(w->ctx, w, r->task.job, r->task.index, done);
+    report_end(w, r, outcome_name);
     *r = w->runs[--w->run_count];
 }
 
@@ -162,6 +179,7 @@
     uint64_t run;
     uint64_t until_ms;
     uint64_t fence;
+    bool unanswered;
     uint64_t ack;
     uint64_t wait_ms;
 };
@@ -252,10 +270,12 @@
     r->run = o->run;
     r->millicores = TASK_MILLICORES;
     r->started_ms = w->now;
+    r->fails = w->events->fails(w->ctx, o->task.job);
     r->ends_ms =
         w->now + (uint64_t)w->slowdown *
                      w->events->run_ms(w->ctx, o->task.job, o->task.index);
-    w->events->start(w->ctx, w, o->task.job, o->task.index);
+    w->events->start(w->ctx, w,
+        &(struct fw_run){o->task.job, o->task.index, o->run, o->unanswered});
     return NULL;
 }
 
@@ -383,6 +403,7 @@
         }
         return;
     }
+    o.unanswered = r == NULL;
     if (is_stop) {
         stop_run(w, &o);
     }
@@ -407,9 +428,8 @@
 }
 
 static void
-on_request(void *ctx, struct web_req *r)
+handle_request(struct fake_worker *w, struct web_req *r)
 {
-    struct fake_worker *w = ctx;
     struct order o;
     bool is_stop = ends_with(web_path(r), "/run-stop");
     uint32_t chance = (uint32_t)soak_random(w->s, 1000);
@@ -425,6 +445,9 @@
             poll(w, r, &o);
         }
     }
+    else if (!is_stop && soak_random(w->s, 1000) < w->refused_permille) {
+        web_reply(r, chance % 2 ? 429 : 503, "application/json", STR("{}"), 0);
+    }
     else if (chance < w->late_permille && w->delayed_count < DELAYED_MAX) {
         struct delayed_order *delayed = &w->delayed[w->delayed_count++];
 
@@ -442,10 +465,31 @@
     }
 }
 
+static void
+on_request(void *ctx, struct web_req *r)
+{
+    struct fw_server *server = ctx;
+    const char *host = web_header(r, "Host");
+
+    for (size_t i = 0; host != NULL && i < server->count; i++) {
+        if (strcmp(server->workers[i]->host, host) == 0) {
+            web_set_ctx(r, server->workers[i]);
+            handle_request(server->workers[i], r);
+            return;
+        }
+    }
+    web_reply(r, 400, "application/json", STR("{}"), 0);
+}
+
 static void
 on_disconnect(void *ctx, struct web_req *r)
 {
-    struct fake_worker *w = ctx;
+    struct fake_worker *w = web_ctx(r);
+
+    (void)ctx;
+    if (w == NULL) {
+        return;
+    }
 
     for (size_t i = 0; i < w->poll_count; i++) {
         if (w->polls[i].r == r) {
@@ -475,7 +519,10 @@
             end_run(w, r, "lapsed");
         }
         else if (w->now >= r->ends_ms) {
-            end_run(w, r, r->stopping ? "stopped" : "done");
+            end_run(w, r,
+                r->stopping ? "stopped"
+                : r->fails  ? "failed"
+                            : "done");
         }
         else {
             i++;
@@ -536,6 +583,7 @@
     w->incarnation_ms = at_ms;
     w->until_ms = 0;
     w->fence = 0;
+    w->drain_ms = 0;
     w->seq = 0;
     w->next_outcome = 1;
     w->run_count = 0;
@@ -551,8 +599,7 @@
         return;
     }
     for (size_t i = 0; i < w->run_count; i++) {
-        w->events->end(
-            w->ctx, w, w->runs[i].task.job, w->runs[i].task.index, false);
+        report_end(w, &w->runs[i], "lost");
     }
     begin_incarnation(w, now + for_ms);
     w->down_until_ms = now + for_ms;
@@ -566,6 +613,12 @@
     w->late_permille = late_permille;
 }
 
+void
+fw_set_refusals(struct fake_worker *w, uint32_t permille)
+{
+    w->refused_permille = permille;
+}
+
 void
 fw_set_slowdown(struct fake_worker *w, uint32_t factor)
 {
@@ -580,6 +633,19 @@
     return find_run((struct fake_worker *)w, &t) != NULL;
 }
 
+void
+fw_drain(struct fake_worker *w, uint32_t left_ms)
+{
+    w->drain_ms = w->now;
+    w->exit_ms = w->now + left_ms;
+}
+
+uint64_t
+fw_drain_ms(const struct fake_worker *w)
+{
+    return w->drain_ms;
+}
+
 void
 fw_announce(struct fake_worker *w, struct buf *out)
 {
@@ -587,30 +653,46 @@
         return;
     }
     buf_addf(out,
-        "{\"service\":\"s\",\"state\":\"ready\",\"seq_no\":%" PRIu64
+        "{\"service\":\"s\",\"state\":\"%s\",\"seq_no\":%" PRIu64
         ",\"born\":%" PRIu64 ",\"free_capacity\":{\"cpu\":%d,"
-        "\"mem_mb\":1000,\"gpus\":0}}",
-        ++w->seq, w->started_ms, WORKER_MILLICORES);
+        "\"mem_mb\":1000,\"gpus\":0}",
+        w->drain_ms != 0 ? "draining" : "ready", ++w->seq, w->started_ms,
+        WORKER_MILLICORES);
+    if (w->drain_ms != 0) {
+        buf_addf(out, ",\"remaining_ms\":%" PRIu64,
+            num_sub_sat(w->exit_ms, w->now));
+    }
+    buf_addf(out, "}");
+}
+
+struct fw_server *
+fw_server_new(struct ev_loop *loop, uint16_t port)
+{
+    struct fw_server *server = dw_zero(1, sizeof(*server));
+    struct web_cfg cfg = {"127.0.0.1", port, 4000, 1 << 16, 120};
+    struct err e = {""};
+
+    if (web_open(&server->web, loop, &cfg, on_request, on_disconnect, server,
+            &e) != WEB_OK) {
+        fprintf(stderr, "soak: %s\n", e.msg);
+        exit(2);
+    }
+    return server;
 }
 
 struct fake_worker *
-fw_new(struct soak *s, struct ev_loop *loop, uint16_t port,
+fw_new(struct soak *s, struct fw_server *server, const char *host,
     const struct fw_events *events, void *ctx)
 {
     struct fake_worker *w = dw_zero(1, sizeof(*w));
-    struct web_cfg cfg = {"127.0.0.1", port, 200, 1 << 16, 120};
-    struct err e = {""};
 
     w->s = s;
     w->events = events;
     w->ctx = ctx;
     w->slowdown = 1;
+    str_copy(w->host, sizeof(w->host), str_of(host));
     begin_incarnation(w, 0);
-    if (web_open(&w->web, loop, &cfg, on_request, on_disconnect, w, &e) !=
-        WEB_OK) {
-        fprintf(stderr, "soak: %s\n", e.msg);
-        exit(2);
-    }
+    server->workers[server->count++] = w;
     return w;
 }
 
@@ -625,7 +707,6 @@
         web_reply(w->unanswered[--w->unanswered_count], 503,
             "application/json", STR("{}"), 0);
     }
-    web_close(w->web);
     for (size_t i = 0; i < w->delayed_count; i++) {
         free(w->delayed[i].body);
     }
