--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -331,7 +331,7 @@
     a.now += 2;
 }
 
-// Orders run 2 of the task whose run 1 is active: it is queued.
+/* Orders run 2 of the task whose run 1 is active: it is queued. */
 void
 order_second_run(Fixture &a)
 {
@@ -511,7 +511,7 @@
 
 namespace {
 
-// What the worker shows after the end of run 1 was reported.
+/* What the worker shows after the end of run 1 was reported. */
 struct LateCase {
     const char *name;
     rn_start_result start;
