runner: a run whose start was confirmed is not reported as not run

What callers saw: nothing, as an entry repeats a lost run and one that did not run alike; but the log and dw_runs_not_run_by_stop name a run as not started that the worker ran, which misleads the search for a task that ran twice.

Cause: after a stop, a run in neither list of a poll counted as not run unless a poll had shown it before. That the worker had answered its start with 200 did not count, before the stop or after it.

Evidence: RunnerEvidence.IsKnownForEveryEnd/ConfirmedThenAbsentAfterAStop and Runner.StartConfirmedAfterTheStopIsRemembered, which failed before: not run instead of lost.

Fix: started_ms is set when a start is confirmed, now also while the run is being stopped, and such a run is lost if a poll does not show it.

--- a/runner.c
+++ b/runner.c
@@ -573,6 +573,10 @@
         run->sent_ms > r->incarnation_seen_ms) {
         note_clock(r, now, clock_ms);
     }
+    if (run != NULL && run->state == RN_STOPPING && run->started_ms == 0 &&
+        result == RN_START_OK) {
+        run->started_ms = now; /* at the latest */
+    }
     if (run == NULL || run->state == RN_RUNNING || run->state == RN_STOPPING) {
         return;
     }
@@ -797,8 +801,8 @@
                                 ? RN_EVIDENCE_ABSENT_STOPPED
                                 : RN_EVIDENCE_ABSENT;
             finish_run(r, now, run,
-                run->state == RN_STOPPING && !run->reported ? DW_END_NOT_RUN
-                                                            : DW_END_LOST);
+                run->reported || run->started_ms != 0 ? DW_END_LOST
+                                                      : DW_END_NOT_RUN);
         }
     }
 }
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -375,6 +375,13 @@
             a.poll({}, {});
         },
         DW_END_LOST, RN_EVIDENCE_ABSENT_STOPPED},
+    {"ConfirmedThenAbsentAfterAStop", RN_START_OK,
+        [](Fixture &a) {
+            stop_ordered(a);
+            answer_stop(a);
+            a.poll({}, {});
+        },
+        DW_END_LOST, RN_EVIDENCE_ABSENT_STOPPED},
     {"AbsentWithoutAStop", RN_START_OK,
         [](Fixture &a) {
             a.now += 2;
@@ -791,3 +798,18 @@
     ASSERT_EQ(a.sent.polls.size(), 2u);
     EXPECT_GT(a.sent.polls[1].fence, fence);
 }
+
+/* Guards against a run that is reported as not run though the worker confirmed
+ * its start, after the stop was sent. */
+TEST(Runner, StartConfirmedAfterTheStopIsRemembered)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    stop_ordered(a);
+    a.started(1, RN_START_OK);
+    answer_stop(a);
+    a.poll({}, {});
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    EXPECT_EQ(a.sent.outcomes[0].second, DW_END_LOST);
+}
