agent: what earlier agents left behind does not hold up lost runs

What callers saw: none seen; found by reading.

Cause: an entry does not repeat a lost run while its agent reports leftover runs. An agent reported some until one poll of its own, sent 326 ms after its start, showed none of an earlier agent. If its worker is lost before that, no poll is answered and the report stays for as long as the worker is away.

Evidence: Agent.RunsThatEndedWithTheLeaseAreNotLeftOver, which failed before: 3 s after its last contact the agent had no runs and reported leftover ones.

Fix: the report tells only of this agent's runs of earlier sessions. Runs of an earlier agent are none of its concern: entries match lost runs by the id of the agent, which is random for each process. The runner still starts nothing beside them.

--- a/agent.c
+++ b/agent.c
@@ -165,8 +165,7 @@
 static void
 fill_report(struct agent *a, uint64_t now, struct ag_entry *e, dw_report *r)
 {
-    r->clean = a->runner.clean &&
-               rn_leftover_count(&a->runner, e->id, e->sess.number) == 0;
+    r->clean = rn_leftover_count(&a->runner, e->id, e->sess.number) == 0;
     rn_get_capacity(&a->runner, now, &r->room);
     r->room.free_millicores =
         (int)capacity_share(a, e, now, r->room.free_millicores);
--- a/coord.c
+++ b/coord.c
@@ -612,8 +612,8 @@
     }
 }
 
-/* The agent, or its successor on the same worker, holds no runs of this entry
- * any more: lost runs may be retried now. */
+/* The agent holds no runs of this entry's earlier sessions any more: lost runs
+ * may be retried now. */
 static void
 release_lost_runs(struct coord *c, uint64_t now, const struct fl_agent *a)
 {
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -28,7 +28,8 @@
     /* Held, entries, waiting and the first row's millicores of the last
      * DW_SUPPLY. */
     std::map<uint64_t, std::vector<uint32_t>> supplied;
-    uint64_t lease_until_ms = 0; /* latest end that a poll asked for */
+    uint64_t lease_until_ms = 0;    /* latest end that a poll asked for */
+    std::map<uint64_t, bool> clean; /* as last reported to each entry */
 };
 
 void
@@ -53,6 +54,7 @@
     }
     r->sent++;
     r->free_millicores[to] = m->dw_msg_u.report.room.free_millicores;
+    r->clean[to] = m->dw_msg_u.report.clean;
 }
 
 void
@@ -436,3 +438,33 @@
             << paused_ms;
     }
 }
+
+/* Guards against an entry that waits until its job's deadline: its agent's
+ * worker was lost soon after the agent started, all runs have ended with the
+ * lease, and the agent still reports that some may be left. */
+TEST(Agent, RunsThatEndedWithTheLeaseAreNotLeftOver)
+{
+    Sessions s;
+    uint64_t end_ms;
+    rn_poll failed = {};
+    rn_key key = {3, 1, 0};
+    dw_orders o;
+
+    s.set_free(10000);
+    s.order(1, 3);
+    rn_start_answered(&s.a.runner, s.now, &key, RN_START_OK, s.now);
+    end_ms = s.now + 3000;
+    failed.unreachable = true;
+    while (s.now < end_ms) {
+        s.now += 20;
+        failed.sent_ms = s.now - 10;
+        rn_poll_answered(&s.a.runner, s.now, &failed);
+        ag_tick(&s.a, s.now);
+    }
+    EXPECT_EQ(rn_active_count(&s.a.runner), 0u);
+    memset(&o, 0, sizeof(o));
+    o.head = {8, s.now, s.now, 0, 0};
+    ag_handle_orders(&s.a, s.now, 1, &o);
+    ag_tick(&s.a, s.now);
+    EXPECT_TRUE(s.recorded.clean[1]);
+}
