entries: a refused copy of a job that was given up starts nothing

What callers saw: none seen; found by reading. A job runs at an entry that has just refused its request as it is leaving, behind or has stood still; after a pause it may run beside the copy that its caller has sent to another entry.

Cause: a request that is refused is answered as its job if the job is known here, and was submitted for that. A job also counts as known while a run of it is being stopped after it was given up; to submit that one admits it anew.

Evidence: Coord.RefusedCopyOfAJobThatWasGivenUpStartsNothing holds the new function. That such a submission admitted the job is read from co_submit(); no run of an entry has shown it.

Fix: co_answer_copy() answers a copy as the job in progress or ended here, and otherwise as given up (504), but admits nothing.

--- a/coord.c
+++ b/coord.c
@@ -370,12 +370,42 @@
     return j;
 }
 
+/* False if no job with this id is in progress or has just ended here. */
+static bool
+join_job(struct coord *c, uint64_t id, void *handle)
+{
+    struct co_job *j = co_find_job(c, id);
+    struct co_ended *e = NULL;
+
+    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
+    if (j != NULL) {
+        attach(j, handle);
+    }
+    else if (e != NULL) {
+        c->ops->answer(c->ctx, handle, e->outcome, "ended", 0);
+    }
+    c->stats.attached += j != NULL || e != NULL;
+    return j != NULL || e != NULL;
+}
+
+bool
+co_answer_copy(struct coord *c, uint64_t id, void *handle, const char *reason)
+{
+    if (!co_knows_job(c, id)) {
+        return false;
+    }
+    c->stats.submitted++;
+    if (!join_job(c, id, handle)) {
+        c->ops->answer(c->ctx, handle, CO_GAVE_UP, reason, 0);
+    }
+    return true;
+}
+
 void
 co_submit(
     struct coord *c, uint64_t now, const struct co_submit *s, void *handle)
 {
-    struct co_job *j = co_find_job(c, s->id);
-    struct co_ended *e = NULL;
+    struct co_job *j;
     struct es_input input = {longest_declared_ms(s), s->timeout_ms};
     struct es_model *model;
     struct es_estimate est;
@@ -383,15 +413,7 @@
     uint32_t retry_ms;
 
     c->stats.submitted++;
-    if (j != NULL) {
-        c->stats.attached++;
-        attach(j, handle);
-        return;
-    }
-    HASH_FIND(hh, c->ended, &s->id, sizeof(s->id), e);
-    if (e != NULL) {
-        c->stats.attached++;
-        c->ops->answer(c->ctx, handle, e->outcome, "ended", 0);
+    if (join_job(c, s->id, handle)) {
         return;
     }
     model = es_model_of(&c->run_times, s->route_name);
--- a/coord.h
+++ b/coord.h
@@ -254,6 +254,10 @@
  * returns.  A request for a known job attaches to it. */
 void co_submit(
     struct coord *c, uint64_t now, const struct co_submit *s, void *handle);
+/* Answers a request that is not to be admitted, if it is a copy of a known
+ * job; see co_knows_job().  False: it is none. */
+bool co_answer_copy(
+    struct coord *c, uint64_t id, void *handle, const char *reason);
 /* A caller has disconnected; a job without callers ends at once. */
 void co_caller_left(struct coord *c, uint64_t now, const void *handle);
 /* Cancels a job; false if it is not in progress here. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -340,14 +340,13 @@
 /* Refuses a request that is not in the intake; a copy of a known job gets the
  * job's answer instead, as it would not be true that nothing has run. */
 static void
-refuse(struct entry *e, uint64_t now, struct caller *c, const char *logged,
+refuse(struct entry *e, struct caller *c, const char *logged,
     const char *reason, uint32_t retry_ms)
 {
     uint64_t id;
-    const struct rt_route *known = route_of_known_job(e, c, &id);
 
-    if (known != NULL) {
-        submit(e, now, c, known, id);
+    if (route_of_known_job(e, c, &id) != NULL &&
+        co_answer_copy(&e->coord, id, c, reason)) {
         return;
     }
     log_request_refused(e, path_of(c), logged);
@@ -363,7 +362,7 @@
     uint64_t id;
 
     if (why != NULL) {
-        refuse(e, now, c, why, why, 1000);
+        refuse(e, c, why, why, 1000);
         return;
     }
     route = find_route(e, host_of(c), path, &id);
@@ -444,10 +443,10 @@
 /* --- forwarded requests --- */
 
 static void
-shed(struct entry *e, uint64_t now, struct caller *c, const char *why)
+shed(struct entry *e, struct caller *c, const char *why)
 {
     e->shed_requests++;
-    refuse(e, now, c, why, "behind", OVERLOAD_RETRY_MS);
+    refuse(e, c, why, "behind", OVERLOAD_RETRY_MS);
 }
 
 static void
@@ -469,7 +468,7 @@
 
     if (is_queued(e, path_of(c)) || route_of_known_job(e, c, &id) != NULL) {
         if (!it_add(&e->intake, proc_now_us(), c)) {
-            shed(e, now, c, "would_wait");
+            shed(e, c, "would_wait");
         }
         return true;
     }
@@ -539,7 +538,7 @@
         answer(e, c, CO_GAVE_UP, "forwarded", 0);
     }
     else if (!it_add(&e->intake, proc_now_us(), c)) {
-        refuse(e, now, c, "would_wait", "behind", OVERLOAD_RETRY_MS);
+        refuse(e, c, "would_wait", "behind", OVERLOAD_RETRY_MS);
     }
 }
 
@@ -618,7 +617,7 @@
     c->req = r;
     web_set_ctx(r, c);
     if (is_stale(e, now)) {
-        refuse(e, now, c, "paused", "paused", 1000);
+        refuse(e, c, "paused", "paused", 1000);
         return;
     }
     /* Requests are read at the end of a pass; the next pass starts them or
@@ -630,7 +629,7 @@
         return;
     }
     if (!it_add(&e->intake, proc_now_us(), c) && !forward_request(e, now, c)) {
-        shed(e, now, c, "would_wait");
+        shed(e, c, "would_wait");
     }
 }
 
@@ -656,7 +655,7 @@
             break;
         }
         if (decision == IT_REFUSE) {
-            shed(e, now, c, "waited");
+            shed(e, c, "waited");
         }
         else {
             start_request(e, now, c);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -672,3 +672,20 @@
     EXPECT_EQ(co_unstarted_count(&e.c), 200u);
     EXPECT_TRUE(e.callers.answers.empty());
 }
+
+/* Guards against a job that an entry starts although it has just refused its
+ * request, as it is leaving, behind or has stood still: a run of a former copy
+ * is still being stopped. */
+TEST(Coord, RefusedCopyOfAJobThatWasGivenUpStartsNothing)
+{
+    Entry e;
+    int copy;
+
+    e.submit(5, 1, &caller);
+    co_caller_left(&e.c, e.now, &caller);
+    EXPECT_TRUE(co_answer_copy(&e.c, 5, &copy, "leaving"));
+    EXPECT_EQ(co_job_count(&e.c), 0u);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_GAVE_UP);
+    EXPECT_FALSE(co_answer_copy(&e.c, 6, &copy, "leaving"));
+}
