soak: proxies connect without blocking

A run with -a 200 -e 16 hung: the proxies connect to listeners of the same process, and a blocking connect() waits for ever once a backlog of 64 is full. connect() is now non-blocking, both directions start reading when the connection is made, a refused one resets the client as before, and the backlog is 1024.

--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -1,7 +1,6 @@
 /* A loopback proxy that resets, delays or silences connections. */
 #include <arpa/inet.h>
 #include <errno.h>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -13,6 +12,8 @@
 #include "soak.h"
 
 #define SLOW_S 0.02
+/* All connections of a large run may be opened between two loop iterations. */
+#define LISTEN_BACKLOG 1024
 
 /* One direction of a proxied connection. */
 struct direction {
@@ -28,6 +29,7 @@
 /* A client's connection and the proxy's own to the server. */
 struct pair {
     struct direction directions[2];
+    ev_io connected; /* until the server's connection is made or refused */
     struct proxy *proxy;
     struct pair *prev;
     struct pair *next;
@@ -52,6 +54,7 @@
 {
     struct linger abort_on_close = {1, 0};
 
+    ev_io_stop(p->proxy->loop, &p->connected);
     for (int i = 0; i < 2; i++) {
         ev_io_stop(p->proxy->loop, &p->directions[i].io);
         ev_timer_stop(p->proxy->loop, &p->directions[i].delayed_read);
@@ -155,7 +158,7 @@
 }
 
 static void
-init_direction(struct proxy *p, struct pair *pair, int i, int from, int to)
+init_direction(struct pair *pair, int i, int from, int to)
 {
     struct direction *d = &pair->directions[i];
     int one = 1;
@@ -169,7 +172,6 @@
     d->io.data = d;
     ev_init(&d->delayed_read, on_delayed_read);
     d->delayed_read.data = d;
-    ev_io_start(p->loop, &d->io);
 }
 
 static struct sockaddr_in
@@ -185,30 +187,38 @@
 
 /* If the server refuses the connection, the client's is reset: a refusal
  * proves to an entry that the server is dead. */
+static void
+on_connected(struct ev_loop *loop, ev_io *io, int revents)
+{
+    struct pair *pair = io->data;
+    int error = 0;
+    socklen_t n = sizeof(error);
+
+    (void)revents;
+    getsockopt(io->fd, SOL_SOCKET, SO_ERROR, &error, &n);
+    if (error != 0) {
+        free_pair(pair, true);
+        return;
+    }
+    ev_io_stop(loop, io);
+    ev_io_start(loop, &pair->directions[0].io);
+    ev_io_start(loop, &pair->directions[1].io);
+}
+
 static void
 on_accept(struct ev_loop *loop, ev_io *io, int revents)
 {
     struct proxy *p = io->data;
     int client = accept4(p->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     struct sockaddr_in sa = address(p->to_addr, p->to);
-    struct linger abort_on_close = {1, 0};
     struct pair *pair;
     int server;
 
-    (void)loop;
     (void)revents;
     if (client < 0) {
         return;
     }
-    server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    if (connect(server, (struct sockaddr *)&sa, sizeof(sa)) != 0) {
-        setsockopt(client, SOL_SOCKET, SO_LINGER, &abort_on_close,
-            sizeof(abort_on_close));
-        close(client);
-        close(server);
-        return;
-    }
-    fcntl(server, F_SETFL, O_NONBLOCK);
+    server = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     pair = dw_zero(1, sizeof(*pair));
     pair->proxy = p;
     pair->next = p->pairs;
@@ -216,8 +226,18 @@
         pair->next->prev = pair;
     }
     p->pairs = pair;
-    init_direction(p, pair, 0, client, server);
-    init_direction(p, pair, 1, server, client);
+    init_direction(pair, 0, client, server);
+    init_direction(pair, 1, server, client);
+    ev_io_init(&pair->connected, on_connected, server, EV_WRITE);
+    pair->connected.data = pair;
+    /* The server may be this process: a blocking connect() to a listener
+     * whose backlog is full would never return. */
+    if (connect(server, (struct sockaddr *)&sa, sizeof(sa)) != 0 &&
+        errno != EINPROGRESS) {
+        free_pair(pair, true);
+        return;
+    }
+    ev_io_start(loop, &pair->connected);
 }
 
 static void
@@ -229,7 +249,7 @@
     p->fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     setsockopt(p->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     if (bind(p->fd, (struct sockaddr *)&sa, sizeof(sa)) != 0 ||
-        listen(p->fd, 64) != 0) {
+        listen(p->fd, LISTEN_BACKLOG) != 0) {
         fprintf(stderr, "soak: port %u: %s\n", p->from, strerror(errno));
         exit(2);
     }
