soak: daemons end with the test

When the test ended by an error, as a settings file could not be written, its daemons ran on: 216 processes after a run with -a 200 -e 16. They are now killed by the kernel when the test ends in any way, and the error names its cause.

--- a/test/soak.c
+++ b/test/soak.c
@@ -1,11 +1,13 @@
 /* Callers, faults and checks of the soak; see soak.h. */
 #include <curl/curl.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <popt.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
@@ -230,7 +232,7 @@
     FILE *f = fopen(path, "we");
 
     if (f == NULL) {
-        fprintf(stderr, "soak: %s cannot be written\n", path);
+        fprintf(stderr, "soak: %s: %s\n", path, strerror(errno));
         exit(2);
     }
     fprintf(f,
@@ -268,6 +270,8 @@
     note_fault(p, 0);
     p->pid = fork();
     if (p->pid == 0) {
+        /* Also if the test itself fails or is killed. */
+        prctl(PR_SET_PDEATHSIG, SIGKILL);
         execl(p->s->bin, p->s->bin, "-f", path, (char *)NULL);
         _exit(127);
     }
