make test-soak: seeds with faults between agents and workers

Seeds 1 to 3 hold few of the faults of the incident of 3 December 2026: resets of worker connections, refused starts, workers cut off. Seeds 104 to 106 with -w hold 63 of them in 8 s.

--- a/Makefile
+++ b/Makefile
@@ -125,6 +125,7 @@
 # The real daemons under faults from outside; more: test/soak.sh 20 SEED ...
 test-soak: all
 	FLEET_BIN=$(B) bash test/soak.sh 6 1 2 3
+	SOAK_ARGS=-w FLEET_BIN=$(B) bash test/soak.sh 8 104 105 106
 
 test-regress: all
 	FLEET_BIN=$(B) bash regress/run.sh
