web: close with requests that still wait

A planned stop that reaches the end of its grace with an unanswered request closes the server with its connection suspended; callers saw the connection break either way, but the process counted as crashed. web_close() now resumes such connections as disconnected, so that they are closed without a response. Web.ClosesWhileARequestWaits aborted before.

--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -238,3 +238,20 @@
     EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
     close(fd);
 }
+
+/* Guards against a process that aborts at the end of a planned stop: a request
+ * without a reply is still waiting. */
+TEST_F(Web, ClosesWhileARequestWaits)
+{
+    int fd = connect_server();
+    char byte;
+
+    send_get(fd, "/hold");
+    ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+    web_close(w);
+    held_request = nullptr;
+    EXPECT_EQ(recv(fd, &byte, 1, 0), 0);
+    EXPECT_EQ(disconnects, 0);
+    close(fd);
+    SetUp();
+}
--- a/web.c
+++ b/web.c
@@ -37,6 +37,8 @@
     struct MHD_Response *response; /* not yet queued; else NULL */
     unsigned status;
     void *ctx;
+    struct web_req *prev; /* in web.suspended */
+    struct web_req *next;
 };
 
 struct web {
@@ -52,6 +54,7 @@
     size_t open; /* requests */
     bool draining;
     struct web_conn *conns;
+    struct web_req *suspended;
     bool work_pending;      /* something to read or send */
     bool close_after_reply; /* see web_set_close_after_reply() */
 };
@@ -145,6 +148,7 @@
     }
     if (r->suspended) {
         ev_io_stop(w->loop, &r->disconnect_io);
+        DL_DELETE(w->suspended, r);
     }
     if (r->handled && !r->replied && !r->disconnected) {
         w->disconnected(w->ctx, r);
@@ -173,6 +177,7 @@
 resume(struct web_req *r)
 {
     r->suspended = false;
+    DL_DELETE(r->w->suspended, r);
     MHD_resume_connection(r->conn);
     r->w->work_pending = true;
 }
@@ -236,6 +241,7 @@
         return queue_reply(r);
     }
     r->suspended = true;
+    DL_APPEND(r->w->suspended, r);
     MHD_suspend_connection(r->conn);
     watch_disconnect(r);
     return MHD_YES;
@@ -389,6 +395,13 @@
     ev_io_stop(w->loop, &w->io);
     ev_timer_stop(w->loop, &w->timer);
     ev_prepare_stop(w->loop, &w->prepare);
+    while (w->suspended != NULL) {
+        struct web_req *r = w->suspended;
+
+        ev_io_stop(w->loop, &r->disconnect_io);
+        r->disconnected = true;
+        resume(r);
+    }
     web_flush(w);
     MHD_stop_daemon(w->mhd);
     free(w);
