agents: starts name the worker that they are meant for

What callers saw: nothing yet, but a task may run twice. The answer to a start is lost, the agent makes sure that the worker does not run it and reports it as not run; the entry places the task elsewhere. Then the worker restarts, knows neither the stop nor the fence, and the late start is executed by it.

Cause: nothing in a start says for which incarnation of the worker it is meant. The fence does only once the new incarnation has seen it.

Fix: the agent learns the id from the path of the heartbeat that tells the incarnation's capacity, and starts name it in Expect-Instance; any other worker answers 421 and does nothing. Starts are sent only once that heartbeat has come, so the id is always that of the incarnation.

The soak's worker checks the header, and every second one has a new id after a restart.

--- a/agentd.c
+++ b/agentd.c
@@ -54,12 +54,14 @@
     httpc_done_fn done;
 };
 
+/* key and header may be NULL. */
 static struct run_call *
 post(struct agentd *ad, struct httpc *http, const struct run_call_type *type,
-    struct str body, uint32_t timeout_ms, const struct rn_key *key)
+    struct str body, uint32_t timeout_ms, const struct rn_key *key,
+    const char *header)
 {
-    static const char *const headers[] = {
-        "Content-Type: application/json", NULL};
+    const char *const headers[] = {
+        "Content-Type: application/json", header, NULL};
     struct run_call *c = dw_zero(1, sizeof(*c));
     struct httpc_call h = {0};
     char url[400];
@@ -137,11 +139,14 @@
 {
     struct agentd *ad = ctx;
     struct buf b = {0};
+    struct buf header = {0};
 
     wire_put_start(&b, run, terms);
+    wire_put_start_header(&header, terms);
     post(ad, ad->http, &start_type, buf_str(&b), RN_ANSWER_TIMEOUT_MS,
-        &run->key);
+        &run->key, header.p);
     buf_free(&b);
+    buf_free(&header);
 }
 
 static void
@@ -163,7 +168,8 @@
     struct buf b = {0};
 
     wire_put_stop(&b, key, terms);
-    post(ad, ad->http, &stop_type, buf_str(&b), RN_ANSWER_TIMEOUT_MS, key);
+    post(ad, ad->http, &stop_type, buf_str(&b), RN_ANSWER_TIMEOUT_MS, key,
+        NULL);
     buf_free(&b);
 }
 
@@ -203,7 +209,7 @@
         buf_str(&b),
         request->immediate ? RN_ANSWER_TIMEOUT_MS
                            : request->wait_ms + RN_POLL_MARGIN_MS,
-        NULL);
+        NULL, NULL);
     c->immediate = request->immediate;
     buf_free(&b);
 }
@@ -444,8 +450,8 @@
 /* --- heartbeats of the worker --- */
 
 static void
-handle_heartbeat(
-    struct agentd *ad, uint64_t now, const struct wire_heartbeat *hb)
+handle_heartbeat(struct agentd *ad, uint64_t now,
+    const struct wire_heartbeat *hb, struct str worker_id)
 {
     if (hb->started_ms < ad->agent.runner.incarnation ||
         (hb->started_ms == ad->heartbeat_started_ms &&
@@ -457,9 +463,11 @@
     if (!ad->agent.runner.capacity_known ||
         hb->started_ms != ad->agent.runner.incarnation) {
         log_event(LOG_LEVEL_INFO, "worker_room",
-            "millicores=%u memory_mb=%u gpus=%u born=%" PRIu64, hb->millicores,
-            hb->memory_mb, hb->gpus, hb->started_ms);
+            "worker=%.*s millicores=%u memory_mb=%u gpus=%u born=%" PRIu64,
+            (int)worker_id.n, worker_id.p, hb->millicores, hb->memory_mb,
+            hb->gpus, hb->started_ms);
     }
+    rn_set_worker_id(&ad->agent.runner, now, hb->started_ms, worker_id);
     rn_set_capacity(&ad->agent.runner, now, hb->millicores, hb->memory_mb,
         hb->gpus, hb->started_ms);
     rn_set_draining(
@@ -502,7 +510,8 @@
         web_reply(r, 400, "application/json", STR("{}"), 0);
     }
     else {
-        handle_heartbeat(ad, proc_now(), &hb);
+        handle_heartbeat(ad, proc_now(), &hb,
+            wire_worker_id(str_of(web_path(r)), STR(HEARTBEAT_PATH)));
         web_reply(r, 200, "application/json", STR("{}"), 0);
     }
 }
--- a/runner.c
+++ b/runner.c
@@ -202,7 +202,7 @@
 send_poll(
     struct runner *r, uint64_t until_ms, uint32_t wait_ms, bool immediate)
 {
-    struct rn_terms terms = {until_ms, r->fence};
+    struct rn_terms terms = {until_ms, r->fence, STR("")};
     struct rn_poll_request request = {r->ack, wait_ms, immediate};
 
     r->ops->poll(r->ctx, &request, &terms);
@@ -211,7 +211,7 @@
 static void
 send_stop(struct runner *r, const struct rn_key *key)
 {
-    struct rn_terms terms = {0, r->fence};
+    struct rn_terms terms = {0, r->fence, STR("")};
 
     r->ops->stop(r->ctx, key, &terms);
 }
@@ -315,7 +315,7 @@
 static void
 start_run(struct runner *r, uint64_t now, struct rn_run *run)
 {
-    struct rn_terms terms = {0, r->fence};
+    struct rn_terms terms = {0, r->fence, str_of(r->worker_id)};
 
     run->state = RN_STARTING;
     run->sent_ms = now;
@@ -509,6 +509,7 @@
     r->incarnation_seen_ms = now;
     r->lease_expiry_ms = num_max(r->lease_expiry_ms, now + RN_LEASE_MAX_MS);
     r->capacity_known = false;
+    r->worker_id[0] = '\0';
     r->draining = false;
     r->worker_exit_ms = 0;
     r->ack = 0;
@@ -517,9 +518,9 @@
     r->capacity_changed_ms = now;
 }
 
-void
-rn_set_capacity(struct runner *r, uint64_t now, uint32_t millicores,
-    uint32_t memory_mb, uint32_t gpus, uint64_t incarnation)
+/* A heartbeat names the incarnation that sent it. */
+static void
+note_incarnation(struct runner *r, uint64_t now, uint64_t incarnation)
 {
     if (r->incarnation == 0) {
         set_incarnation(r, incarnation);
@@ -527,6 +528,23 @@
     if (incarnation > r->incarnation) {
         worker_restarted(r, now, incarnation);
     }
+}
+
+void
+rn_set_worker_id(
+    struct runner *r, uint64_t now, uint64_t incarnation, struct str id)
+{
+    note_incarnation(r, now, incarnation);
+    if (incarnation == r->incarnation) {
+        str_copy(r->worker_id, sizeof(r->worker_id), id);
+    }
+}
+
+void
+rn_set_capacity(struct runner *r, uint64_t now, uint32_t millicores,
+    uint32_t memory_mb, uint32_t gpus, uint64_t incarnation)
+{
+    note_incarnation(r, now, incarnation);
     if (!r->capacity_known) {
         r->millicores = 0;
         r->memory_mb = 0;
--- a/runner.h
+++ b/runner.h
@@ -64,6 +64,8 @@
 /* Longest lease in ms that a worker grants, its clock's drift included. */
 #define RN_LEASE_MAX_MS 1040U
 
+#define RN_WORKER_ID_MAX 64U /* bytes, including the terminating NUL */
+
 /* The average of failures takes 1/RN_FAIL_WEIGHT from the newest run. */
 #define RN_FAIL_WEIGHT 8U
 
@@ -179,6 +181,9 @@
     uint64_t lease_until_ms;
     /* Fencing number; the worker refuses one lower than it has seen. */
     uint64_t fence;
+    /* The worker for which a start is meant; any other refuses it.  Empty: not
+     * known, and in other requests.  Valid during the call. */
+    struct str worker_id;
 };
 
 struct rn_poll_request {
@@ -277,7 +282,8 @@
     int64_t used_millicores; /* by all runs but queued ones */
     int64_t used_memory_mb;
     int64_t used_gpus;
-    uint64_t incarnation; /* of the worker; 0: not known yet */
+    uint64_t incarnation;             /* of the worker; 0: not known yet */
+    char worker_id[RN_WORKER_ID_MAX]; /* of that incarnation; empty: unknown */
     uint64_t fence;
     /* After a restart of the worker, a lease of unknown length may last until
      * then; 0: none. */
@@ -332,6 +338,10 @@
  * incarnation count as its total.  A newer incarnation means a restart. */
 void rn_set_capacity(struct runner *r, uint64_t now, uint32_t millicores,
     uint32_t memory_mb, uint32_t gpus, uint64_t incarnation);
+/* The id under which an incarnation announces itself; a worker that restarts
+ * has a new one or keeps it.  To be called before rn_set_capacity(). */
+void rn_set_worker_id(
+    struct runner *r, uint64_t now, uint64_t incarnation, struct str id);
 /* A draining worker gets no starts; if it also leaves, it exits in left_ms. */
 void rn_set_draining(struct runner *r, uint64_t now, bool draining,
     bool leaves, uint64_t left_ms);
--- a/test/runner-net-test.cc
+++ b/test/runner-net-test.cc
@@ -3,7 +3,8 @@
  *
  * The worker follows the platform's protocol: lease, fence, late and old
  * starts, stops, ends that are listed until they are acknowledged, restarts
- * that forget everything and start the clock anew.  The network delays, loses,
+ * that forget everything, start the clock anew and change the worker's id or
+ * keep it; a start for another id is refused.  The network delays, loses,
  * reorders and repeats calls, and executes them seconds late.  The agent is
  * paused, restarted and loses sessions.
  *
@@ -57,6 +58,7 @@
     /* The result of a repeated request is that of its second copy, as the HTTP
      * client reported it at the incident of 3 December 2026. */
     bool copy_decides;
+    bool new_ids; /* a restarted worker has a new id */
 };
 
 struct WorkerRun {
@@ -75,6 +77,7 @@
     uint32_t millicores;
     uint64_t ack;
     uint32_t wait_ms;
+    std::string worker_id; /* copied from terms */
 };
 
 struct Answer {
@@ -106,6 +109,7 @@
 
 struct Worker {
     bool up = true;
+    std::string id;
     uint64_t incarnation = 0;
     uint64_t born_ms = 0; /* in simulated time */
     uint64_t fence = 0;
@@ -180,6 +184,7 @@
     /* The worker. */
     uint64_t worker_clock() const;
     void start_worker();
+    void announce_worker(uint64_t within_ms);
     void crash_worker();
     void end_run(Task t, dw_end how);
     void step_worker();
@@ -221,11 +226,22 @@
     uint64_t incarnation = 1000000 + now;
 
     w = Worker();
+    w.id = f.new_ids ? "worker-" + std::to_string(incarnation) : "worker";
     w.incarnation = incarnation;
     w.born_ms = now;
-    /* The announcement. */
-    after(between(0, 40), [this, incarnation] {
-        to_agent(generation, [this, incarnation] {
+    announce_worker(40);
+}
+
+/* The agent of that time gets a heartbeat of the present incarnation. */
+void
+Net::announce_worker(uint64_t within_ms)
+{
+    uint64_t incarnation = w.incarnation;
+    std::string id = w.id;
+
+    after(between(0, within_ms), [this, incarnation, id] {
+        to_agent(generation, [this, incarnation, id] {
+            rn_set_worker_id(&r, now, incarnation, str_of(id.c_str()));
             rn_set_capacity(&r, now, CAPACITY, 1000, 0, incarnation);
         });
     });
@@ -341,6 +357,10 @@
         reply(a);
         return;
     }
+    if (q.what == Call::START && !q.worker_id.empty() && q.worker_id != w.id) {
+        reply(answer(421));
+        return;
+    }
     w.fence = q.terms.fence;
     if (q.what == Call::START) {
         reply(answer(execute_start(q)));
@@ -466,7 +486,8 @@
     Net *n = static_cast<Net *>(ctx);
     rn_key key = run->key;
 
-    n->send({Call::START, key, *terms, run->millicores, 0, 0},
+    n->send({Call::START, key, *terms, run->millicores, 0, 0,
+                std::string(terms->worker_id.p, terms->worker_id.n)},
         RN_ANSWER_TIMEOUT_MS, [=](const Answer *a, bool reached) {
             rn_start_result result = !reached           ? RN_START_UNREACHABLE
                                      : a == nullptr     ? RN_START_LOST
@@ -485,7 +506,7 @@
     Net *n = static_cast<Net *>(ctx);
     rn_key key = *k;
 
-    n->send({Call::STOP, key, *terms, 0, 0, 0}, RN_ANSWER_TIMEOUT_MS,
+    n->send({Call::STOP, key, *terms, 0, 0, 0, ""}, RN_ANSWER_TIMEOUT_MS,
         [=](const Answer *a, bool) {
             rn_stop_answered(
                 &n->r, n->now, &key, a != nullptr && a->status == 200);
@@ -499,7 +520,7 @@
     bool immediate = q->immediate;
     uint64_t sent_ms = n->now;
 
-    n->send({Call::POLL, {}, *terms, 0, q->ack, q->wait_ms},
+    n->send({Call::POLL, {}, *terms, 0, q->ack, q->wait_ms, ""},
         immediate ? RN_ANSWER_TIMEOUT_MS : q->wait_ms + RN_POLL_MARGIN_MS,
         [=](const Answer *a, bool reached) {
             rn_poll p = {};
@@ -565,12 +586,7 @@
     sessions[0] = next_session++;
     sessions[1] = next_session++;
     rn_init(&r, now, &net_ops, this);
-    uint64_t incarnation = w.incarnation;
-    after(between(0, 100), [this, incarnation, to = generation] {
-        to_agent(to, [this, incarnation] {
-            rn_set_capacity(&r, now, CAPACITY, 1000, 0, incarnation);
-        });
-    });
+    announce_worker(100);
 }
 
 /* Entries wait for RN_LEASE_EXPIRY_MS when an agent's process is dead. */
@@ -850,11 +866,11 @@
          })},
         {"all on one worker", with([](Faults &f) {
              f = {300, 20, 20, 20, 20, 20, 20, 8, 4, 0, 15, 5, 20, true, false,
-                 false};
+                 false, false};
          })},
         {"all", with([](Faults &f) {
              f = {300, 20, 20, 20, 20, 20, 20, 8, 4, 5, 15, 5, 20, true, false,
-                 false};
+                 false, false};
          })},
     };
 }
@@ -885,12 +901,13 @@
     EXPECT_NE(explore(f, 20), "");
 }
 
-/* Guards against a run that was reported as ended and then starts on the next
- * incarnation of the worker: a call to the former one is executed by it before
- * it has seen the new fence. */
-TEST(RunnerNet, CallsToAFormerIncarnationStartNothing)
+namespace {
+
+/* Calls reach the next incarnation of the worker. */
+std::vector<Kind>
+outliving_calls()
 {
-    const Kind cases[] = {
+    return {
         {"late calls", with([](Faults &f) {
              f.late_calls = 50;
              f.worker_restarts = 10;
@@ -909,8 +926,25 @@
              f.calls_outlive_worker = true;
          })},
     };
+}
+
+} // namespace
+
+/* Guards against a run that was reported as ended and then starts on the next
+ * incarnation of the worker: a call to the former one is executed by it before
+ * it has seen the new fence. */
+TEST(RunnerNet, CallsToAFormerIncarnationStartNothing)
+{
+    for (const Kind &k : outliving_calls()) {
+        EXPECT_EQ(explore(k.f, seed_count(60)), "") << k.name;
+    }
+}
 
-    for (const Kind &k : cases) {
+/* The same with a worker that has a new id at each restart. */
+TEST(RunnerNet, CallsToAFormerWorkerIdStartNothing)
+{
+    for (Kind &k : outliving_calls()) {
+        k.f.new_ids = true;
         EXPECT_EQ(explore(k.f, seed_count(60)), "") << k.name;
     }
 }
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -16,6 +16,7 @@
     std::vector<rn_evidence> evidence; // of each outcome
     std::vector<rn_event> events;
     uint64_t fence = 0;
+    std::string worker_id; /* of the last start */
 };
 
 void
@@ -23,6 +24,8 @@
 {
     static_cast<Recorder *>(ctx)->starts.push_back(r->key);
     static_cast<Recorder *>(ctx)->fence = t->fence;
+    static_cast<Recorder *>(ctx)->worker_id =
+        std::string(t->worker_id.p, t->worker_id.n);
 }
 
 void
@@ -813,3 +816,34 @@
     ASSERT_EQ(a.sent.outcomes.size(), 1u);
     EXPECT_EQ(a.sent.outcomes[0].second, DW_END_LOST);
 }
+
+/* Guards against a late start that the next incarnation of the worker
+ * executes: it must name the id of the incarnation that it is meant for, also
+ * if a poll shows the restart before a heartbeat tells the new id. */
+TEST(Runner, StartNamesTheWorkerOfItsIncarnation)
+{
+    Fixture a;
+
+    a.order(1, 1000);
+    EXPECT_EQ(a.sent.worker_id, "");
+    rn_set_worker_id(&a.r, a.now, 77, STR("i-1"));
+    a.order(2, 1000);
+    EXPECT_EQ(a.sent.worker_id, "i-1");
+    rn_set_worker_id(&a.r, a.now, 76, STR("i-0"));
+    a.order(3, 1000);
+    EXPECT_EQ(a.sent.worker_id, "i-1");
+
+    a.poll({}, {}, 88);
+    a.order(4, 1000);
+    EXPECT_EQ(a.sent.starts.size(), 3u);
+    rn_set_worker_id(&a.r, a.now, 88, STR("i-2"));
+    rn_set_capacity(&a.r, a.now, 10000, 1000, 0, 88);
+    a.now++;
+    a.poll({}, {}, 88);
+    a.now += RN_LEASE_MAX_MS + 1;
+    a.poll({}, {}, 88);
+    rn_tick(&a.r, a.now);
+    a.order(5, 1000);
+    ASSERT_EQ(a.sent.starts.size(), 4u);
+    EXPECT_EQ(a.sent.worker_id, "i-2");
+}
--- a/test/soak-worker.c
+++ b/test/soak-worker.c
@@ -1,7 +1,8 @@
 /* A stand-in for a worker, as the platform's documentation describes it: all
  * runs are under one lease, outcomes are listed until acknowledged, orders
  * with an old fencing number are refused, and a crash begins a new
- * incarnation. */
+ * incarnation.  Every second worker has a new id then; orders that name
+ * another id are refused. */
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -53,12 +54,15 @@
 struct delayed_order {
     uint64_t at_ms;
     bool is_stop;
+    char *id; /* of the worker that it names; NULL: any */
     char *body;
 };
 
 struct fake_worker {
     struct soak *s;
     char host[32]; /* see fw_new() */
+    char id[64];
+    bool renews_id; /* a new id with each incarnation */
     const struct fw_events *events;
     void *ctx;
     uint64_t now;
@@ -415,6 +419,13 @@
     }
 }
 
+/* id is the worker that an order names; NULL: any. */
+static bool
+is_meant_for(const struct fake_worker *w, const char *id)
+{
+    return id == NULL || strcmp(id, w->id) == 0;
+}
+
 /* Leaves the request without an answer, so that it times out at the sender. */
 static void
 leave_unanswered(struct fake_worker *w, struct web_req *r)
@@ -432,6 +443,7 @@
 {
     struct order o;
     bool is_stop = ends_with(web_path(r), "/run-stop");
+    const char *id = web_header(r, "Expect-Instance");
     uint32_t chance = (uint32_t)soak_random(w->s, 1000);
 
     if (w->now < w->down_until_ms) {
@@ -453,9 +465,13 @@
 
         delayed->at_ms = w->now + 2000 + soak_random(w->s, 6000);
         delayed->is_stop = is_stop;
+        delayed->id = id != NULL ? str_dup(str_of(id)) : NULL;
         delayed->body = str_dup(web_body(r));
         leave_unanswered(w, r);
     }
+    else if (!is_meant_for(w, id)) {
+        web_reply(r, 421, "application/json", STR("{}"), 0);
+    }
     else if (chance < w->late_permille + w->lost_permille) {
         carry_out(w, NULL, web_body(r), is_stop);
         leave_unanswered(w, r);
@@ -554,7 +570,10 @@
 
         if (w->now >= order.at_ms) {
             w->delayed[i] = w->delayed[--w->delayed_count];
-            carry_out(w, NULL, str_of(order.body), order.is_stop);
+            if (is_meant_for(w, order.id)) {
+                carry_out(w, NULL, str_of(order.body), order.is_stop);
+            }
+            free(order.id);
             free(order.body);
             continue;
         }
@@ -580,6 +599,8 @@
 begin_incarnation(struct fake_worker *w, uint64_t at_ms)
 {
     w->started_ms = 1700000000000U + at_ms;
+    snprintf(w->id, sizeof(w->id), "%s-%" PRIu64, w->host,
+        w->renews_id ? w->started_ms : 0);
     w->incarnation_ms = at_ms;
     w->until_ms = 0;
     w->fence = 0;
@@ -646,6 +667,12 @@
     return w->drain_ms;
 }
 
+const char *
+fw_id(const struct fake_worker *w)
+{
+    return w->id;
+}
+
 void
 fw_announce(struct fake_worker *w, struct buf *out)
 {
@@ -691,6 +718,7 @@
     w->ctx = ctx;
     w->slowdown = 1;
     str_copy(w->host, sizeof(w->host), str_of(host));
+    w->renews_id = server->count % 2 != 0;
     begin_incarnation(w, 0);
     server->workers[server->count++] = w;
     return w;
@@ -708,6 +736,7 @@
             "application/json", STR("{}"), 0);
     }
     for (size_t i = 0; i < w->delayed_count; i++) {
+        free(w->delayed[i].id);
         free(w->delayed[i].body);
     }
     free(w);
--- a/test/soak.c
+++ b/test/soak.c
@@ -695,8 +695,9 @@
     a->s = s;
     a->i = i;
     a->drain_ms = fw_drain_ms(s->workers[i]);
-    snprintf(url, sizeof(url), "http://%s:%d/dunlinweir/Instances.%s/i-%d",
-        s->procs[i].addr, port_of(&s->procs[i], PORT_AGENT_ANNOUNCE), call, i);
+    snprintf(url, sizeof(url), "http://%s:%d/dunlinweir/Instances.%s/%s",
+        s->procs[i].addr, port_of(&s->procs[i], PORT_AGENT_ANNOUNCE), call,
+        fw_id(s->workers[i]));
     h.method = "POST";
     h.url = url;
     h.headers = headers;
--- a/test/soak.h
+++ b/test/soak.h
@@ -117,6 +117,8 @@
 uint64_t fw_drain_ms(const struct fake_worker *w);
 /* Format a heartbeat for the agent; nothing while the worker is down. */
 void fw_announce(struct fake_worker *w, struct buf *out);
+/* The id in the path of its heartbeats. */
+const char *fw_id(const struct fake_worker *w);
 
 /* --- the proxy; soak-proxy.c --- */
 
--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -97,6 +97,48 @@
     }
 }
 
+struct WorkerIdCase {
+    std::string path;
+    std::string id;
+};
+
+/* Guards against a header line that a worker's id splits in two, and against
+ * an id that is cut short and so refused by its own worker. */
+TEST(Wire, WorkerIdIsReadFromThePathOfAHeartbeat)
+{
+    const WorkerIdCase cases[] = {
+        {"/beat/i-7f3a91c2", "i-7f3a91c2"},
+        {"/beat/a.B_c-9", "a.B_c-9"},
+        {"/beat/" + std::string(RN_WORKER_ID_MAX - 1, 'a'),
+            std::string(RN_WORKER_ID_MAX - 1, 'a')},
+        {"/beat/" + std::string(RN_WORKER_ID_MAX, 'a'), ""},
+        {"/beat/a/b", ""},
+        {"/beat/a\r\nX: 1", ""},
+        {"/beat/", ""},
+        {"/beat", ""},
+        {"/else/i-7f3a91c2", ""},
+    };
+
+    for (const WorkerIdCase &c : cases) {
+        struct str id = wire_worker_id(str_of(c.path.c_str()), STR("/beat/"));
+
+        EXPECT_EQ(std::string(id.p, id.n), c.id) << c.path;
+    }
+}
+
+TEST(Wire, StartNamesItsWorkerIfItIsKnown)
+{
+    rn_terms terms = {1, 2, STR("i-1")};
+    rn_terms unknown = {1, 2, STR("")};
+    buf b = {};
+
+    wire_put_start_header(&b, &unknown);
+    EXPECT_EQ(b.n, 0u);
+    wire_put_start_header(&b, &terms);
+    EXPECT_STREQ(b.p, "Expect-Instance: i-1");
+    buf_free(&b);
+}
+
 TEST(Wire, LeavesOutAnInvalidRouteAndKeepsTheOthers)
 {
     rt_table t;
