runner: a lost start is sent again to its worker, and its end is held

What callers saw: nothing yet, but a task may run twice. The answer to a start is lost; a poll, a stop and a second poll show that the worker does not run it; the agent reports not run and the entry places the task on another worker. The worker restarts under its id: the stop and the fence are forgotten, its clock starts anew, and the start, which is executed seconds late, is accepted. The same after the lease ran out (lost), or if a session ended meanwhile.

Cause: the evidence for "not run" was complete for the incarnation that gave it only. While a start has no answer, nothing but the end of the time in which it may be executed proves that it will not be.

Fix: a lost start that a poll does not show is sent again to the same worker, under the same run number, of which a worker executes one start only. So the task needs no other worker, and a late execution is its run. Every other end than done is held while a start is open: for 15 s at most, until the worker announces a new id, which refuses it, or the agent leaves. A refusal of one of several starts decides nothing.

Open: an agent that died or whose session ended cannot hold anything, and a job that was given up may be submitted elsewhere while its start is open.

--- a/agentd.c
+++ b/agentd.c
@@ -229,6 +229,7 @@
     [RN_UNSURE] = "unsure",
     [RN_RUNNING] = "running",
     [RN_STOPPING] = "stopping",
+    [RN_HELD] = "held",
 };
 
 static const char *const evidence_names[] = {
@@ -365,6 +366,24 @@
     log_contradiction(e, "run_alive_after_report", shown);
 }
 
+static void
+log_start_repeated(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_INFO, "start_repeated",
+        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64 " open=%u",
+        e->key.job, e->key.index, e->key.run, e->open_starts);
+}
+
+static void
+log_held(const struct rn_event *e)
+{
+    log_event(LOG_LEVEL_WARN, "run_held",
+        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
+        " how=%s open=%u hold_ms=%" PRIu64,
+        e->key.job, e->key.index, e->key.run, outcome_names[e->outcome],
+        e->open_starts, e->hold_ms);
+}
+
 static void
 log_worker_event(void *ctx, const struct rn_event *e)
 {
@@ -376,6 +395,8 @@
         [RN_EVENT_NO_ORPHANS] = log_no_orphans,
         [RN_EVENT_END_CONTRADICTED] = log_end_contradicted,
         [RN_EVENT_ALIVE] = log_alive,
+        [RN_EVENT_START_REPEATED] = log_start_repeated,
+        [RN_EVENT_HELD] = log_held,
     };
 
     (void)ctx;
@@ -614,6 +635,9 @@
         {"dw_runs_done", st->done},
         {"dw_runs_failed", st->failed},
         {"dw_runs_lost_starts", st->lost_starts},
+        {"dw_runs_starts_repeated", st->repeated},
+        {"dw_runs_held", rn_held_count(&ad->agent.runner)},
+        {"dw_runs_held_total", st->held},
         {"dw_runs_lapsed", st->lease_expired},
         {"dw_runs_contradicted", st->contradicted},
         {"dw_runs_not_run", rn_not_run_count(st)},
--- a/runner.c
+++ b/runner.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "num.h"
 
@@ -36,12 +37,20 @@
     r->pace_permille = 1000;
 }
 
+/* Remembers an end.  `reported`: the entry learns of it now. */
 static void
-remove_run(struct runner *r, uint64_t now, struct rn_run *run)
+record_end(
+    struct runner *r, uint64_t now, const struct rn_run *run, bool reported)
 {
-    r->capacity_changed_ms = now;
     r->ends[r->ends_next++ % RN_ENDS_MAX] =
-        (struct rn_end){run->key, run->outcome, run->evidence, now, false};
+        (struct rn_end){run->key, run->outcome, run->evidence, now, !reported};
+}
+
+/* The run holds no resources any more. */
+static void
+detach_run(struct runner *r, uint64_t now, struct rn_run *run)
+{
+    r->capacity_changed_ms = now;
     if (run->state != RN_QUEUED) {
         r->used_millicores -= run->millicores;
         r->used_memory_mb -= run->memory_mb;
@@ -49,10 +58,23 @@
     }
     assert(r->runs != NULL);
     HASH_DEL(r->runs, run);
+}
+
+static void
+free_run(struct rn_run *run)
+{
     free(run->spec);
     free(run);
 }
 
+static void
+remove_run(struct runner *r, uint64_t now, struct rn_run *run)
+{
+    record_end(r, now, run, true);
+    detach_run(r, now, run);
+    free_run(run);
+}
+
 void
 rn_free(struct runner *r)
 {
@@ -62,6 +84,10 @@
     HASH_ITER (hh, r->runs, run, tmp) {
         remove_run(r, 0, run);
     }
+    DL_FOREACH_SAFE (r->held, run, tmp) {
+        DL_DELETE(r->held, run);
+        free_run(run);
+    }
 }
 
 /* Accounts for a run's progress since its last report. */
@@ -112,7 +138,7 @@
 }
 
 static void
-finish_run(struct runner *r, uint64_t now, struct rn_run *run, dw_end outcome)
+report_end(struct runner *r, uint64_t now, struct rn_run *run, dw_end outcome)
 {
     uint32_t ran_ms =
         run->started_ms != 0 ? (uint32_t)num_sub_sat(now, run->started_ms) : 0;
@@ -133,9 +159,64 @@
     }
     run->outcome = outcome;
     r->ops->ended(r->ctx, run, outcome, ran_ms);
+}
+
+/* A start that has no answer may still be executed.  An agent that leaves
+ * cannot wait for it. */
+static bool
+has_open_start(const struct runner *r, uint64_t now, const struct rn_run *run)
+{
+    return run->open_starts > 0 && now < run->late_until_ms && !r->leaving;
+}
+
+static void
+hold_run(struct runner *r, uint64_t now, struct rn_run *run, dw_end outcome)
+{
+    struct rn_event e = {.kind = RN_EVENT_HELD,
+        .active = rn_active_count(r),
+        .key = run->key,
+        .open_starts = run->open_starts,
+        .hold_ms = run->late_until_ms - now,
+        .outcome = outcome};
+
+    run->outcome = outcome;
+    record_end(r, now, run, false);
+    detach_run(r, now, run);
+    run->state = RN_HELD;
+    DL_APPEND(r->held, run);
+    r->stats.held++;
+    r->ops->event(r->ctx, &e);
+}
+
+/* The run is over.  A task that is done is not repeated, so nothing runs
+ * beside a late start of it. */
+static void
+finish_run(struct runner *r, uint64_t now, struct rn_run *run, dw_end outcome)
+{
+    if (outcome != DW_END_DONE && has_open_start(r, now, run)) {
+        hold_run(r, now, run, outcome);
+        return;
+    }
+    report_end(r, now, run, outcome);
     remove_run(r, now, run);
 }
 
+static void
+release_held_runs(struct runner *r, uint64_t now)
+{
+    struct rn_run *run;
+    struct rn_run *tmp;
+
+    DL_FOREACH_SAFE (r->held, run, tmp) {
+        if (!has_open_start(r, now, run)) {
+            DL_DELETE(r->held, run);
+            report_end(r, now, run, run->outcome);
+            record_end(r, now, run, true);
+            free_run(run);
+        }
+    }
+}
+
 static struct rn_run *
 find_run(struct runner *r, const struct rn_key *key)
 {
@@ -313,19 +394,29 @@
 }
 
 static void
-start_run(struct runner *r, uint64_t now, struct rn_run *run)
+send_start(struct runner *r, uint64_t now, struct rn_run *run)
 {
     struct rn_terms terms = {0, r->fence, str_of(r->worker_id)};
 
     run->state = RN_STARTING;
     run->sent_ms = now;
     run->progress_ms = now;
+    run->starts++;
+    run->open_starts++;
+    run->unnamed |= terms.worker_id.n == 0;
+    run->late_until_ms = now + RN_LATE_START_MS;
+    terms.lease_until_ms = extend_lease(r, now);
+    r->ops->start(r->ctx, run, &terms);
+}
+
+static void
+start_run(struct runner *r, uint64_t now, struct rn_run *run)
+{
     r->used_millicores += run->millicores;
     r->used_memory_mb += run->memory_mb;
     r->used_gpus += run->gpus;
     r->stats.started++;
-    terms.lease_until_ms = extend_lease(r, now);
-    r->ops->start(r->ctx, run, &terms);
+    send_start(r, now, run);
 }
 
 static bool
@@ -431,7 +522,7 @@
     struct rn_key key = {ref->job, ref->run, ref->index};
     struct rn_run *run = find_run(r, &key);
 
-    if (run == NULL || run->state == RN_STOPPING) {
+    if (run == NULL) {
         return;
     }
     if (run->state == RN_QUEUED) {
@@ -439,7 +530,10 @@
         finish_run(r, now, run, DW_END_STOPPED);
         return;
     }
-    stop_run(r, now, run);
+    run->unwanted = true;
+    if (run->state != RN_STOPPING) {
+        stop_run(r, now, run);
+    }
 }
 
 void
@@ -462,6 +556,7 @@
         if (!run->session_ended) {
             run->session_ended = true;
             run->session_ended_ms = over_ms;
+            run->unwanted = true;
             stop_run(r, now, run);
         }
     }
@@ -509,7 +604,6 @@
     r->incarnation_seen_ms = now;
     r->lease_expiry_ms = num_max(r->lease_expiry_ms, now + RN_LEASE_MAX_MS);
     r->capacity_known = false;
-    r->worker_id[0] = '\0';
     r->draining = false;
     r->worker_exit_ms = 0;
     r->ack = 0;
@@ -530,14 +624,32 @@
     }
 }
 
+static void
+close_starts(struct rn_run *run)
+{
+    if (!run->unnamed) {
+        run->open_starts = 0;
+    }
+}
+
+/* A worker refuses starts that name another one. */
 void
 rn_set_worker_id(
     struct runner *r, uint64_t now, uint64_t incarnation, struct str id)
 {
+    struct rn_run *run;
+
     note_incarnation(r, now, incarnation);
-    if (incarnation == r->incarnation) {
-        str_copy(r->worker_id, sizeof(r->worker_id), id);
+    if (incarnation != r->incarnation || str_is(id, r->worker_id)) {
+        return;
+    }
+    for (run = r->runs; run != NULL; run = run->hh.next) {
+        close_starts(run);
+    }
+    DL_FOREACH (r->held, run) {
+        close_starts(run);
     }
+    str_copy(r->worker_id, sizeof(r->worker_id), id);
 }
 
 void
@@ -579,50 +691,67 @@
     start_queued(r, now);
 }
 
+/* Polls decide whether the run exists. */
+static void
+become_unsure(struct runner *r, uint64_t now, struct rn_run *run)
+{
+    run->state = RN_UNSURE;
+    run->conclusive_ms = now;
+    poll_immediately(r);
+}
+
+static const enum rn_evidence refusal_evidence[] = {
+    [RN_START_REFUSED] = RN_EVIDENCE_REFUSED,
+    [RN_START_UNREACHABLE] = RN_EVIDENCE_UNREACHABLE,
+    [RN_START_FENCED] = RN_EVIDENCE_FENCED,
+};
+
 void
 rn_start_answered(struct runner *r, uint64_t now, const struct rn_key *key,
     enum rn_start_result result, uint64_t clock_ms)
 {
     struct rn_run *run = find_run(r, key);
 
+    if (run == NULL) {
+        return;
+    }
+    if (result == RN_START_FENCED) {
+        r->fence += FENCE_STEP;
+    }
+    else if (result == RN_START_UNREACHABLE) {
+        set_silent(r, now);
+    }
+    else if (result == RN_START_LOST) {
+        r->stats.lost_starts++;
+    }
+    if (result != RN_START_LOST && run->open_starts > 0) {
+        run->open_starts--;
+    }
     /* Answers to starts do not name the incarnation: one to a start that was
      * sent before a restart was noticed may have the former one's clock. */
-    if (run != NULL && run->state == RN_STARTING &&
-        run->sent_ms > r->incarnation_seen_ms) {
+    if (run->state == RN_STARTING && run->sent_ms > r->incarnation_seen_ms) {
         note_clock(r, now, clock_ms);
     }
-    if (run != NULL && run->state == RN_STOPPING && run->started_ms == 0 &&
+    if (run->state == RN_STOPPING && run->started_ms == 0 &&
         result == RN_START_OK) {
         run->started_ms = now; /* at the latest */
     }
-    if (run == NULL || run->state == RN_RUNNING || run->state == RN_STOPPING) {
+    if (run->state == RN_RUNNING || run->state == RN_STOPPING) {
         return;
     }
-    if (result == RN_START_FENCED) {
-        r->fence += FENCE_STEP;
-        run->evidence = RN_EVIDENCE_FENCED;
-        finish_run(r, now, run, DW_END_NOT_RUN);
-        start_queued(r, now);
-    }
-    else if (result == RN_START_OK) {
+    if (result == RN_START_OK) {
         run->state = RN_RUNNING;
         run->started_ms = run->sent_ms;
         run->conclusive_ms = now;
     }
-    else if (result == RN_START_REFUSED || result == RN_START_UNREACHABLE) {
-        if (result == RN_START_UNREACHABLE) {
-            set_silent(r, now);
-        }
-        run->evidence = result == RN_START_REFUSED ? RN_EVIDENCE_REFUSED
-                                                   : RN_EVIDENCE_UNREACHABLE;
-        finish_run(r, now, run, DW_END_NOT_RUN);
-        start_queued(r, now);
+    else if (result == RN_START_LOST || run->open_starts > 0) {
+        /* A refusal speaks for one of several starts only. */
+        become_unsure(r, now, run);
     }
     else {
-        r->stats.lost_starts++;
-        run->state = RN_UNSURE;
-        run->conclusive_ms = now;
-        poll_immediately(r);
+        run->evidence = refusal_evidence[result];
+        finish_run(r, now, run, DW_END_NOT_RUN);
+        start_queued(r, now);
     }
 }
 
@@ -706,6 +835,15 @@
     }
 }
 
+/* With several starts it is not known which of them was executed. */
+static void
+note_executed(struct rn_run *run)
+{
+    if (run->starts == 1) {
+        run->open_starts = 0;
+    }
+}
+
 static void
 process_outcomes(struct runner *r, uint64_t now, const struct rn_poll *p)
 {
@@ -718,6 +856,7 @@
         }
         r->ack = o->seq;
         if (run != NULL && run->state != RN_QUEUED) {
+            note_executed(run);
             run->evidence = RN_EVIDENCE_LISTED;
             finish_run(r, now, run, o->outcome);
         }
@@ -777,6 +916,7 @@
             continue;
         }
         run->reported = true;
+        note_executed(run);
         note_progress(r, now, run, reported->percent);
         if (run->state == RN_UNSURE || run->state == RN_STARTING) {
             run->state = RN_RUNNING;
@@ -798,6 +938,38 @@
     return false;
 }
 
+static void
+repeat_start(struct runner *r, uint64_t now, struct rn_run *run)
+{
+    struct rn_event e = {.kind = RN_EVENT_START_REPEATED,
+        .active = rn_active_count(r),
+        .key = run->key,
+        .open_starts = run->open_starts};
+
+    r->stats.repeated++;
+    r->ops->event(r->ctx, &e);
+    send_start(r, now, run);
+}
+
+/*
+ * The worker does not run it, but a start of it may still be executed.  The
+ * worker executes one of several starts of a run, so that another one does no
+ * harm; until one can be sent, the run waits.
+ */
+static void
+resolve_unsure(struct runner *r, uint64_t now, struct rn_run *run)
+{
+    if (run->unwanted || r->draining || !has_open_start(r, now, run)) {
+        /* After a stop a late start is refused. */
+        stop_run(r, now, run);
+    }
+    else if (rn_serving(r) && may_renew(r, now) &&
+             ends_before_exit(r, now, run) &&
+             now - run->sent_ms >= RN_ANSWER_TIMEOUT_MS) {
+        repeat_start(r, now, run);
+    }
+}
+
 /* Decides on runs that a poll showed neither as running nor as ended. */
 static void
 resolve_absent(struct runner *r, uint64_t now, const struct rn_poll *p)
@@ -811,8 +983,11 @@
             continue;
         }
         if (run->state == RN_UNSURE) {
-            /* The start may still arrive: after a stop it is refused. */
-            stop_run(r, now, run);
+            resolve_unsure(r, now, run);
+        }
+        else if (run->state == RN_RUNNING && !run->unwanted &&
+                 has_open_start(r, now, run)) {
+            become_unsure(r, now, run);
         }
         else {
             run->evidence = run->state == RN_STOPPING
@@ -921,11 +1096,18 @@
         return;
     }
     HASH_ITER (hh, r->runs, run, tmp) {
-        if (run->state != RN_QUEUED) {
-            r->stats.lease_expired++;
-            run->evidence = RN_EVIDENCE_LEASE;
-            finish_run(r, now, run, DW_END_LOST);
+        bool waits = !run->unwanted && has_open_start(r, now, run);
+
+        if (run->state == RN_QUEUED || (waits && run->state == RN_UNSURE)) {
+            continue;
         }
+        r->stats.lease_expired++;
+        if (waits) {
+            become_unsure(r, now, run);
+            continue;
+        }
+        run->evidence = RN_EVIDENCE_LEASE;
+        finish_run(r, now, run, DW_END_LOST);
     }
 }
 
@@ -940,6 +1122,7 @@
         r->capacity_changed_ms = now;
     }
     expire_lease(r, now);
+    release_held_runs(r, now);
     HASH_ITER (hh, r->runs, run, tmp) {
         if (run->state == RN_STOPPING && run->conclusive_ms == UINT64_MAX &&
             now - run->sent_ms > RN_ANSWER_TIMEOUT_MS + 5) {
@@ -1002,6 +1185,19 @@
     for (run = r->runs; run != NULL; run = run->hh.next) {
         n += run->entry == entry && run->session != session;
     }
+    DL_FOREACH (r->held, run) {
+        n += run->entry == entry && run->session != session;
+    }
+    return n;
+}
+
+size_t
+rn_held_count(const struct runner *r)
+{
+    const struct rn_run *run;
+    size_t n = 0;
+
+    DL_COUNT(r->held, run, n);
     return n;
 }
 
--- a/runner.h
+++ b/runner.h
@@ -10,6 +10,11 @@
  * Times named now and *_ms are ms of this process's monotonic clock unless
  * stated otherwise.
  *
+ * A start whose answer is lost is sent again to the same worker, which
+ * executes one of the two.  The end of a run is not reported while such a
+ * start may still be executed, as its entry would place the task on another
+ * worker.
+ *
  * Source: Gray and Cheriton: Leases, SOSP 1989.
  */
 #ifndef RUNNER_H
@@ -43,8 +48,8 @@
  * acknowledgement. */
 #define RN_RETRY_POLL_MS 25U
 /* ms without an answer until a start or stop counts as lost; answers take 1
- * to 5.  A lost start costs a task of 60 ms this time, a poll, a stop and a
- * second start, and the task still meets an objective of 180 ms. */
+ * to 5.  A lost start costs a task of 60 ms this time, a poll and a second
+ * start, and the task still meets an objective of 180 ms. */
 #define RN_ANSWER_TIMEOUT_MS 20U
 /* ms within which runs of an ended session must have stopped; after that the
  * lease is not renewed, for any run, until they have. */
@@ -61,6 +66,12 @@
 #define RN_LEASE_EXPIRY_MS                                                    \
     (RN_LEASE_MS + RN_LEASE_MS * RN_DRIFT_PERCENT / 100 + 20U)
 
+/* ms for which a start without an answer may still be executed.  The worker
+ * refuses it once its lease is over; but one that has restarted under its
+ * former id measures that time on a new clock, and knows neither the stop nor
+ * the fence. */
+#define RN_LATE_START_MS 15000U
+
 /* Longest lease in ms that a worker grants, its clock's drift included. */
 #define RN_LEASE_MAX_MS 1040U
 
@@ -89,7 +100,8 @@
     RN_STARTING, /* start sent, not answered yet */
     RN_UNSURE,   /* the answer to the start was lost */
     RN_RUNNING,
-    RN_STOPPING /* stop sent, end not certain yet */
+    RN_STOPPING, /* stop sent, end not certain yet */
+    RN_HELD      /* over, but an open start may still be executed */
 };
 
 /* What shows that a run has ended. */
@@ -127,6 +139,12 @@
     uint64_t received_ms;
     uint64_t wait_until_ms; /* refused as full if it is still queued then */
     uint64_t sent_ms;       /* when its start, later its last stop, was sent */
+    uint32_t starts;        /* sent */
+    uint32_t open_starts;   /* of these, neither answered nor known to have
+                               been executed */
+    uint64_t late_until_ms; /* open starts may be executed until then */
+    bool unnamed;           /* a start of it did not name its worker */
+    bool unwanted;          /* stopped by its entry, or its session ended */
     /* A poll sent after this time decides whether the run exists; UINT64_MAX
      * while a stop has not been answered. */
     uint64_t conclusive_ms;
@@ -134,6 +152,8 @@
     uint64_t started_ms;       /* when its start was sent; 0: not confirmed */
     uint32_t progress_percent; /* as the worker last reported */
     uint64_t progress_ms;      /* when that report arrived */
+    struct rn_run *prev;       /* in runner.held */
+    struct rn_run *next;
     UT_hash_handle hh;
 };
 
@@ -209,7 +229,9 @@
     RN_EVENT_NO_ORPHANS,
     RN_EVENT_END_CONTRADICTED, /* the worker lists another outcome than was
                                   reported */
-    RN_EVENT_ALIVE             /* it shows a run that was reported as ended */
+    RN_EVENT_ALIVE,            /* it shows a run that was reported as ended */
+    RN_EVENT_START_REPEATED,   /* a start was lost and is sent again */
+    RN_EVENT_HELD              /* the report of an end waits for open starts */
 };
 
 /* A change in what is known of the worker, or proof that a report was untrue,
@@ -225,10 +247,13 @@
     uint64_t former;       /* incarnation; RESTARTED */
     uint64_t incarnation;  /* RESTARTED */
     size_t orphans;        /* ORPHANS */
-    struct rn_key key;     /* of the first orphan; ORPHANS */
+    struct rn_key key;     /* of the first orphan, or of the run; ORPHANS,
+                              START_REPEATED, HELD */
+    uint32_t open_starts;  /* START_REPEATED, HELD */
+    uint64_t hold_ms;      /* until the report, at most; HELD */
     struct rn_end end;     /* as reported; END_CONTRADICTED, ALIVE */
     uint64_t since_ms;     /* since that end; END_CONTRADICTED, ALIVE */
-    dw_end outcome;        /* as listed; END_CONTRADICTED */
+    dw_end outcome;        /* as listed; END_CONTRADICTED; of the run; HELD */
     uint32_t percent;      /* progress of the run; ALIVE */
 };
 
@@ -260,6 +285,8 @@
     uint64_t done;
     uint64_t failed;
     uint64_t lost_starts;   /* starts without an answer */
+    uint64_t repeated;      /* starts that were sent again */
+    uint64_t held;          /* ends whose report waited for open starts */
     uint64_t lease_expired; /* runs lost because the lease ran out */
     uint64_t orphans;       /* running there but not known here */
     uint64_t no_capacity;   /* refused as full */
@@ -272,6 +299,7 @@
     const struct rn_ops *ops;
     void *ctx;
     struct rn_run *runs;
+    struct rn_run *held; /* in state RN_HELD; not in runs */
     uint64_t started_ms; /* when rn_init() was called */
     bool capacity_known; /* reported by the worker's present incarnation */
     bool draining;
@@ -282,8 +310,9 @@
     int64_t used_millicores; /* by all runs but queued ones */
     int64_t used_memory_mb;
     int64_t used_gpus;
-    uint64_t incarnation;             /* of the worker; 0: not known yet */
-    char worker_id[RN_WORKER_ID_MAX]; /* of that incarnation; empty: unknown */
+    uint64_t incarnation; /* of the worker; 0: not known yet */
+    /* Of the incarnation that told its capacity last; empty: unknown. */
+    char worker_id[RN_WORKER_ID_MAX];
     uint64_t fence;
     /* After a restart of the worker, a lease of unknown length may last until
      * then; 0: none. */
@@ -364,9 +393,11 @@
 bool rn_outcomes_acked(const struct runner *r);
 /* Runs that hold resources: all but queued ones. */
 size_t rn_active_count(const struct runner *r);
-/* Runs of an entry's earlier sessions. */
+/* Runs of an entry's earlier sessions, held ones included. */
 size_t rn_leftover_count(
     const struct runner *r, uint64_t entry, uint64_t session);
+/* Runs in state RN_HELD. */
+size_t rn_held_count(const struct runner *r);
 /* All runs reported as DW_END_NOT_RUN. */
 uint64_t rn_not_run_count(const struct rn_stats *st);
 /* Fills in total and free capacity, queued runs deducted, and speeds. */
