entries: answer what still waits before a planned stop ends

Cause: check_leaving() ended the loop when the time was over. Nothing answered what still waited, and web_close() closes such connections without a response.

Evidence: soak -x stops an entry and pauses all agents while it still accepts jobs.

Near its end the entry answers everything: not run for what has not begun, gave up for the rest, here and forwarded. The product's own daemon had the same fault after leave_max_ms and uses the same phases.

--- a/agentd.c
+++ b/agentd.c
@@ -609,6 +609,14 @@
     ag_leave(&ad->agent, now);
 }
 
+/* Nobody waits for an answer of an agent: its entries repeat what is lost. */
+static void
+agent_give_up(struct serve *s, uint64_t now)
+{
+    (void)s;
+    (void)now;
+}
+
 static bool
 agent_done(struct serve *s, uint64_t now)
 {
@@ -662,5 +670,5 @@
 }
 
 const struct sv_role sv_agent = {"agent", agent_open, agent_close, agent_tick,
-    agent_flush, agent_message, agent_refused, agent_leave, agent_done,
-    agent_resumed, agent_metrics};
+    agent_flush, agent_message, agent_refused, agent_leave, agent_give_up,
+    agent_done, agent_resumed, agent_metrics};
--- a/api.c
+++ b/api.c
@@ -554,7 +554,7 @@
     const char *rest = web_path(r) + strlen(JOBS_PATH);
     const struct contract *c = authenticate(d, r);
 
-    if (d->leaving) {
+    if (d->stop.begun) {
         web_problem(r, 503, "leaving",
             "this entry is stopping; retry at another entry with the same key",
             1);
@@ -652,7 +652,7 @@
 static void
 handle_ready(struct daemon *d, struct web_req *r)
 {
-    bool ready = !d->leaving && node_fresh(&d->node, proc_now()) &&
+    bool ready = !d->stop.begun && node_fresh(&d->node, proc_now()) &&
                  d->node.view.have_map;
 
     if (ready) {
@@ -660,7 +660,7 @@
     }
     else {
         web_reply(r, 503, "text/plain",
-            d->leaving ? STR("leaving\n") : STR("not ready\n"), 1);
+            d->stop.begun ? STR("leaving\n") : STR("not ready\n"), 1);
     }
 }
 
--- a/coord.c
+++ b/coord.c
@@ -489,6 +489,17 @@
     return true;
 }
 
+void
+co_give_up_all(struct coord *c, uint64_t now, const char *reason)
+{
+    struct co_job *j;
+    struct co_job *tmp;
+
+    HASH_ITER (hh, c->jobs, j, tmp) {
+        give_up(c, now, j, reason);
+    }
+}
+
 /* --- reports of agents --- */
 
 static void
--- a/coord.h
+++ b/coord.h
@@ -262,6 +262,8 @@
 void co_caller_left(struct coord *c, uint64_t now, const void *handle);
 /* Cancels a job; false if it is not in progress here. */
 bool co_cancel(struct coord *c, uint64_t now, uint64_t id);
+/* Ends all jobs, as this entry leaves. */
+void co_give_up_all(struct coord *c, uint64_t now, const char *reason);
 /* Handles a report of agent from. */
 void co_report(
     struct coord *c, uint64_t now, uint64_t from, const dw_report *r);
--- a/daemon.h
+++ b/daemon.h
@@ -17,6 +17,7 @@
 #include "backend.h"
 #include "conf.h"
 #include "httpc.h"
+#include "leave.h"
 #include "link.h"
 #include "node.h"
 #include "store.h"
@@ -49,8 +50,7 @@
     struct waiter *waiters; /* callers, by request id */
     struct op *ops;         /* operators' changes under way */
     uint64_t changes;       /* operators' changes accepted by this entry */
-    bool leaving;
-    uint64_t leave_ms; /* when the stop was requested */
+    struct lv_stop stop;    /* planned */
     uint64_t started_ms;
     uint64_t pauses;       /* of the loop, longer than PAUSE_MS */
     uint64_t last_tick_ms; /* 0: none yet */
--- a/dunlinweird.c
+++ b/dunlinweird.c
@@ -132,17 +132,24 @@
 static void
 check_leaving(struct daemon *d, uint64_t now)
 {
-    bool late;
-
-    if (!d->leaving) {
-        return;
-    }
-    late = now - d->leave_ms >= d->conf.leave_max_ms;
-    if (late || (node_done(&d->node) && d->waiters == NULL &&
-                    web_open_requests(d->web) == 0)) {
-        log_event(late ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "left",
-            "ms=%" PRIu64 " complete=%d", now - d->leave_ms, !late);
+    bool done = node_done(&d->node) && d->waiters == NULL &&
+                web_open_requests(d->web) == 0;
+
+    switch (lv_next(&d->stop, now, done)) {
+    case LV_WAIT:
+        break;
+    case LV_GIVE_UP:
+        log_event(LOG_LEVEL_WARN, "leave_gives_up",
+            "ms=%" PRIu64 " requests=%zu", now - d->stop.begun_ms,
+            front_waiting(&d->node.front));
+        front_give_up_all(&d->node.front, now, &d->acts);
+        break;
+    case LV_EXIT:
+        log_event(d->stop.gave_up ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "left",
+            "ms=%" PRIu64 " complete=%d answered=%d", now - d->stop.begun_ms,
+            !d->stop.gave_up, done);
         ev_break(d->loop, EVBREAK_ALL);
+        break;
     }
 }
 
@@ -176,14 +183,13 @@
 
     (void)loop;
     (void)revents;
-    if (d->leaving) {
+    if (d->stop.begun) {
         return;
     }
     log_event(LOG_LEVEL_INFO, "leaving", "requests=%zu",
         front_waiting(&d->node.front));
-    d->leaving = true;
-    d->leave_ms = proc_now();
-    node_leave(&d->node, d->leave_ms, &d->acts);
+    lv_begin(&d->stop, proc_now(), d->conf.leave_max_ms);
+    node_leave(&d->node, d->stop.begun_ms, &d->acts);
     carry_out(d);
 }
 
--- a/entrycall.c
+++ b/entrycall.c
@@ -296,8 +296,9 @@
     if (e->routes.version == 0) {
         return "no_configuration";
     }
-    if (e->s->leaving &&
-        now + JOB_MARGIN_MS > e->s->leave_ms + e->s->conf->platform.grace_ms) {
+    if (e->s->stop.begun &&
+        now + JOB_MARGIN_MS >
+            e->s->stop.begun_ms + e->s->conf->platform.grace_ms) {
         return "leaving";
     }
     return NULL;
@@ -669,6 +670,18 @@
     }
 }
 
+void
+ec_give_up(struct entry *e, uint64_t now)
+{
+    void *c;
+
+    while ((c = it_pop(&e->intake)) != NULL) {
+        refuse(e, c, "leaving", "leaving", OVERLOAD_RETRY_MS);
+    }
+    rl_give_up(&e->relay, now, "leaving");
+    co_give_up_all(&e->coord, now, "leaving");
+}
+
 static void
 on_resume(struct ev_loop *loop, ev_timer *t, int revents)
 {
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -70,6 +70,8 @@
 void ec_flush(struct entry *e);
 /* Start as many queued requests as this pass of the loop has time for. */
 void ec_start_queued(struct entry *e, uint64_t now);
+/* Answer everything that waits: a planned stop is nearly over. */
+void ec_give_up(struct entry *e, uint64_t now);
 /* Reply with a JSON body. */
 void ec_reply(struct web_req *r, unsigned status, const char *text);
 
--- a/entryd.c
+++ b/entryd.c
@@ -30,7 +30,7 @@
 static bool
 is_ready(const struct entry *e)
 {
-    return !e->s->leaving && e->routes.version != 0 &&
+    return !e->s->stop.begun && e->routes.version != 0 &&
            !lg_is_out_of_rotation(&e->lag) &&
            fl_total(&e->coord.fleet, proc_now(), NULL, 1).capacity > 0;
 }
@@ -292,8 +292,8 @@
     if (ost_request_due(&e->opstate, now)) {
         en_query_peers(e);
     }
-    if (s->leaving && e->accepting &&
-        now - s->leave_ms > ACCEPT_AFTER_TERM_MS) {
+    if (s->stop.begun && e->accepting &&
+        now - s->stop.begun_ms > ACCEPT_AFTER_TERM_MS) {
         e->accepting = false;
         web_stop_accepting(e->callers);
     }
@@ -360,6 +360,12 @@
     web_drain(e->callers);
 }
 
+static void
+entry_give_up(struct serve *s, uint64_t now)
+{
+    ec_give_up(s->state, now);
+}
+
 static bool
 entry_done(struct serve *s, uint64_t now)
 {
@@ -442,5 +448,5 @@
 }
 
 const struct sv_role sv_entry = {"entry", entry_open, entry_close, entry_tick,
-    entry_flush, entry_message, entry_refused, entry_leave, entry_done,
-    entry_resumed, entry_metrics};
+    entry_flush, entry_message, entry_refused, entry_leave, entry_give_up,
+    entry_done, entry_resumed, entry_metrics};
--- a/front.c
+++ b/front.c
@@ -346,12 +346,13 @@
 }
 
 static void
-give_up(struct front *f, uint64_t now, struct front_req *r, struct acts *out)
+give_up(struct front *f, uint64_t now, struct front_req *r, const char *reason,
+    struct acts *out)
 {
     dw_answer a = {0};
 
     a.state = DW_A_UNKNOWN;
-    a.reason = str_to_bytes(STR("owner_unreachable"));
+    a.reason = str_to_bytes(str_of(reason));
     a.retry_ms = f->cfg.retry_max_ms;
     f->stats.gave_up++;
     act_submission_event(out, sk_customer(&r->sk), sk_key(&r->sk),
@@ -361,13 +362,24 @@
     free_req(f, r);
 }
 
+void
+front_give_up_all(struct front *f, uint64_t now, struct acts *out)
+{
+    struct front_req *r;
+    struct front_req *tmp;
+
+    HASH_ITER (hh, f->reqs, r, tmp) {
+        give_up(f, now, r, "leaving", out);
+    }
+}
+
 static void
 handle_timeouts(
     struct front *f, uint64_t now, struct front_req *r, struct acts *out)
 {
     if (now - r->last_reply_ms >= f->cfg.owner_timeout_ms ||
         now >= r->deadline_ms + f->cfg.answer_grace_ms) {
-        give_up(f, now, r, out);
+        give_up(f, now, r, "owner_unreachable", out);
         return;
     }
     if (r->needs_quota) {
--- a/front.h
+++ b/front.h
@@ -100,6 +100,8 @@
 enum front_status front_request(struct front *f, uint64_t now,
     uint64_t request, enum front_kind kind, dw_msg *msg, uint32_t age_ms,
     uint32_t deadline_ms, struct acts *out);
+/* Answers all requests as unknown: this process leaves. */
+void front_give_up_all(struct front *f, uint64_t now, struct acts *out);
 /* The caller has disconnected; nobody waits for the answer. */
 void front_caller_disconnected(
     struct front *f, uint64_t now, uint64_t request);
--- a/intake.c
+++ b/intake.c
@@ -90,18 +90,27 @@
 }
 
 void *
-it_pop_expired(struct intake *t, uint64_t now_us)
+it_pop(struct intake *t)
 {
     struct it_request *r = t->head;
     void *handle = NULL;
 
-    if (r != NULL && now_us - r->arrived_us > IT_MAX_WAIT_US) {
+    if (r != NULL) {
         handle = r->handle;
         remove_request(t, r);
     }
     return handle;
 }
 
+void *
+it_pop_expired(struct intake *t, uint64_t now_us)
+{
+    const struct it_request *r = t->head;
+
+    return r != NULL && now_us - r->arrived_us > IT_MAX_WAIT_US ? it_pop(t)
+                                                                : NULL;
+}
+
 /* No more requests are started in this pass. */
 static enum it_action
 end_pass(struct intake *t, uint64_t now_us)
--- a/intake.h
+++ b/intake.h
@@ -52,6 +52,8 @@
 bool it_add(struct intake *t, uint64_t now_us, void *handle);
 /* Removes a request whose caller has left; false if it does not wait here. */
 bool it_remove(struct intake *t, const void *handle);
+/* Removes and returns the oldest request; NULL if there is none. */
+void *it_pop(struct intake *t);
 /* Removes and returns a request that has waited too long and must be refused;
  * NULL if there is none. */
 void *it_pop_expired(struct intake *t, uint64_t now_us);
--- a/relay.c
+++ b/relay.c
@@ -414,6 +414,21 @@
     return false;
 }
 
+void
+rl_give_up(struct relay *r, uint64_t now, const char *reason)
+{
+    struct rl_peer *p;
+
+    for (p = r->peers; p != NULL; p = p->hh.next) {
+        while (p->forwarded != NULL) {
+            void *handle = p->forwarded->handle;
+
+            rl_cancel(r, now, handle);
+            r->ops->answer(r->ctx, handle, CO_GAVE_UP, reason, 0);
+        }
+    }
+}
+
 static void
 handle_reply(struct relay *r, struct rl_peer *p, const dw_reply *reply)
 {
--- a/relay.h
+++ b/relay.h
@@ -200,6 +200,8 @@
 /* Cancels a forwarded request, as its caller has disconnected; false if it was
  * not forwarded. */
 bool rl_cancel(struct relay *r, uint64_t now, const void *handle);
+/* Cancels all forwarded requests and answers them as given up. */
+void rl_give_up(struct relay *r, uint64_t now, const char *reason);
 /* Answers an accepted request; a must not be used afterwards. */
 void rl_reply(struct rl_accepted *a, enum co_outcome outcome,
     const char *reason, uint32_t retry_ms);
--- a/serve.c
+++ b/serve.c
@@ -28,7 +28,7 @@
  * notice. */
 #define REGISTRATION_VERIFY_MS 3000U
 /* ms before the platform's kill at which a planned stop ends at the latest. */
-#define LEAVE_MARGIN_MS 600U
+#define LEAVE_MARGIN_MS 200U
 
 /* --- peers --- */
 
@@ -194,7 +194,7 @@
 {
     char key[128];
 
-    if (s->registering || s->leaving) {
+    if (s->registering || s->stop.begun) {
         return;
     }
     if (!s->registered && now - s->renewed_ms >= REGISTER_RETRY_MS) {
@@ -259,13 +259,22 @@
 static void
 check_leaving(struct serve *s, uint64_t now)
 {
-    uint64_t max_ms = num_sub_sat(s->conf->platform.grace_ms, LEAVE_MARGIN_MS);
-    bool late = now - s->leave_ms >= max_ms;
-
-    if (s->leaving && (late || s->role->done(s, now))) {
-        log_event(late ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "left",
-            "ms=%" PRIu64 " complete=%d", now - s->leave_ms, !late);
+    bool done = s->stop.begun && s->role->done(s, now);
+
+    switch (lv_next(&s->stop, now, done)) {
+    case LV_WAIT:
+        break;
+    case LV_GIVE_UP:
+        log_event(LOG_LEVEL_WARN, "leave_gives_up", "ms=%" PRIu64,
+            now - s->stop.begun_ms);
+        s->role->give_up(s, now);
+        break;
+    case LV_EXIT:
+        log_event(s->stop.gave_up ? LOG_LEVEL_WARN : LOG_LEVEL_INFO, "left",
+            "ms=%" PRIu64 " complete=%d answered=%d", now - s->stop.begun_ms,
+            !s->stop.gave_up, done);
         ev_break(s->loop, EVBREAK_ALL);
+        break;
     }
 }
 
@@ -305,14 +314,14 @@
 
     (void)loop;
     (void)revents;
-    if (s->leaving) {
+    if (s->stop.begun) {
         return;
     }
-    s->leaving = true;
-    s->leave_ms = proc_now();
+    lv_begin(&s->stop, proc_now(),
+        num_sub_sat(s->conf->platform.grace_ms, LEAVE_MARGIN_MS));
     log_event(
         LOG_LEVEL_INFO, "leaving", "grace_ms=%u", s->conf->platform.grace_ms);
-    s->role->leave(s, s->leave_ms);
+    s->role->leave(s, s->stop.begun_ms);
 }
 
 /* Reloads the settings that may change at run time: the log level. */
--- a/serve.h
+++ b/serve.h
@@ -15,6 +15,7 @@
 
 #include "conf.h"
 #include "httpc.h"
+#include "leave.h"
 #include "link.h"
 #include "platform/kv.h"
 #include "web.h"
@@ -59,6 +60,8 @@
     void (*refused)(struct serve *s, uint64_t now, uint64_t id);
     /* A planned stop starts. */
     void (*leave)(struct serve *s, uint64_t now);
+    /* The time of the planned stop is over: answers all that still waits. */
+    void (*give_up)(struct serve *s, uint64_t now);
     /* True if the process can exit without cutting off any work. */
     bool (*done)(struct serve *s, uint64_t now);
     /* The loop resumed after a pause of paused_ms. */
@@ -89,8 +92,7 @@
     uint64_t started_ms;
     uint64_t last_pass_ms; /* start of the last pass of the loop */
     uint64_t pauses;       /* longer than PAUSE_MS */
-    bool leaving;
-    uint64_t leave_ms; /* when the stop was requested */
+    struct lv_stop stop;   /* planned */
     /* This process's registration in the store. */
     uint64_t lease;   /* 0: none */
     bool registering; /* a write is under way */
--- a/test/balance-test.cc
+++ b/test/balance-test.cc
@@ -691,6 +691,23 @@
 
 } // namespace
 
+/* Guards against callers without an answer when a planned stop ends, and
+ * against peers that run what nobody waits for. */
+TEST(Relay, ForwardedRequestsAreAnsweredWhenTheOriginLeaves)
+{
+    Relays w;
+
+    ASSERT_TRUE(w.forward(0, "/a"));
+    ASSERT_TRUE(w.forward(1, "/b"));
+    w.deliver();
+    ASSERT_NE(w.holder(), nullptr);
+    rl_give_up(&w.origin(), w.now, "leaving");
+    EXPECT_EQ(
+        w.nodes[ORIGIN - 1]->answers, std::vector<co_outcome>(2, CO_GAVE_UP));
+    w.deliver();
+    EXPECT_EQ(w.holder(), nullptr);
+}
+
 /* Guards against a request that two entries run: a copy goes to the less busy
  * peer, or after the cancellation to any. */
 TEST(Relay, CopiesGoToThePeerThatHasTheFirst)
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -225,6 +225,21 @@
     EXPECT_EQ(e.callers.answers[0].second, CO_GAVE_UP);
 }
 
+/* Guards against callers without an answer when a planned stop ends. */
+TEST(Coord, EveryJobIsAnsweredWhenTheEntryLeaves)
+{
+    Entry e;
+
+    e.submit(5, 2, &caller);
+    e.set_free(0);
+    e.submit(6, 2, &caller, 1500, 100, 1000, false);
+    co_give_up_all(&e.c, e.now, "leaving");
+    ASSERT_EQ(e.callers.answers.size(), 2u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_GAVE_UP);
+    EXPECT_EQ(e.callers.answers[1].second, CO_NOT_RUN);
+    EXPECT_EQ(co_job_count(&e.c), 0u);
+}
+
 TEST(Coord, SecondRequestAttachesAndStartsNothing)
 {
     Entry e;
--- a/test/soak.c
+++ b/test/soak.c
@@ -156,6 +156,7 @@
     size_t undo_count;
     bool verbose;
     bool worker_mode; /* most faults are on workers */
+    bool stop_mode;   /* the faults are planned stops while no agent serves */
     ev_timer tick;
 };
 
@@ -1179,6 +1180,25 @@
     undo_later(s, ms, undo_worker_proxy, i);
 }
 
+static void
+pause_agents(struct soak *s, int i)
+{
+    (void)i;
+    for (int k = 0; k < s->agents; k++) {
+        pause_proc(&s->procs[k], GRACE_MS);
+    }
+}
+
+/* Stops an entry, and pauses all agents while it still accepts jobs: some of
+ * these have begun and wait when the grace ends. */
+static void
+stop_without_agents(struct soak *s)
+{
+    term(&s->procs[s->agents + (int)soak_random(s, (uint64_t)s->entries)]);
+    undo_later(s, 500 + soak_random(s, 1000), pause_agents, 0);
+    s->next_fault_ms = s->now + GRACE_MS + STOP_BEFORE_END_MS;
+}
+
 typedef void (*fault_fn)(struct soak *s);
 
 static const fault_fn worker_faults[] = {worker_crash, worker_drain,
@@ -1194,6 +1214,10 @@
 static void
 inject_fault(struct soak *s)
 {
+    if (s->stop_mode) {
+        stop_without_agents(s);
+        return;
+    }
     if (s->worker_mode && soak_random(s, 8) != 0) {
         worker_faults[soak_random(
             s, sizeof(worker_faults) / sizeof(worker_faults[0]))](s);
@@ -1362,6 +1386,7 @@
     int seed = 1;
     int seconds = 10;
     int worker_mode = 0;
+    int stop_mode = 0;
     int verbose = 0;
     char *dir = NULL;
     char *bin = NULL;
@@ -1378,6 +1403,8 @@
         {"bin", 'b', POPT_ARG_STRING, &bin, 0, "dunlinweird program", "FILE"},
         {"workers", 'w', POPT_ARG_NONE, &worker_mode, 0,
             "most faults are on workers", NULL},
+        {"stops", 'x', POPT_ARG_NONE, &stop_mode, 0,
+            "stop entries while no agent serves", NULL},
         {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "print the faults", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext ctx =
@@ -1399,6 +1426,7 @@
     s->random = mix64((uint64_t)seed, 1);
     s->verbose = verbose != 0;
     s->worker_mode = worker_mode != 0;
+    s->stop_mode = stop_mode != 0;
     s->bin = bin;
     snprintf(s->dir, sizeof(s->dir), "%s", dir);
     s->epoch_ms = s->now = clock_ms();
