runner: no renewal for a run whose stops stay unanswered

What callers saw: nothing yet, but a task may run twice. A caller disconnects, the entry stops the job's runs, and the worker answers polls but no stop. The lease is renewed for other runs, so the run goes on for as long as it likes; the caller submits the job to another entry after retransmit_ms (1300).

Cause: the limit after which the lease is not renewed held for runs of an ended session only. An entry's own stop had none.

Fix: such a run must be gone 800 ms after its stop was ordered, or the lease ends for all runs of the worker 326 ms later, before the caller is back. Stops are repeated each 25 ms, so the limit takes over 30 lost ones in a row.

--- a/runner.c
+++ b/runner.c
@@ -261,6 +261,8 @@
  * One lease covers all runs.  An entry treats the runs of an ended session as
  * over after RN_STOP_LIMIT_MS and one lease; if a stop gets lost, renewing
  * the lease for other runs would keep such a run alive beside its successor.
+ * The same holds for a run that its entry has stopped, as the job's caller may
+ * submit the job to another entry.
  * A worker that did not answer the last poll may have restarted: a time by
  * its former clock could be far in the future by its new one.
  */
@@ -270,8 +272,7 @@
     const struct rn_run *run;
 
     for (run = r->runs; run != NULL; run = run->hh.next) {
-        if (run->session_ended &&
-            now - run->session_ended_ms > RN_STOP_LIMIT_MS) {
+        if (run->gone_by_ms != 0 && now > run->gone_by_ms) {
             return false;
         }
     }
@@ -516,6 +517,19 @@
     send_stop(r, &run->key);
 }
 
+/* Its entry does not want the run any more.  False: known already. */
+static bool
+must_be_gone_by(struct rn_run *run, uint64_t ms)
+{
+    bool earlier = !run->unwanted || ms < run->gone_by_ms;
+
+    run->unwanted = true;
+    if (earlier) {
+        run->gone_by_ms = ms;
+    }
+    return earlier;
+}
+
 void
 rn_stop(struct runner *r, uint64_t now, const dw_run_ref *ref)
 {
@@ -530,7 +544,7 @@
         finish_run(r, now, run, DW_END_STOPPED);
         return;
     }
-    run->unwanted = true;
+    must_be_gone_by(run, now + RN_ORDERED_STOP_LIMIT_MS);
     if (run->state != RN_STOPPING) {
         stop_run(r, now, run);
     }
@@ -553,10 +567,7 @@
             remove_run(r, now, run);
             continue;
         }
-        if (!run->session_ended) {
-            run->session_ended = true;
-            run->session_ended_ms = over_ms;
-            run->unwanted = true;
+        if (must_be_gone_by(run, over_ms + RN_STOP_LIMIT_MS)) {
             stop_run(r, now, run);
         }
     }
--- a/runner.h
+++ b/runner.h
@@ -54,6 +54,9 @@
 /* ms within which runs of an ended session must have stopped; after that the
  * lease is not renewed, for any run, until they have. */
 #define RN_STOP_LIMIT_MS 100U
+/* The same for a run that its entry has stopped: RN_LEASE_EXPIRY_MS later it
+ * is over, before the job's caller may have submitted it to another entry. */
+#define RN_ORDERED_STOP_LIMIT_MS 800U
 /* Ended runs remembered: the answer of a poll that was sent before the end was
  * known does not report the run as unknown, and a report that proves untrue is
  * noticed after seconds without contact, at some hundred runs a second. */
@@ -135,7 +138,6 @@
     enum rn_evidence evidence; /* of its end; set before `ended` is called */
     dw_end outcome;            /* set with evidence */
     bool reported;             /* a poll has shown it running */
-    bool session_ended;        /* stopped because its session ended */
     uint64_t received_ms;
     uint64_t wait_until_ms; /* refused as full if it is still queued then */
     uint64_t sent_ms;       /* when its start, later its last stop, was sent */
@@ -148,7 +150,9 @@
     /* A poll sent after this time decides whether the run exists; UINT64_MAX
      * while a stop has not been answered. */
     uint64_t conclusive_ms;
-    uint64_t session_ended_ms; /* when its session was over */
+    /* The lease is not renewed after this time while the run may be on the
+     * worker; 0: no limit. */
+    uint64_t gone_by_ms;
     uint64_t started_ms;       /* when its start was sent; 0: not confirmed */
     uint32_t progress_percent; /* as the worker last reported */
     uint64_t progress_ms;      /* when that report arrived */
--- a/test/runner-net-test.cc
+++ b/test/runner-net-test.cc
@@ -59,9 +59,10 @@
      * client reported it at the incident of 3 December 2026. */
     bool copy_decides;
     bool new_ids; /* a restarted worker has a new id */
-    /* A task that is done is not placed again: nothing runs beside a late
-     * start of it. */
-    bool done_is_final;
+    /* Only what makes this agent's entry place a task again must be true: a
+     * task that is done is not, nor is one that the entry has stopped before
+     * its end is reported. */
+    bool placements_only;
 };
 
 struct WorkerRun {
@@ -550,7 +551,7 @@
     Net *n = static_cast<Net *>(ctx);
 
     n->done += how == DW_END_DONE;
-    if (how == DW_END_DONE && n->f.done_is_final) {
+    if (how == DW_END_DONE && n->f.placements_only) {
         n->open.erase(run->key);
         return;
     }
@@ -713,6 +714,9 @@
         rn_key k = open.begin()->first;
         dw_run_ref ref = {k.job, (u_int)k.index, k.run};
 
+        if (!f.placements_only) {
+            must_end(k, now + RN_ORDERED_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS);
+        }
         rn_stop(&r, now, &ref);
     }
     if (now >= outage_until && happens(f.outages)) {
@@ -954,7 +958,7 @@
 {
     Kind k = outliving_calls()[0];
 
-    k.f.done_is_final = true;
+    k.f.placements_only = true;
     EXPECT_EQ(explore(k.f, seed_count(400)), "") << k.name;
 }
 
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -242,6 +242,61 @@
     EXPECT_EQ(a.sent.starts.size(), 3u);
 }
 
+struct StopLimitCase {
+    const char *name;
+    void (*stop)(Fixture &a);
+    uint64_t limit_ms;
+};
+
+const StopLimitCase stop_limit_cases[] = {
+    {"Stopped", stop_ordered, RN_ORDERED_STOP_LIMIT_MS},
+    {"SessionOver",
+        [](Fixture &a) { rn_session_ended(&a.r, a.now, 1, a.now); },
+        RN_STOP_LIMIT_MS},
+    {"StoppedThenSessionOver",
+        [](Fixture &a) {
+            stop_ordered(a);
+            rn_session_ended(&a.r, a.now, 1, a.now);
+        },
+        RN_STOP_LIMIT_MS},
+    {"SessionOverThenStopped",
+        [](Fixture &a) {
+            rn_session_ended(&a.r, a.now, 1, a.now);
+            stop_ordered(a);
+        },
+        RN_STOP_LIMIT_MS},
+};
+
+/* Guards against a run that its entry does not want any more and that is kept
+ * alive by renewals for others while its stops get no answer. */
+TEST(Runner, LeaseIsNotRenewedForARunThatMustBeGone)
+{
+    for (const StopLimitCase &c : stop_limit_cases) {
+        Fixture a;
+        uint64_t stopped_ms;
+
+        a.order(1, 1000);
+        a.started(1, RN_START_OK);
+        a.order(2, 1000, 2);
+        a.started(2, RN_START_OK);
+        stopped_ms = a.now;
+        c.stop(a);
+        while (a.now <= stopped_ms + c.limit_ms) {
+            a.sent.polls.clear();
+            a.poll({{{1, 1, 0}, 30}, {{2, 1, 0}, 30}}, {});
+            a.now += 20;
+            rn_tick(&a.r, a.now);
+        }
+        a.sent.polls.clear();
+        a.poll({{{1, 1, 0}, 30}, {{2, 1, 0}, 30}}, {});
+        ASSERT_FALSE(a.sent.polls.empty()) << c.name;
+        EXPECT_EQ(a.sent.polls.back().lease_until_ms, 0u) << c.name;
+        EXPECT_LE(a.r.lease_expiry_ms,
+            stopped_ms + c.limit_ms + RN_LEASE_EXPIRY_MS + 10)
+            << c.name;
+    }
+}
+
 struct HoldCase {
     const char *name;
     void (*end)(Fixture &a);
