--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -76,6 +76,21 @@
     w.freeze_entry(some(w, ENTRIES), 50 + w.rng() % 1200);
 }
 
+/* The callers have gone when it continues, but it is not told. */
+void
+entry_pauses_and_is_lost(World &w)
+{
+    size_t e = some(w, ENTRIES);
+    uint64_t ms = SESS_LEASE_MS + w.rng() % 700;
+
+    if (!w.entries[e]->up || w.now < w.entries[e]->frozen_until) {
+        return;
+    }
+    w.freeze_entry(e, ms);
+    w.break_callers(e, 1300, false, false);
+    w.after(ms + 5 + w.rng() % 100, [&w, e] { w.power_off_entry(e, 500); });
+}
+
 void
 stops_lost(World &w)
 {
@@ -126,6 +141,7 @@
     {"agent_pauses_at_the_lease", {agent_pauses_at_the_lease, stops_lost}},
     {"sessions_reopen", {sessions_reopen, stops_lost}},
     {"entry_pauses", {entry_pauses}},
+    {"entry_pauses_and_is_lost", {entry_pauses_and_is_lost}},
     {"starts_refused", {starts_refused, sessions_reopen}},
     {"messages_doubled_and_late", {messages_doubled_and_late}},
     {"callers_send_again", {callers_send_again, sessions_reopen}},
--- a/test/world.cc
+++ b/test/world.cc
@@ -741,7 +741,8 @@
 }
 
 void
-World::break_callers(size_t entry, uint64_t resend_ms, bool same_entry)
+World::break_callers(
+    size_t entry, uint64_t resend_ms, bool same_entry, bool told)
 {
     FakeEntry *e = entries[entry].get();
 
@@ -757,7 +758,7 @@
         c->waiter = nullptr;
         c->broken_sends = c->sends;
         c->awaiting_answer = false;
-        if (waiter != nullptr) {
+        if (waiter != nullptr && told) {
             on_entry(e, [this, e, waiter] { caller_left(e, waiter); });
         }
         if (now + resend_ms < c->deadline) {
--- a/test/world.hh
+++ b/test/world.hh
@@ -136,9 +136,10 @@
     /* Resets a connection attempt of the entry to an agent that is alive. */
     void refuse_connection(size_t entry, size_t agent);
     /* Breaks the connections of callers that wait at an entry; they send again
-     * after resend_ms, to any entry or to the same one. */
-    void break_callers(
-        size_t entry, uint64_t resend_ms, bool same_entry = false);
+     * after resend_ms, to any entry or to the same one.  The entry is told,
+     * unless its network is cut off. */
+    void break_callers(size_t entry, uint64_t resend_ms,
+        bool same_entry = false, bool told = true);
     void crash_worker(size_t i, uint64_t for_ms);
     /* A planned stop: the worker drains, then restarts. */
     void drain_worker(size_t i);
