sim: requests do not depend on what settings make of them

Cause: one generator drew requests, latencies and everything else, so the first event that came otherwise changed all requests that followed.

Evidence: Sim.SettingsDoNotChangeTheRequests failed before (251 requests of a kind instead of 263).

Fix: requests are drawn by a generator of their own.

--- a/sim-int.h
+++ b/sim-int.h
@@ -180,6 +180,9 @@
     const struct sim_deployment *d;
     struct sim_result *result;
     gsl_rng *rng;
+    /* For requests alone, so that the same ones come whatever the settings
+     * make of them. */
+    gsl_rng *request_rng;
     uint64_t now_us;
     bool shutting_down;       /* processes are no longer restarted */
     uint64_t next_sequence;   /* of events */
--- a/sim.c
+++ b/sim.c
@@ -9,6 +9,8 @@
 #include "num.h"
 #include "sim-int.h"
 
+/* Seeds of the generators: each draws its own sequence. */
+#define REQUEST_SEQUENCE 1U
 /* Interval at which a worker reports its capacity to its agent. */
 #define HEARTBEAT_US 1500000U
 /* Time from an agent's start until it is registered in the store. */
@@ -679,6 +681,9 @@
     s->result = out;
     s->rng = gsl_rng_alloc(gsl_rng_mt19937);
     gsl_rng_set(s->rng, (unsigned long)d->seed);
+    s->request_rng = gsl_rng_alloc(gsl_rng_mt19937);
+    gsl_rng_set(
+        s->request_rng, (unsigned long)mix64(d->seed, REQUEST_SEQUENCE));
     start_day(s);
     end_us = s->now_us + SIM_WARMUP_US + 1000ULL * (d->length_ms + DRAIN_MS);
     run_events(s, end_us);
@@ -690,6 +695,7 @@
         buf_free(&s->saved_estimates[i]);
     }
     gsl_rng_free(s->rng);
+    gsl_rng_free(s->request_rng);
     free(s->events);
     free(s);
 }
--- a/simcaller.c
+++ b/simcaller.c
@@ -33,7 +33,8 @@
 static double
 draw_tail_factor(struct sim *s)
 {
-    return s->d->tail_share > 0 && sim_random(s) < s->d->tail_share
+    return s->d->tail_share > 0 &&
+                   gsl_rng_uniform(s->request_rng) < s->d->tail_share
                ? s->d->tail_factor
                : 1;
 }
@@ -43,7 +44,8 @@
 {
     const struct sim_kind *k = &s->d->kind[kind];
     double sigma = 0.4;
-    double tasks = gsl_ran_lognormal(s->rng, log(k->tasks_mean), sigma);
+    double tasks =
+        gsl_ran_lognormal(s->request_rng, log(k->tasks_mean), sigma);
 
     tasks *= s->width_factor[kind];
     return (uint32_t)num_max(
@@ -73,7 +75,7 @@
         return timeout_us + LATE_OBJECTIVES * 1000 *
                                 (uint64_t)(k->run_median_ms * 2 + k->slo_ms);
     case SIM_PATIENCE_LOOSE:
-        factor = gsl_ran_lognormal(s->rng, 0, 0.6);
+        factor = gsl_ran_lognormal(s->request_rng, 0, 0.6);
         return (uint64_t)(factor * (double)(timeout_us + 2 * objective_us));
     case SIM_PATIENCE_OF_WORK:
     case SIM_PATIENCE_COUNT:
@@ -103,8 +105,8 @@
 {
     const struct sim_kind *k = &s->d->kind[kind];
     struct sim_job *j = dw_zero(1, sizeof(*j));
-    double run_us = 1000 * gsl_ran_lognormal(s->rng, log(k->run_median_ms),
-                               k->run_log_sigma);
+    double run_us = 1000 * gsl_ran_lognormal(s->request_rng,
+                               log(k->run_median_ms), k->run_log_sigma);
     double declared;
 
     j->id = ++s->next_job << 20;
@@ -114,20 +116,20 @@
     j->task_us = dw_zero(j->task_count, sizeof(*j->task_us));
     j->running = dw_zero(j->task_count, 1);
     for (uint32_t i = 0; i < j->task_count; i++) {
-        j->task_us[i] = (uint32_t)(run_us * gsl_ran_lognormal(s->rng, 0,
-                                                s->d->task_log_sigma)) +
+        j->task_us[i] = (uint32_t)(run_us * gsl_ran_lognormal(s->request_rng,
+                                                0, s->d->task_log_sigma)) +
                         1000;
         j->task_us[i] = (uint32_t)(j->task_us[i] * draw_tail_factor(s));
     }
     declared = run_us / 1000 * k->declared_ratio *
-               gsl_ran_lognormal(s->rng, 0, k->declared_log_sigma);
+               gsl_ran_lognormal(s->request_rng, 0, k->declared_log_sigma);
     j->declared_ms = (uint32_t)fmax(declared, 1);
     j->sent_us = s->now_us;
     j->objective_us = (uint64_t)longest_us(j) * k->stretch_milli / 1000 +
                       1000ULL * k->slo_ms;
     j->deadline_us = s->now_us + draw_patience_us(s, k, j->objective_us);
     j->value = value_of(k, j);
-    j->always_fails = sim_random(s) < s->failing_job_share;
+    j->always_fails = gsl_rng_uniform(s->request_rng) < s->failing_job_share;
     HASH_ADD(hh, s->jobs, id, sizeof(j->id), j);
     return j;
 }
@@ -398,7 +400,7 @@
     double requests_per_s =
         s->d->requests_per_s * s->d->kind[kind].share * s->rate_factor[kind];
 
-    return gsl_ran_exponential(s->rng, 1e6 / requests_per_s);
+    return gsl_ran_exponential(s->request_rng, 1e6 / requests_per_s);
 }
 
 static void
@@ -413,12 +415,13 @@
         return;
     }
     j = new_job(s, arrivals->kind,
-        (uint32_t)gsl_rng_uniform_int(s->rng, s->d->domain_count));
+        (uint32_t)gsl_rng_uniform_int(s->request_rng, s->d->domain_count));
     j->leave_us = j->deadline_us;
-    if (sim_random(s) < s->leave_share) {
+    if (gsl_rng_uniform(s->request_rng) < s->leave_share) {
         j->leave_us =
-            s->now_us + (uint64_t)(LEAVE_SHARE_MAX * sim_random(s) *
-                                   (double)(j->deadline_us - s->now_us));
+            s->now_us +
+            (uint64_t)(LEAVE_SHARE_MAX * gsl_rng_uniform(s->request_rng) *
+                       (double)(j->deadline_us - s->now_us));
     }
     send_request(s, j);
     sim_schedule(s, (uint64_t)draw_interarrival_us(s, arrivals->kind),
--- a/test/sim-test.cc
+++ b/test/sim-test.cc
@@ -74,6 +74,29 @@
     }
 }
 
+/* Guards against ways that are compared on different days: what one of them
+ * makes of a request must not change the requests that follow. */
+TEST(Sim, SettingsDoNotChangeTheRequests)
+{
+    sim_ranges ranges = short_days();
+    sim_deployment d;
+    sim_result r[2];
+
+    ranges.tail_share = 0.03;
+    ranges.tail_factor = 7;
+    sim_draw(&d, 1, &ranges);
+    for (int i = 0; i < 2; i++) {
+        d.settings.moves = i == 0 ? SC_MOVES_PACE : SC_MOVES_DISTRIBUTION;
+        sim_run_day(&d, &r[i]);
+    }
+    EXPECT_NE(r[0].messages, r[1].messages) << "the ways do not differ";
+    for (uint32_t k = 0; k < d.kind_count; k++) {
+        EXPECT_EQ(r[0].kind[k].requests, r[1].kind[k].requests) << k;
+    }
+    sim_result_free(&r[0]);
+    sim_result_free(&r[1]);
+}
+
 TEST(Sim, EveryRequestHasAnOutcome)
 {
     sim_ranges ranges = short_days();
