runner: a restarted worker with a new id serves at once

Cause: after a restart nothing starts for RN_LEASE_MAX_MS (1040 ms), as a late renewal for the former incarnation may have given the new one its longest lease.

Fix: polls that renew the lease name the worker's id like starts. One with a new id refuses all late calls, so its lease is known and it serves after its first poll; one that kept its id waits as before, as does one after a call that named no worker.

--- a/agentd.c
+++ b/agentd.c
@@ -142,7 +142,7 @@
     struct buf header = {0};
 
     wire_put_start(&b, run, terms);
-    wire_put_start_header(&header, terms);
+    wire_put_worker_header(&header, terms);
     post(ad, ad->http, &start_type, buf_str(&b), RN_ANSWER_TIMEOUT_MS,
         &run->key, header.p);
     buf_free(&b);
@@ -202,16 +202,19 @@
 {
     struct agentd *ad = ctx;
     struct buf b = {0};
+    struct buf header = {0};
     struct run_call *c;
 
     wire_put_poll(&b, request, terms);
+    wire_put_worker_header(&header, terms);
     c = post(ad, request->immediate ? ad->http : ad->poll_http, &poll_type,
         buf_str(&b),
         request->immediate ? RN_ANSWER_TIMEOUT_MS
                            : request->wait_ms + RN_POLL_MARGIN_MS,
-        NULL, NULL);
+        NULL, header.p);
     c->immediate = request->immediate;
     buf_free(&b);
+    buf_free(&header);
 }
 
 static const char *const outcome_names[] = {
--- a/runner.c
+++ b/runner.c
@@ -280,11 +280,22 @@
            r->ops->sessions_checked(r->ctx, now);
 }
 
+/* A start or a renewal is sent: nothing else prolongs a lease. */
+static struct str
+name_worker(struct runner *r, uint64_t now)
+{
+    if (r->worker_id[0] == '\0') {
+        r->unnamed_ms = now;
+    }
+    return str_of(r->worker_id);
+}
+
 static void
-send_poll(
-    struct runner *r, uint64_t until_ms, uint32_t wait_ms, bool immediate)
+send_poll(struct runner *r, uint64_t now, uint64_t until_ms, uint32_t wait_ms,
+    bool immediate)
 {
-    struct rn_terms terms = {until_ms, r->fence, STR("")};
+    struct rn_terms terms = {
+        until_ms, r->fence, until_ms != 0 ? name_worker(r, now) : STR("")};
     struct rn_poll_request request = {r->ack, wait_ms, immediate};
 
     r->ops->poll(r->ctx, &request, &terms);
@@ -307,7 +318,7 @@
     r->poll_ms = now;
     r->last_poll_ms = now;
     r->ack_sent = r->ack;
-    send_poll(r, until, wait_ms, false);
+    send_poll(r, now, until, wait_ms, false);
 }
 
 /* Finds out at once whether an unanswered start took effect; sent beside the
@@ -317,7 +328,7 @@
 {
     if (!r->immediate_pending) {
         r->immediate_pending = true;
-        send_poll(r, 0, 0, true);
+        send_poll(r, 0, 0, 0, true);
     }
 }
 
@@ -397,7 +408,7 @@
 static void
 send_start(struct runner *r, uint64_t now, struct rn_run *run)
 {
-    struct rn_terms terms = {0, r->fence, str_of(r->worker_id)};
+    struct rn_terms terms = {0, r->fence, name_worker(r, now)};
 
     run->state = RN_STARTING;
     run->sent_ms = now;
@@ -611,6 +622,7 @@
     r->stats.worker_restarts++;
     r->worker_clock_ms = 0;
     r->polled = false;
+    r->former_refused = false;
     set_incarnation(r, incarnation);
     r->incarnation_seen_ms = now;
     r->lease_expiry_ms = num_max(r->lease_expiry_ms, now + RN_LEASE_MAX_MS);
@@ -643,7 +655,7 @@
     }
 }
 
-/* A worker refuses starts that name another one. */
+/* A worker refuses starts and renewals that name another one. */
 void
 rn_set_worker_id(
     struct runner *r, uint64_t now, uint64_t incarnation, struct str id)
@@ -660,6 +672,12 @@
     DL_FOREACH (r->held, run) {
         close_starts(run);
     }
+    if (r->worker_id[0] != '\0' &&
+        (r->unnamed_ms == 0 || now - r->unnamed_ms > RN_LATE_START_MS)) {
+        r->former_refused = true;
+        r->unknown_lease_until_ms = 0;
+        r->capacity_changed_ms = now;
+    }
     str_copy(r->worker_id, sizeof(r->worker_id), id);
 }
 
@@ -1016,13 +1034,14 @@
  * worker refuses late requests meant for the former one.  A late request that
  * arrived before may have renewed the lease with a time by the former clock,
  * limited only by the longest lease.  If this agent dies, entries rely on
- * RN_LEASE_EXPIRY_MS, so nothing is started until that lease has run out.
+ * RN_LEASE_EXPIRY_MS, so nothing is started until that lease has run out,
+ * unless the worker refuses such requests as they name another id.
  */
 static void
 first_poll(struct runner *r, uint64_t now)
 {
     r->polled = true;
-    if (r->stats.worker_restarts > 0) {
+    if (r->stats.worker_restarts > 0 && !r->former_refused) {
         r->unknown_lease_until_ms = now + RN_LEASE_MAX_MS;
     }
 }
--- a/runner.h
+++ b/runner.h
@@ -205,8 +205,8 @@
     uint64_t lease_until_ms;
     /* Fencing number; the worker refuses one lower than it has seen. */
     uint64_t fence;
-    /* The worker for which a start is meant; any other refuses it.  Empty: not
-     * known, and in other requests.  Valid during the call. */
+    /* The worker for which a start or a renewal is meant; any other refuses
+     * it. Empty: not known, and in other requests.  Valid during the call. */
     struct str worker_id;
 };
 
@@ -321,6 +321,8 @@
     /* After a restart of the worker, a lease of unknown length may last until
      * then; 0: none. */
     uint64_t unknown_lease_until_ms;
+    bool former_refused; /* calls to former incarnations name another id */
+    uint64_t unnamed_ms; /* last start or renewal that named no worker */
     uint64_t incarnation_seen_ms; /* when a restart was noticed; 0: none */
     uint64_t worker_clock_ms;     /* as last reported; 0: not known */
     uint64_t worker_clock_at_ms;  /* our clock when that report arrived */
--- a/test/runner-net-test.cc
+++ b/test/runner-net-test.cc
@@ -4,9 +4,9 @@
  * The worker follows the platform's protocol: lease, fence, late and old
  * starts, stops, ends that are listed until they are acknowledged, restarts
  * that forget everything, start the clock anew and change the worker's id or
- * keep it; a start for another id is refused.  The network delays, loses,
- * reorders and repeats calls, and executes them seconds late.  The agent is
- * paused, restarted and loses sessions.
+ * keep it; starts and renewals for another id are refused.  The network
+ * delays, loses, reorders and repeats calls, and executes them seconds late.
+ * The agent is paused, restarted and loses sessions.
  *
  * Invariant: a run that was reported as ended neither runs nor starts on the
  * worker, nor does one whose session ended or whose agent died, after the time
@@ -361,7 +361,7 @@
         reply(a);
         return;
     }
-    if (q.what == Call::START && !q.worker_id.empty() && q.worker_id != w.id) {
+    if (!q.worker_id.empty() && q.worker_id != w.id) {
         reply(answer(421));
         return;
     }
@@ -524,7 +524,8 @@
     bool immediate = q->immediate;
     uint64_t sent_ms = n->now;
 
-    n->send({Call::POLL, {}, *terms, 0, q->ack, q->wait_ms, ""},
+    n->send({Call::POLL, {}, *terms, 0, q->ack, q->wait_ms,
+                std::string(terms->worker_id.p, terms->worker_id.n)},
         immediate ? RN_ANSWER_TIMEOUT_MS : q->wait_ms + RN_POLL_MARGIN_MS,
         [=](const Answer *a, bool reached) {
             rn_poll p = {};
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -1067,3 +1067,48 @@
     ASSERT_EQ(a.sent.outcomes.size(), 1u);
     EXPECT_EQ(a.sent.outcomes[0].second, DW_END_NOT_RUN);
 }
+
+struct ServeCase {
+    const char *name;
+    const char *former;
+    const char *id;
+    bool heartbeat_first; /* before a poll shows the restart */
+    bool at_once;
+};
+
+/* Guards against a restarted worker that serves nothing for a second although
+ * it refuses all that may come late, and against one that serves while a late
+ * renewal may have given it the longest lease. */
+TEST(Runner, RestartedWorkerServesWhenItsLeaseIsKnown)
+{
+    const ServeCase cases[] = {
+        {"NewId", "i-1", "i-2", true, true},
+        {"NewIdAfterAPoll", "i-1", "i-2", false, true},
+        {"SameId", "i-1", "i-1", true, false},
+        {"FormerIdUnknown", "", "i-2", true, false},
+        {"NewIdUnknown", "i-1", "", true, true},
+    };
+
+    for (const ServeCase &c : cases) {
+        Fixture a;
+
+        set_incarnation_id(a, 77, c.former);
+        a.order(1, 1000);
+        a.started(1, RN_START_OK);
+        a.now += 10;
+        if (!c.heartbeat_first) {
+            a.poll({}, {}, 78);
+            a.now++;
+            a.poll({}, {}, 78);
+        }
+        set_incarnation_id(a, 78, c.id);
+        rn_set_capacity(&a.r, a.now, 10000, 1000, 0, 78);
+        a.now++;
+        a.poll({}, {}, 78);
+        EXPECT_EQ(rn_serving(&a.r), c.at_once) << c.name;
+        a.now += RN_LEASE_MAX_MS + 1;
+        a.poll({}, {}, 78);
+        rn_tick(&a.r, a.now);
+        EXPECT_TRUE(rn_serving(&a.r)) << c.name;
+    }
+}
--- a/test/soak-worker.c
+++ b/test/soak-worker.c
@@ -453,6 +453,9 @@
         if (chance < w->lost_permille + w->late_permille) {
             leave_unanswered(w, r);
         }
+        else if (!is_meant_for(w, id)) {
+            web_reply(r, 421, "application/json", STR("{}"), 0);
+        }
         else if (read_order(&o, web_body(r))) {
             poll(w, r, &o);
         }
--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -135,9 +135,9 @@
     rn_terms unknown = {1, 2, STR("")};
     buf b = {};
 
-    wire_put_start_header(&b, &unknown);
+    wire_put_worker_header(&b, &unknown);
     EXPECT_EQ(b.n, 0u);
-    wire_put_start_header(&b, &terms);
+    wire_put_worker_header(&b, &terms);
     EXPECT_STREQ(b.p, "Expect-Instance: i-1");
     buf_free(&b);
 }
