entries, agents: log how callers leave, late reads and runs that outlive a job

caller_left tells how an entry learned of it; request_read_late and dw_unread_ms how long a request waited unread and whether its caller had closed by then, from TCP_INFO; request_joined that two callers wait for one job; run_outlived and dw_outlived_ms how long after the end of a job its last runs were over, and by which evidence. An agent's lines on runs name the entry that ordered them.

--- a/agentd.c
+++ b/agentd.c
@@ -286,13 +286,14 @@
         done                     ? "run_done"
         : outcome == DW_END_FULL ? "run_full"
                                  : "run_ended",
-        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64
+        "job=%016" PRIx64 " task=%" PRIu64 " run=%" PRIu64 " entry=%016" PRIx64
         " how=%s why=%s state=%s waited_ms=%" PRIu64
         " ran_ms=%u est_ms=%u pace=%u%s",
-        run->key.job, run->key.index, run->key.run, outcome_names[outcome],
-        evidence_names[run->evidence], state_names[run->state],
-        run->sent_ms - run->received_ms, ran_ms, run->est_ms,
-        ad->agent.runner.pace_permille, response.p != NULL ? response.p : "");
+        run->key.job, run->key.index, run->key.run, run->entry,
+        outcome_names[outcome], evidence_names[run->evidence],
+        state_names[run->state], run->sent_ms - run->received_ms, ran_ms,
+        run->est_ms, ad->agent.runner.pace_permille,
+        response.p != NULL ? response.p : "");
     buf_free(&response);
 }
 
--- a/coord.c
+++ b/coord.c
@@ -86,7 +86,7 @@
 /* --- runs that outlive their job --- */
 
 static void
-keep_outliving_runs(struct coord *c, const struct co_job *j)
+keep_outliving_runs(struct coord *c, uint64_t now, const struct co_job *j)
 {
     for (uint32_t i = 0; i < j->task_count; i++) {
         const struct co_task *t = &j->tasks[i];
@@ -96,6 +96,7 @@
             o = dw_zero(1, sizeof(*o));
             o->job = j->id;
             o->index = i;
+            o->since_ms = now;
             o->task = *t;
             DL_APPEND(c->outliving, o);
         }
@@ -122,6 +123,14 @@
     free(o);
 }
 
+static void
+outliving_run_over(
+    struct coord *c, uint64_t now, struct co_outliving *o, const char *how)
+{
+    c->ops->log_outlived(c->ctx, o, now - o->since_ms, how);
+    forget_outliving_run(c, o);
+}
+
 /* A job that is submitted again takes over the runs that are being stopped:
  * its tasks are placed only when those have ended. */
 static void
@@ -150,8 +159,8 @@
 }
 
 static void
-outliving_run_ended(
-    struct coord *c, const struct fl_agent *a, const dw_run_ref *ref)
+outliving_run_ended(struct coord *c, uint64_t now, const struct fl_agent *a,
+    const dw_run_ref *ref)
 {
     struct co_outliving *o;
     struct co_outliving *tmp;
@@ -159,7 +168,7 @@
     DL_FOREACH_SAFE (c->outliving, o, tmp) {
         if (o->job == ref->job && o->index == ref->index &&
             o->task.run == ref->run && o->task.agent == a->id) {
-            forget_outliving_run(c, o);
+            outliving_run_over(c, now, o, "reported");
         }
     }
 }
@@ -225,7 +234,7 @@
     co_admit_given_up(c, now, j, reason);
     stop_runs(c, j);
     if (outcome != CO_COMPLETED) {
-        keep_outliving_runs(c, j);
+        keep_outliving_runs(c, now, j);
     }
     c->ops->log_job(c->ctx, j, reason);
     while (j->waiters != NULL) {
@@ -603,7 +612,7 @@
     struct co_task *t;
 
     fl_run_ended(a, now, end->how);
-    outliving_run_ended(c, a, &end->ref);
+    outliving_run_ended(c, now, a, &end->ref);
     if (j == NULL || end->ref.index >= j->task_count) {
         return;
     }
@@ -656,7 +665,7 @@
 
     DL_FOREACH_SAFE (c->outliving, o, tmp) {
         if (o->task.state == CO_LOST && o->task.agent == a->id) {
-            forget_outliving_run(c, o);
+            outliving_run_over(c, now, o, "agent_clean");
         }
     }
     for (j = c->jobs; j != NULL; j = j->hh.next) {
@@ -802,7 +811,7 @@
 
     DL_FOREACH_SAFE (c->outliving, o, tmp) {
         if (o->task.state == CO_LOST && is_over(c, now, &o->task)) {
-            forget_outliving_run(c, o);
+            outliving_run_over(c, now, o, "session_over");
         }
     }
 }
--- a/coord.h
+++ b/coord.h
@@ -162,6 +162,7 @@
 struct co_outliving {
     uint64_t job;
     uint32_t index;
+    uint64_t since_ms;   /* when the job was given up */
     struct co_task task; /* CO_DISPATCHED or CO_LOST */
     struct co_outliving *prev;
     struct co_outliving *next;
@@ -190,6 +191,9 @@
     void (*log_run)(void *ctx, const struct co_job *job, uint32_t index,
         const char *event, const char *how);
     void (*log_agent)(void *ctx, const struct fl_agent *a, const char *event);
+    /* A run that outlived its job is over, ms after the job was given up. */
+    void (*log_outlived)(
+        void *ctx, const struct co_outliving *o, uint64_t ms, const char *how);
 };
 
 /* Counts of jobs up to caller_left, then of runs, since the start. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -13,6 +13,10 @@
 /* ms before the platform's kill during which no job is accepted: the longest
  * jobs take two seconds. */
 #define JOB_MARGIN_MS 2400U
+/* ms after which a request counts as read late, or a run that outlives its job
+ * as over late: other entries may have the job 1,300 ms after its caller
+ * disconnected. */
+#define LATE_MS 500U
 /* Retry-After in ms for a request refused because of overload; another entry
  * may serve the retry. */
 #define OVERLOAD_RETRY_MS 1000U
@@ -97,6 +101,20 @@
         a->id, proc_now() - a->sess.peer_clock_at_ms, a->active_runs);
 }
 
+static void
+log_outlived(
+    void *ctx, const struct co_outliving *o, uint64_t ms, const char *how)
+{
+    struct entry *e = ctx;
+    const struct fl_agent *a = fl_find(&e->coord.fleet, o->task.agent);
+
+    hist_add(&e->outlived_ms, ms);
+    log_event(ms < LATE_MS ? LOG_LEVEL_INFO : LOG_LEVEL_WARN, "run_outlived",
+        "job=%016" PRIx64 " task=%u run=%" PRIu64 " agent=%s ms=%" PRIu64
+        " how=%s",
+        o->job, o->index, o->task.run, a != NULL ? a->name : "gone", ms, how);
+}
+
 void
 ec_reply(struct web_req *r, unsigned status, const char *text)
 {
@@ -178,8 +196,8 @@
     free(c);
 }
 
-const struct co_ops ec_co_ops = {
-    send_message, answer, log_job, log_refusal, log_run, log_agent};
+const struct co_ops ec_co_ops = {send_message, answer, log_job, log_refusal,
+    log_run, log_agent, log_outlived};
 
 /* --- callers --- */
 
@@ -258,6 +276,9 @@
         c->req != NULL ? left_ms(c->req) : c->forwarded->remaining_ms;
     s.tasks = job.tasks;
     s.task_count = job.count;
+    if (co_has_job(&e->coord, id)) {
+        log_event(LOG_LEVEL_INFO, "request_joined", "job=%016" PRIx64, id);
+    }
     co_submit(&e->coord, now, &s, c);
     wire_job_free(&job);
 }
@@ -602,6 +623,26 @@
     e->stale_passes -= e->stale_passes > 0;
 }
 
+/* How long the request waited in the socket, and whether its caller has left
+ * already. */
+static void
+note_unread(struct entry *e, const struct web_req *r)
+{
+    struct web_conn_state state;
+    struct str job = job_id_text(str_of(web_path(r)));
+
+    if (!web_conn_state(r, &state)) {
+        return;
+    }
+    hist_add(&e->unread_ms, state.unread_ms);
+    e->read_after_close += state.closed;
+    if (state.unread_ms >= LATE_MS || state.closed) {
+        log_event(LOG_LEVEL_WARN, "request_read_late",
+            "job=%.*s unread_ms=%u closed=%d", (int)job.n, job.p,
+            state.unread_ms, state.closed);
+    }
+}
+
 /* Queues or forwards job submissions; answers all others at once. */
 void
 ec_request(void *ctx, struct web_req *r)
@@ -614,8 +655,10 @@
         handle_other(e, now, r);
         return;
     }
+    note_unread(e, r);
     c = dw_zero(1, sizeof(*c));
     c->req = r;
+    c->read_ms = now;
     web_set_ctx(r, c);
     if (is_stale(e, now)) {
         refuse(e, c, "paused", "paused", 1000);
@@ -690,6 +733,23 @@
     (void)revents;
 }
 
+static void
+log_caller_left(const struct caller *c)
+{
+    static const char *const ends[] = {
+        [WEB_END_NONE] = "none",
+        [WEB_END_CLOSED] = "closed",
+        [WEB_END_RESET] = "reset",
+        [WEB_END_TIMED_OUT] = "timed_out",
+        [WEB_END_LIBRARY] = "library",
+    };
+    struct str job = job_id_text(path_of(c));
+
+    log_event(LOG_LEVEL_INFO, "caller_left",
+        "job=%.*s how=%s held_ms=%" PRIu64, (int)job.n, job.p,
+        ends[web_end(c->req)], proc_now() - c->read_ms);
+}
+
 void
 ec_caller_left(void *ctx, struct web_req *r)
 {
@@ -699,6 +759,7 @@
     if (c == NULL) {
         return;
     }
+    log_caller_left(c);
     if (!it_remove(&e->intake, c) && !rl_cancel(&e->relay, proc_now(), c)) {
         co_caller_left(&e->coord, proc_now(), c);
     }
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -24,6 +24,7 @@
 struct caller {
     struct web_req *req; /* NULL if the request was forwarded to this entry */
     struct rl_accepted *forwarded; /* NULL if the caller is local */
+    uint64_t read_ms; /* when the request of a local caller was read */
 };
 
 struct entry {
@@ -39,7 +40,11 @@
     uint64_t forwarded_out; /* requests forwarded to other entries */
     uint64_t forwarded_in;  /* requests received from other entries */
     struct opstate opstate;
-    struct hist answer_ms; /* from the arrival of a request to its answer */
+    struct hist answer_ms;   /* from the arrival of a request to its answer */
+    struct hist unread_ms;   /* requests: from the last bytes' arrival to their
+                                reading */
+    struct hist outlived_ms; /* runs: from their job's end to their own */
+    uint64_t read_after_close; /* requests whose caller had left */
     uint64_t last_queried; /* entry whose operator state was requested last */
     uint64_t load_logged_ms;
     uint64_t balance_logged; /* requests forwarded by wait, when logged */
--- a/entryd.c
+++ b/entryd.c
@@ -437,12 +437,15 @@
         {"dw_balance_reports_sent", e->relay.reports_sent},
         {"dw_balance_reports_received", e->relay.reports_received},
         {"dw_balance_reports_ignored", e->relay.reports_ignored},
+        {"dw_requests_read_after_close", e->read_after_close},
         {"dw_busy_permille", (uint64_t)(e->lag.utilization * 1000)},
         {"dw_behind", lg_is_out_of_rotation(&e->lag)},
     };
 
     sv_add_metrics(b, rows, sizeof(rows) / sizeof(rows[0]));
     hist_format(&e->answer_ms, "dw_answer", b);
+    hist_format(&e->unread_ms, "dw_unread", b);
+    hist_format(&e->outlived_ms, "dw_outlived", b);
     hist_format(&am->predicted, "dw_wait_predicted", b);
     hist_format(&am->actual, "dw_wait_actual", b);
 }
--- a/simentry.c
+++ b/simentry.c
@@ -171,8 +171,18 @@
     e->s->result->sessions_lost += strcmp(what, "agent_silent") == 0;
 }
 
+static void
+entry_note_outlived(
+    void *ctx, const struct co_outliving *o, uint64_t ms, const char *how)
+{
+    (void)ctx;
+    (void)o;
+    (void)ms;
+    (void)how;
+}
+
 static const struct co_ops entry_ops = {entry_send, entry_answer, entry_note,
-    entry_note_refusal, entry_note_run, entry_note_agent};
+    entry_note_refusal, entry_note_run, entry_note_agent, entry_note_outlived};
 
 static void
 flush(struct sim_entry *e)
--- a/test/demand-test.cc
+++ b/test/demand-test.cc
@@ -23,7 +23,8 @@
     [](void *, const struct co_submit *, const es_estimate *, const char *,
         uint64_t) {},
     [](void *, const co_job *, uint32_t, const char *, const char *) {},
-    [](void *, const fl_agent *, const char *) {}};
+    [](void *, const fl_agent *, const char *) {},
+    [](void *, const co_outliving *, uint64_t, const char *) {}};
 
 /* An entry with sessions to agents 1 to n, whose workers are full. */
 struct Entry {
--- a/test/tail-test.cc
+++ b/test/tail-test.cc
@@ -231,8 +231,13 @@
 on_log_agent(void *, const fl_agent *, const char *)
 {
 }
-const co_ops ops = {
-    on_send, on_answer, on_log_job, on_log_refusal, on_log_run, on_log_agent};
+
+void
+on_log_outlived(void *, const co_outliving *, uint64_t, const char *)
+{
+}
+const co_ops ops = {on_send, on_answer, on_log_job, on_log_refusal, on_log_run,
+    on_log_agent, on_log_outlived};
 
 int caller;
 
--- a/test/world.cc
+++ b/test/world.cc
@@ -364,8 +364,13 @@
 {
 }
 
+void
+entry_note_outlived(void *, const co_outliving *, uint64_t, const char *)
+{
+}
+
 const co_ops entry_ops = {entry_send, entry_answer, entry_note,
-    entry_note_refusal, entry_note_run, entry_note_agent};
+    entry_note_refusal, entry_note_run, entry_note_agent, entry_note_outlived};
 
 } // namespace
 
--- a/web.c
+++ b/web.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -32,6 +33,7 @@
     bool handled;   /* passed to the handler, or rejected */
     bool replied;
     bool disconnected;   /* by the caller, before the reply */
+    enum web_end end;    /* how it disconnected */
     bool suspended;      /* by libmicrohttpd, until the reply */
     ev_io disconnect_io; /* detects a disconnect; active while suspended */
     struct MHD_Response *response; /* not yet queued; else NULL */
@@ -151,6 +153,7 @@
         DL_DELETE(w->suspended, r);
     }
     if (r->handled && !r->replied && !r->disconnected) {
+        r->end = WEB_END_LIBRARY;
         w->disconnected(w->ctx, r);
     }
     if (r->response != NULL) {
@@ -182,6 +185,17 @@
     r->w->work_pending = true;
 }
 
+static enum web_end
+end_of_recv(ssize_t n, int error)
+{
+    if (n == 0) {
+        return WEB_END_CLOSED;
+    }
+    return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH
+               ? WEB_END_TIMED_OUT
+               : WEB_END_RESET;
+}
+
 /* The library does not watch a suspended connection, so a disconnected caller
  * would go unnoticed and its work would continue needlessly. */
 static void
@@ -199,6 +213,7 @@
     if (n > 0) {
         return; /* a pipelined request */
     }
+    r->end = end_of_recv(n, errno);
     r->w->disconnected(r->w->ctx, r);
     r->disconnected = true;
     resume(r);
@@ -449,6 +464,32 @@
            (ntohl(sa->sin_addr.s_addr) >> 24) == 127;
 }
 
+bool
+web_conn_state(const struct web_req *r, struct web_conn_state *out)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+    struct tcp_info t = {0};
+    socklen_t n = sizeof(t);
+
+    if (info == NULL ||
+        getsockopt(info->connect_fd, IPPROTO_TCP, TCP_INFO, &t, &n) != 0) {
+        return false;
+    }
+    out->unread_ms = t.tcpi_last_data_recv;
+    out->heard_ms = t.tcpi_last_ack_recv < t.tcpi_last_data_recv
+                        ? t.tcpi_last_ack_recv
+                        : t.tcpi_last_data_recv;
+    out->closed = t.tcpi_state != TCP_ESTABLISHED;
+    return true;
+}
+
+enum web_end
+web_end(const struct web_req *r)
+{
+    return r->end;
+}
+
 void
 web_set_ctx(struct web_req *r, void *ctx)
 {
--- a/web.h
+++ b/web.h
@@ -34,6 +34,22 @@
 
 enum web_status { WEB_OK, WEB_NO_SOCKET };
 
+/* How a caller disconnected before its reply. */
+enum web_end {
+    WEB_END_NONE,      /* it has not */
+    WEB_END_CLOSED,    /* it closed the connection, or its sending side */
+    WEB_END_RESET,     /* the connection was reset */
+    WEB_END_TIMED_OUT, /* the caller's host does not answer */
+    WEB_END_LIBRARY    /* the HTTP library ended the request */
+};
+
+/* What the system knows of a request's connection.  Times are in ms. */
+struct web_conn_state {
+    uint32_t unread_ms; /* since the last bytes arrived */
+    uint32_t heard_ms;  /* since the caller's host sent anything */
+    bool closed;        /* the caller has closed it or its sending side */
+};
+
 /* Called with each complete request.  The handler must call web_reply() or
  * web_problem() exactly once, now or later, unless web_disconnect_fn
  * is called for r. */
@@ -76,6 +92,11 @@
 /* True if the caller's address is in 127.0.0.0/8. */
 bool web_is_local(const struct web_req *r);
 
+/* False if the system does not tell. */
+bool web_conn_state(const struct web_req *r, struct web_conn_state *out);
+/* Valid in web_disconnect_fn. */
+enum web_end web_end(const struct web_req *r);
+
 /* A pointer for the handler's own state, initially NULL. */
 void web_set_ctx(struct web_req *r, void *ctx);
 void *web_ctx(const struct web_req *r);
