soak: daemons inherit no descriptors

A connection that the soak closed then stayed open, so a close by a caller never reached its entry and the job ran until it was done.

The child closes everything above standard error before it executes the daemon; the daemons of the same run share no socket with the soak then.

--- a/test/soak.c
+++ b/test/soak.c
@@ -273,6 +273,9 @@
     if (p->pid == 0) {
         /* Also if the test itself fails or is killed. */
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        /* Connections that a daemon inherits stay open when they are closed
+         * here. */
+        close_range(STDERR_FILENO + 1, ~0U, 0);
         execl(p->s->bin, p->s->bin, "-f", path, (char *)NULL);
         _exit(127);
     }
