agentd: take nothing from heartbeats of other writers

handle_heartbeat() looked neither at the service nor at the id, and the fence is made of `born`: the worker kept a fence of 1.8e15, while a later agent's own begins at 1.8e12.

Others are answered 400 and logged. A deregistration with another id than the worker's makes it no longer drain.

Wire.HeartbeatsOfOtherWritersAreToldApart is new; of the new cases of Wire.RejectsMalformedHeartbeats the one without `born` was accepted before.

--- a/agentd.c
+++ b/agentd.c
@@ -515,32 +515,58 @@
 }
 
 static void
-on_announce(void *ctx, struct web_req *r)
+on_heartbeat(struct agentd *ad, struct web_req *r)
 {
-    struct agentd *ad = ctx;
+    struct str id = wire_worker_id(str_of(web_path(r)), STR(HEARTBEAT_PATH));
     struct wire_heartbeat hb;
     struct err e = {""};
 
-    if (has_prefix(web_path(r), DEREGISTER_PATH)) {
-        log_event(LOG_LEVEL_INFO, "worker_left", "path=%s", web_path(r));
-        rn_set_draining(&ad->agent.runner, proc_now(), true, true, 0);
-        web_reply(r, 200, "application/json", STR("{}"), 0);
-    }
-    else if (!has_prefix(web_path(r), HEARTBEAT_PATH)) {
-        web_reply(r, 404, "application/json", STR("{}"), 0);
-    }
-    else if (wire_read_heartbeat(&hb, web_body(r), &e) != WIRE_OK) {
+    if (wire_read_heartbeat(&hb, web_body(r), &e) != WIRE_OK) {
         log_event(
             LOG_LEVEL_WARN, "announcement_unreadable", "error=\"%s\"", e.msg);
         web_reply(r, 400, "application/json", STR("{}"), 0);
     }
+    else if (wire_check_heartbeat(&hb, id, ad->s->conf->platform.service,
+                 proc_wall(), &e) != WIRE_OK) {
+        log_event(LOG_LEVEL_WARN, "announcement_foreign",
+            "worker=%.*s error=\"%s\"", (int)id.n, id.p, e.msg);
+        web_reply(r, 400, "application/json", STR("{}"), 0);
+    }
     else {
-        handle_heartbeat(ad, proc_now(), &hb,
-            wire_worker_id(str_of(web_path(r)), STR(HEARTBEAT_PATH)));
+        handle_heartbeat(ad, proc_now(), &hb, id);
         web_reply(r, 200, "application/json", STR("{}"), 0);
     }
 }
 
+static void
+on_deregistration(struct agentd *ad, struct web_req *r)
+{
+    struct str id = wire_worker_id(str_of(web_path(r)), STR(DEREGISTER_PATH));
+    const char *worker_id = ad->agent.runner.worker_id;
+
+    log_event(LOG_LEVEL_INFO, "worker_left", "path=%s", web_path(r));
+    if (worker_id[0] == '\0' || str_is(id, worker_id)) {
+        rn_set_draining(&ad->agent.runner, proc_now(), true, true, 0);
+    }
+    web_reply(r, 200, "application/json", STR("{}"), 0);
+}
+
+static void
+on_announce(void *ctx, struct web_req *r)
+{
+    struct agentd *ad = ctx;
+
+    if (has_prefix(web_path(r), DEREGISTER_PATH)) {
+        on_deregistration(ad, r);
+    }
+    else if (has_prefix(web_path(r), HEARTBEAT_PATH)) {
+        on_heartbeat(ad, r);
+    }
+    else {
+        web_reply(r, 404, "application/json", STR("{}"), 0);
+    }
+}
+
 static void
 on_announce_disconnected(void *ctx, struct web_req *r)
 {
--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -69,16 +69,22 @@
      "\"free_capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpus\":0}}",
         true},
     {"{\"service\":\"s\",\"state\":\"draining\",\"remaining_ms\":900,"
-     "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+     "\"born\":17,\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
         true},
-    {"{\"service\":\"s\",\"state\":\"asleep\","
+    {"{\"service\":\"s\",\"state\":\"ready\","
      "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
         false},
-    {"{\"service\":7,\"state\":\"ready\","
+    {"{\"service\":\"s\",\"state\":\"ready\",\"born\":1.5,"
      "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
         false},
-    {"{\"service\":\"s\",\"state\":\"ready\"}", false},
-    {"{\"service\":\"s\",\"state\":\"ready\","
+    {"{\"service\":\"s\",\"state\":\"asleep\",\"born\":17,"
+     "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        false},
+    {"{\"service\":7,\"state\":\"ready\",\"born\":17,"
+     "\"free_capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+        false},
+    {"{\"service\":\"s\",\"state\":\"ready\",\"born\":17}", false},
+    {"{\"service\":\"s\",\"state\":\"ready\",\"born\":17,"
      "\"free_capacity\":{\"cpu\":\"1\",\"mem_mb\":1}}",
         false},
     {"\xff\xfe", false},
@@ -97,6 +103,41 @@
     }
 }
 
+/* Guards against a fence, a capacity or an id that another writer's heartbeat
+ * sets: no later agent of that worker could give it orders. */
+TEST(Wire, HeartbeatsOfOtherWritersAreToldApart)
+{
+    const uint64_t wall_ms = 1796379910018U;
+    const uint64_t day_ms = 86400000;
+    const struct {
+        const char *service;
+        const char *id;
+        uint64_t born_ms;
+        const char *words; /* of the error; NULL: accepted */
+    } cases[] = {
+        {"s", "i-1", wall_ms - 1000, nullptr},
+        {"s", "i-1", wall_ms + day_ms, nullptr}, /* the clock was set back */
+        {"other", "i-1", wall_ms, "service"},
+        {"s", "", wall_ms, "id"},
+        {"s", "i-1", wall_ms + day_ms + 1, "born"},
+        {"s", "i-1", wall_ms * 1000, "born"},
+        {"s", "i-1", INT64_MAX, "born"},
+        {"s", "i-1", 0, "born"},
+    };
+
+    for (auto &c : cases) {
+        wire_heartbeat hb = {};
+        err e = {""};
+        enum wire_status st;
+
+        str_copy(hb.service, sizeof(hb.service), str_of(c.service));
+        hb.started_ms = c.born_ms;
+        st = wire_check_heartbeat(&hb, str_of(c.id), "s", wall_ms, &e);
+        EXPECT_EQ(st, c.words == nullptr ? WIRE_OK : WIRE_BAD) << e.msg;
+        EXPECT_NE(strstr(e.msg, c.words ? c.words : ""), nullptr) << e.msg;
+    }
+}
+
 struct WorkerIdCase {
     std::string path;
     std::string id;
