runner: reach a far higher fence within a second

The worker gets no orders until it is started again.

The step doubles with each refusal in a row, up to the highest integer that JSON carries exactly.

--- a/runner.c
+++ b/runner.c
@@ -21,8 +21,12 @@
 #define SPEED_HALF_MS 8000U
 /* Added to the fence when the worker has seen a higher one, as happens when
  * its time of day was set back or the agent's machine was started again; in
- * ms, more than clocks are set back by. */
+ * ms, more than clocks are set back by.  Doubled with each further refusal, as
+ * an earlier agent may have taken a time in another unit for the start of the
+ * worker. */
 #define FENCE_STEP 86400000U
+/* Highest integer that every reader of JSON represents exactly. */
+#define FENCE_MAX ((1ULL << 53) - 1)
 #define SPEED_MIN_PERMILLE 50U
 #define SPEED_MAX_PERMILLE 4000U
 
@@ -602,6 +606,13 @@
     r->fence = num_max(r->fence + 1, incarnation + r->started_ms);
 }
 
+static void
+raise_fence(struct runner *r)
+{
+    r->fence_step = num_max(2 * r->fence_step, FENCE_STEP);
+    r->fence = num_max(r->fence, num_min(r->fence + r->fence_step, FENCE_MAX));
+}
+
 /*
  * Which runs belonged to the former incarnation is not known: a start in
  * transit may have reached the new one.  The first poll with the new fence
@@ -745,7 +756,7 @@
         return;
     }
     if (result == RN_START_FENCED) {
-        r->fence += FENCE_STEP;
+        raise_fence(r);
     }
     else if (result == RN_START_UNREACHABLE) {
         set_silent(r, now);
@@ -1103,11 +1114,12 @@
         r->ack_confirmed = p->ok && !outdated ? r->ack_sent : r->ack_confirmed;
     }
     if (p->ok && !outdated) {
+        r->fence_step = 0;
         process_poll(r, now, p);
         r->polls_failed = 0;
     }
     else if (p->fenced) {
-        r->fence += FENCE_STEP;
+        raise_fence(r);
     }
     else if (!p->ok && !p->immediate) {
         poll_failed(r, now, p);
--- a/runner.h
+++ b/runner.h
@@ -318,6 +318,7 @@
     /* Of the incarnation that told its capacity last; empty: unknown. */
     char worker_id[RN_WORKER_ID_MAX];
     uint64_t fence;
+    uint64_t fence_step; /* last added as the worker refused it; 0: none */
     /* After a restart of the worker, a lease of unknown length may last until
      * then; 0: none. */
     uint64_t unknown_lease_until_ms;
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -1000,6 +1000,29 @@
     EXPECT_GT(a.sent.polls[1].fence, fence);
 }
 
+/* Guards against a worker that no agent can give orders any more: its fence
+ * was made from a start in microseconds. */
+TEST(Runner, FarHigherFenceIsReachedWithinASecond)
+{
+    const uint64_t far_higher = 1796379910018000;
+    Fixture a;
+    uint64_t until;
+
+    a.now += RN_IDLE_POLL_MS;
+    until = a.now + 1000;
+    for (rn_tick(&a.r, a.now); a.r.fence <= far_higher && a.now < until;
+         rn_tick(&a.r, a.now)) {
+        rn_poll p = {};
+
+        p.sent_ms = a.now;
+        p.fenced = true;
+        rn_poll_answered(&a.r, a.now += 5, &p);
+        a.now += RN_RETRY_POLL_MS;
+    }
+    EXPECT_GT(a.r.fence, far_higher);
+    EXPECT_LT(a.r.fence, 1ULL << 53);
+}
+
 /* Guards against a run that is reported as not run though the worker confirmed
  * its start, after the stop was sent. */
 TEST(Runner, StartConfirmedAfterTheStopIsRemembered)
