soak: faults of callers, long tasks and slow entries

The soak could not see two entries run one job: its tasks take 20 to 320 ms, its callers submit a job again after 1,300 ms, and only the death of an entry broke a caller's connection.

With -c, one job in eight has tasks of 1 to 5 s, callers wait 9 s and send a job whose connection broke to another entry 1,300 ms later, and a proxy is before each entry. It resets connections, at both ends or at the caller's only (the entry's end stays open, or is closed 0.3 to 3 s later), loses the bytes of one direction, or sends bytes behind a request; callers close by themselves, also while the entry stands still. Entries are slowed down to a tenth of a processor, and the faults of the other modes go on. The run ends when the last of the longer calls is due.

For a task that runs twice at a time the soak prints what its caller met before and when, and at the end the jobs by kind of fault.

A caller's delay counts from the clock instead of from the time of the last tick, which could be some ms early.

--- a/test/soak-proxy.c
+++ b/test/soak-proxy.c
@@ -22,6 +22,7 @@
     int from;
     int to;
     bool dropping;  /* drops all bytes from now on */
+    bool cut;       /* and does not pass on that its sender closes */
     bool to_client; /* from the server to the client */
     struct pair *pair;
 };
@@ -30,6 +31,10 @@
 struct pair {
     struct direction directions[2];
     ev_io connected; /* until the server's connection is made or refused */
+    ev_timer late_close;
+    bool reset_late;  /* late_close is a TCP reset */
+    bool last_answer; /* is closed after the next bytes from the server */
+    char request[64]; /* the start of the client's latest request */
     struct proxy *proxy;
     struct pair *prev;
     struct pair *next;
@@ -49,21 +54,32 @@
     struct pair *pairs;
 };
 
+/* Closes the connection whose bytes come from this direction. */
 static void
-free_pair(struct pair *p, bool reset)
+close_end(struct direction *d, bool reset)
 {
     struct linger abort_on_close = {1, 0};
 
-    ev_io_stop(p->proxy->loop, &p->connected);
-    for (int i = 0; i < 2; i++) {
-        ev_io_stop(p->proxy->loop, &p->directions[i].io);
-        ev_timer_stop(p->proxy->loop, &p->directions[i].delayed_read);
-        if (reset) {
-            setsockopt(p->directions[i].from, SOL_SOCKET, SO_LINGER,
-                &abort_on_close, sizeof(abort_on_close));
-        }
-        close(p->directions[i].from);
+    ev_io_stop(d->pair->proxy->loop, &d->io);
+    ev_timer_stop(d->pair->proxy->loop, &d->delayed_read);
+    if (d->from < 0) {
+        return;
     }
+    if (reset) {
+        setsockopt(d->from, SOL_SOCKET, SO_LINGER, &abort_on_close,
+            sizeof(abort_on_close));
+    }
+    close(d->from);
+    d->from = -1;
+}
+
+static void
+free_pair(struct pair *p, bool reset)
+{
+    ev_io_stop(p->proxy->loop, &p->connected);
+    ev_timer_stop(p->proxy->loop, &p->late_close);
+    close_end(&p->directions[0], reset);
+    close_end(&p->directions[1], reset);
     if (p->prev != NULL) {
         p->prev->next = p->next;
     }
@@ -95,6 +111,32 @@
            ++p->pieces % p->cut_interval == 0;
 }
 
+static void
+note_request(struct direction *d, struct str bytes)
+{
+    if (!d->to_client && bytes.n > 5 && memcmp(bytes.p, "POST ", 5) == 0) {
+        str_copy(d->pair->request, sizeof(d->pair->request), bytes);
+    }
+}
+
+/* Closes the client's end only.  What the server sends is dropped. */
+static void
+drop_client(struct pair *pair, bool reset)
+{
+    close_end(&pair->directions[0], reset);
+    pair->directions[1].dropping = true;
+}
+
+static void
+on_sender_closed(struct direction *d, bool reset)
+{
+    if (d->cut) {
+        drop_client(d->pair, reset);
+        return;
+    }
+    free_pair(d->pair, reset);
+}
+
 /* Bytes of a silent direction are read and dropped, as by a middlebox that has
  * lost the state of the connection. */
 static void
@@ -108,9 +150,10 @@
         return;
     }
     if (n <= 0) {
-        free_pair(d->pair, n < 0);
+        on_sender_closed(d, n < 0);
         return;
     }
+    note_request(d, str_make(bytes, (size_t)n));
     if (drops_bytes(d)) {
         d->dropping = true;
         return;
@@ -130,6 +173,9 @@
         }
         written += sent;
     }
+    if (d->to_client && d->pair->last_answer) {
+        free_pair(d->pair, false);
+    }
 }
 
 static void
@@ -185,6 +231,16 @@
     return sa;
 }
 
+static void
+on_late_close(struct ev_loop *loop, ev_timer *t, int revents)
+{
+    struct pair *pair = t->data;
+
+    (void)loop;
+    (void)revents;
+    free_pair(pair, pair->reset_late);
+}
+
 /* If the server refuses the connection, the client's is reset: a refusal
  * proves to an entry that the server is dead. */
 static void
@@ -228,6 +284,8 @@
     p->pairs = pair;
     init_direction(pair, 0, client, server);
     init_direction(pair, 1, server, client);
+    ev_init(&pair->late_close, on_late_close);
+    pair->late_close.data = pair;
     ev_io_init(&pair->connected, on_connected, server, EV_WRITE);
     pair->connected.data = pair;
     /* The server may be this process: a blocking connect() to a listener
@@ -291,6 +349,71 @@
     }
 }
 
+static struct pair *
+find_pair(struct proxy *p, const char *path)
+{
+    struct pair *pair = p->pairs;
+
+    while (pair != NULL && (pair->directions[0].from < 0 ||
+                               strstr(pair->request, path) == NULL)) {
+        pair = pair->next;
+    }
+    return pair;
+}
+
+static void
+cut(struct direction *d)
+{
+    d->dropping = true;
+    d->cut = true;
+}
+
+/* Bytes that follow a request: the start of another one, never completed. */
+static void
+pipeline(struct pair *pair)
+{
+    static const char bytes[] = "POST /q/";
+
+    pair->last_answer = true;
+    if (send(pair->directions[0].to, bytes, sizeof(bytes) - 1, MSG_NOSIGNAL) <
+        0) {
+        free_pair(pair, true);
+    }
+}
+
+bool
+px_break(struct proxy *p, const char *path, enum conn_fault fault, uint32_t ms)
+{
+    struct pair *pair = find_pair(p, path);
+
+    if (pair == NULL) {
+        return false;
+    }
+    switch (fault) {
+    case CONN_RESET:
+        free_pair(pair, true);
+        break;
+    case CONN_LATE_CLOSE:
+        pair->reset_late = ms % 2 != 0;
+        ev_timer_set(&pair->late_close, (double)ms / 1000.0, 0);
+        ev_timer_start(p->loop, &pair->late_close);
+        /* fall through */
+    case CONN_UNSEEN_CLOSE:
+        drop_client(pair, true);
+        break;
+    case CONN_CUT_TO_SERVER:
+        cut(&pair->directions[0]);
+        break;
+    case CONN_CUT_TO_CLIENT:
+        pair->directions[1].dropping = true;
+        break;
+    case CONN_PIPELINED:
+        pipeline(pair);
+        break;
+    }
+    return true;
+}
+
 struct proxy *
 px_new(struct ev_loop *loop, const char *addr, uint16_t from, uint16_t to,
     bool same_addr)
--- a/test/soak.c
+++ b/test/soak.c
@@ -16,6 +16,7 @@
 #include "soak.h"
 
 #define TICK_S 0.005
+#define TICKS_PER_S 200
 #define CALLS_MAX 20000
 /* Delay before a caller sends a failed request again, to any entry. */
 #define RESEND_DELAY_MS 1300U
@@ -23,16 +24,23 @@
 #define CALL_TIMEOUT_MS 3000U
 #define SUBMIT_INTERVAL_MS 40U /* with up to AGENTS_DEFAULT agents */
 #define AGENTS_DEFAULT 5
-/* Calls of the last CALL_TIMEOUT_MS, at most one each tick. */
-#define RECENT_CALLS 700U
+/* With callers_mode: one call in LONG_EVERY has tasks that run much longer
+ * than RESEND_DELAY_MS, and callers wait for them. */
+#define LONG_EVERY 8
+#define LONG_TASKS_MAX 3
+#define LONG_MIN_MS 1000
+#define LONG_MAX_MS 5000
+#define LONG_CALL_TIMEOUT_MS 9000U
+#define LONG_SUBMIT_INTERVAL_MS 80U /* instead of SUBMIT_INTERVAL_MS */
+/* Calls that may still be open: one each tick, some more while an entry is
+ * paused. */
+#define RECENT_CALLS (LONG_CALL_TIMEOUT_MS * TICKS_PER_S / 1000 + 300)
 /* Failed runs of a task after which its job has failed. */
 #define ATTEMPTS 3U
 /* Time before the first call and the first fault. */
 #define STARTUP_MS 4000U
 /* How long calls are sent after the last fault. */
 #define FAULT_FREE_MS 6000U
-/* Time for the last calls to complete. */
-#define SETTLE_MS 3000U
 /* How long single faults, and pauses of processes, may outlast the last one:
  * calls must complete again soon after. */
 #define FAULT_OVERRUN_MS 3500U
@@ -50,6 +58,8 @@
  * take up to GRACE_MS + 1000 ms, and all calls must complete from
  * FAULT_FREE_MS - 2000 after the end of the faults on. */
 #define STOP_BEFORE_END_MS 1500U
+#define SLOW_PERIOD_MS 100U
+#define SLOW_RUN_MS 10U
 /* A request that a stopping process has had for this long must be answered. */
 #define LOSS_SLACK_MS 300U
 #define DOMAINS 3
@@ -69,7 +79,8 @@
     PORT_AGENT_PROXY = PORT_AGENT_ANNOUNCE + AGENT_GROUP,
     PORT_AGENT_STORE = PORT_AGENT_PROXY + AGENT_GROUP,
     PORT_WORKER_PROXY = PORT_AGENT_STORE + AGENT_GROUP,
-    PORTS = PORT_WORKER_PROXY + AGENT_GROUP
+    PORT_CALLER_PROXY = PORT_WORKER_PROXY + AGENT_GROUP,
+    PORTS = PORT_CALLER_PROXY + SOAK_ENTRIES_MAX
 };
 
 struct daemon_proc {
@@ -81,11 +92,55 @@
     char addr[24];
     pid_t pid;
     uint64_t start_ms;     /* when to start it again; 0: is running */
-    uint64_t resume_ms;    /* when to send SIGCONT; 0: is not stopped */
+    uint64_t resume_ms;    /* when to send SIGCONT; 0: is not paused */
+    uint64_t slow_from_ms; /* runs a part of each period, see update_slow() */
+    uint64_t slow_end_ms;
+    bool slow_stopped;     /* in the other part */
     uint64_t term_ms;      /* when SIGTERM was sent; 0: not */
     uint64_t fault_end_ms; /* of the faults on the process and its links */
 };
 
+/* How a request of a caller ended without its answer. */
+enum caller_fault {
+    FAULT_RESET,
+    FAULT_UNSEEN_CLOSE,
+    FAULT_LATE_CLOSE,
+    FAULT_CUT_TO_ENTRY,  /* the entry does not see that the caller closes */
+    FAULT_CUT_TO_CALLER, /* the caller closes without having the answer */
+    FAULT_PIPELINED,     /* it closes behind bytes that followed the request */
+    FAULT_CLOSE,
+    FAULT_CLOSE_IN_PAUSE, /* while the entry stands still */
+    /* Not by a fault on the connection. */
+    FAULT_BROKEN,
+    FAULT_504,
+    FAULT_KINDS
+};
+
+/* Of the faults that a call is drawn for. */
+#define DRAWN_FAULTS FAULT_CLOSE_IN_PAUSE
+
+struct caller_fault_kind {
+    const char *name;
+    bool on_connection; /* by the proxy, as conn_fault */
+    enum conn_fault conn_fault;
+    uint32_t close_ms; /* the caller closes up to this much later; 0: not */
+};
+
+static const struct caller_fault_kind fault_kinds[FAULT_KINDS] = {
+    [FAULT_RESET] = {"reset", true, CONN_RESET, 0},
+    [FAULT_UNSEEN_CLOSE] = {"unseen_close", true, CONN_UNSEEN_CLOSE, 0},
+    [FAULT_LATE_CLOSE] = {"late_close", true, CONN_LATE_CLOSE, 0},
+    [FAULT_CUT_TO_ENTRY] = {"cut_to_entry", true, CONN_CUT_TO_SERVER, 500},
+    [FAULT_CUT_TO_CALLER] = {"cut_to_caller", true, CONN_CUT_TO_CLIENT, 1500},
+    [FAULT_PIPELINED] = {"pipelined", true, CONN_PIPELINED, 500},
+    [FAULT_CLOSE] = {"close", false, CONN_RESET, 1},
+    [FAULT_CLOSE_IN_PAUSE] = {"close_in_pause", false, CONN_RESET, 1},
+    [FAULT_BROKEN] = {"broken", false, CONN_RESET, 0},
+    [FAULT_504] = {"504", false, CONN_RESET, 0},
+};
+
+#define CALL_FAULTS_MAX 8
+
 /* A job submitted by a caller, with all its requests. */
 struct call {
     struct soak *s;
@@ -104,6 +159,18 @@
     uint64_t arrival_ms;
     uint64_t deadline_ms;
     uint64_t resend_at_ms; /* 0: not to be sent again */
+    struct httpc_req *req; /* the open request; NULL: none */
+    enum caller_fault drawn;
+    uint64_t fault_at_ms; /* of the drawn fault; 0: none */
+    uint64_t close_at_ms; /* when the caller closes; 0: not */
+    struct {
+        enum caller_fault kind;
+        int entry;
+        uint32_t send; /* number of the request */
+        uint64_t ms;
+    } faults[CALL_FAULTS_MAX];
+    uint32_t fault_count;
+    uint64_t twice_ms[SOAK_TASKS_MAX]; /* second run at a time; 0: none */
     bool answered;
     bool completed;
     bool failed;
@@ -126,12 +193,14 @@
     struct proxy *proxies[SOAK_AGENTS_MAX]; /* before the agents */
     struct proxy *worker_proxies[SOAK_AGENTS_MAX];
     struct proxy *store_proxies[SOAK_AGENTS_MAX + SOAK_ENTRIES_MAX];
+    struct proxy *caller_proxies[SOAK_ENTRIES_MAX]; /* with callers_mode */
     struct daemon_proc procs[SOAK_AGENTS_MAX + SOAK_ENTRIES_MAX];
     int proc_count;
     struct call calls[CALLS_MAX];
     size_t call_count;
     uint64_t next_submit_ms;
     uint64_t next_fault_ms;
+    uint32_t fault_rate; /* 1: as without a mode */
     uint64_t next_heartbeat_ms;
     uint64_t faults_end_ms;
     uint64_t end_ms;
@@ -148,15 +217,21 @@
     uint64_t faults;
     uint64_t starts;
     uint64_t violations;
-    struct { /* faults to be cleared */
+    uint64_t call_faults[FAULT_KINDS];
+    /* Jobs with a task that ran twice at a time, by their only fault. */
+    uint64_t jobs_twice[FAULT_KINDS];
+    uint64_t jobs_twice_other; /* after several faults, or none */
+    struct {                   /* faults to be cleared */
         uint64_t at_ms;
         void (*fn)(struct soak *s, int i);
         int i;
     } undo[256];
     size_t undo_count;
     bool verbose;
-    bool worker_mode; /* most faults are on workers */
-    bool stop_mode;   /* the faults are planned stops while no agent serves */
+    bool worker_mode;  /* most faults are on workers */
+    bool stop_mode;    /* the faults are planned stops while no agent serves */
+    bool callers_mode; /* most faults are on callers and entries */
+    uint32_t call_timeout_ms;
     ev_timer tick;
 };
 
@@ -298,10 +373,25 @@
         }
         p->pid = 0;
         p->resume_ms = 0;
+        p->slow_stopped = false;
         p->start_ms = s->now + 300 + soak_random(s, 700);
     }
 }
 
+/* An entry with a small share of a processor: it runs for SLOW_RUN_MS of each
+ * SLOW_PERIOD_MS. */
+static void
+update_slow(struct daemon_proc *p)
+{
+    bool stop = p->s->now < p->slow_end_ms &&
+                (p->s->now - p->slow_from_ms) % SLOW_PERIOD_MS >= SLOW_RUN_MS;
+
+    if (p->pid > 0 && p->resume_ms == 0 && stop != p->slow_stopped) {
+        p->slow_stopped = stop;
+        kill(p->pid, stop ? SIGSTOP : SIGCONT);
+    }
+}
+
 static void
 update_procs(struct soak *s)
 {
@@ -311,8 +401,10 @@
 
         if (p->resume_ms != 0 && s->now >= p->resume_ms) {
             p->resume_ms = 0;
+            p->slow_stopped = false;
             kill(p->pid, SIGCONT);
         }
+        update_slow(p);
         if (p->pid > 0 && p->term_ms != 0 && s->now >= p->term_ms + GRACE_MS) {
             kill(p->pid, SIGKILL);
         }
@@ -384,26 +476,72 @@
     }
 }
 
+static void
+count_twice(struct soak *s, struct call *c, uint32_t index)
+{
+    bool counted = false;
+
+    for (uint32_t i = 0; i < c->tasks; i++) {
+        counted = counted || c->twice_ms[i] != 0;
+    }
+    c->twice_ms[index] = s->now;
+    if (counted) {
+        return;
+    }
+    if (c->fault_count == 1) {
+        s->jobs_twice[c->faults[0].kind]++;
+    }
+    else {
+        s->jobs_twice_other++;
+    }
+}
+
+static void
+print_call_faults(const struct call *c)
+{
+    printf("  job %016" PRIx64 " is at e%d, sent %" PRIu64 " ms ago; before:",
+        c->id, c->entry, c->s->now - c->sent_ms);
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        printf(" %s at e%d %" PRIu64 " ms ago,",
+            fault_kinds[c->faults[i].kind].name, c->faults[i].entry,
+            c->s->now - c->faults[i].ms);
+    }
+    printf(" %u requests, %u refused\n", c->sends, c->rejects);
+}
+
+static void
+check_single_run(struct soak *s, struct call *c, struct fake_worker *w,
+    const struct fw_run *r)
+{
+    char text[200];
+
+    for (int i = 0; i < s->agents; i++) {
+        if (s->workers[i] == w ||
+            !fw_is_running(s->workers[i], r->job, r->index)) {
+            continue;
+        }
+        snprintf(text, sizeof(text),
+            "task %016" PRIx64 ".%u runs twice at a time, on the workers "
+            "of a%d and a%d",
+            r->job, r->index, i, worker_index(s, w));
+        report_violation(s, text);
+        if (c != NULL) {
+            print_call_faults(c);
+            count_twice(s, c, r->index);
+        }
+    }
+}
+
 static void
 on_start(void *ctx, struct fake_worker *w, const struct fw_run *r)
 {
     struct soak *s = ctx;
-    uint64_t job = r->job;
-    struct call *c = find_call(s, job);
+    struct call *c = find_call(s, r->job);
     char text[200];
 
     s->starts++;
     log_run(s, w, r, "started");
-    for (int i = 0; i < s->agents; i++) {
-        if (s->workers[i] != w &&
-            fw_is_running(s->workers[i], job, r->index)) {
-            snprintf(text, sizeof(text),
-                "task %016" PRIx64 ".%u runs twice at a time, on the workers "
-                "of a%d and a%d",
-                job, r->index, i, worker_index(s, w));
-            report_violation(s, text);
-        }
-    }
+    check_single_run(s, c, w, r);
     if (c == NULL) {
         report_violation(s, "a task was started that no caller sent");
         return;
@@ -414,7 +552,7 @@
         snprintf(text, sizeof(text),
             "task of job %016" PRIx64
             " started after all its requests were refused",
-            job);
+            r->job);
         report_violation(s, text);
     }
 }
@@ -423,9 +561,17 @@
 on_outcome(void *ctx, struct fake_worker *w, const struct fw_run *r,
     const char *outcome)
 {
-    struct call *c = find_call(ctx, r->job);
+    struct soak *s = ctx;
+    struct call *c = find_call(s, r->job);
 
-    log_run(ctx, w, r, outcome);
+    log_run(s, w, r, outcome);
+    if (c != NULL && c->twice_ms[r->index] != 0) {
+        printf("  task %016" PRIx64 ".%u: run=%" PRIu64
+               " on the worker of a%d "
+               "%s %" PRIu64 " ms after the second start\n",
+            r->job, r->index, r->run, worker_index(s, w), outcome,
+            s->now - c->twice_ms[r->index]);
+    }
     if (c != NULL && strcmp(outcome, "done") == 0) {
         c->done[r->index] = true;
     }
@@ -459,8 +605,6 @@
 #define ROUTE_1 "/q/" /* in all configurations */
 #define ROUTE_2 "/t/" /* added and removed */
 
-static void send_call(struct call *c);
-
 static void
 report_call(struct call *c, const char *event)
 {
@@ -517,6 +661,30 @@
     return false;
 }
 
+/* The open request has met a fault. */
+static bool
+has_fault(const struct call *c)
+{
+    return c->fault_count > 0 &&
+           c->faults[c->fault_count - 1].send == c->sends;
+}
+
+static void
+add_call_fault(struct call *c, enum caller_fault kind)
+{
+    uint32_t i = c->fault_count;
+
+    if (i == CALL_FAULTS_MAX) {
+        return;
+    }
+    c->fault_count++;
+    c->faults[i].kind = kind;
+    c->faults[i].entry = c->entry;
+    c->faults[i].send = c->sends;
+    c->faults[i].ms = c->s->now;
+    c->s->call_faults[kind]++;
+}
+
 /* A stopping process may not break off requests that it has read, except for
  * those whose tasks run until its grace is nearly over. */
 static void
@@ -525,9 +693,10 @@
     struct soak *s = c->s;
     const struct daemon_proc *p = &s->procs[s->agents + c->entry];
 
-    if (d->status == HTTPC_FAILED_AFTER_SEND && p->term_ms != 0 &&
-        in_touch(p, c->sent_ms) && p->fault_end_ms < c->sent_ms &&
-        s->now > c->sent_ms + LOSS_SLACK_MS && !has_run_active(c)) {
+    if (d->status == HTTPC_FAILED_AFTER_SEND && !has_fault(c) &&
+        p->term_ms != 0 && in_touch(p, c->sent_ms) &&
+        p->fault_end_ms < c->sent_ms && s->now > c->sent_ms + LOSS_SLACK_MS &&
+        !has_run_active(c)) {
         report_call(c, "broken off by a stopping process");
     }
 }
@@ -572,26 +741,70 @@
     }
 }
 
+/* The clock is read: s->now may be old, and an entry relies on the delay. */
+static void
+resend_later(struct call *c)
+{
+    uint64_t at_ms = clock_ms() + RESEND_DELAY_MS;
+
+    if (at_ms < c->deadline_ms) {
+        c->resend_at_ms = at_ms;
+    }
+}
+
 static void
 on_answer(void *ctx, const struct httpc_result *d)
 {
     struct call *c = ctx;
-    uint64_t now = c->s->now;
 
+    c->req = NULL;
     check_broken_off(c, d);
     if (d->status == HTTPC_OK && d->http_status != 504) {
         c->answered = true;
         check_answer(c, d);
+        return;
+    }
+    if (!has_fault(c)) {
+        add_call_fault(c, d->status == HTTPC_OK ? FAULT_504 : FAULT_BROKEN);
     }
-    else if (now + RESEND_DELAY_MS < c->deadline_ms) {
-        c->resend_at_ms = now + RESEND_DELAY_MS;
+    resend_later(c);
+}
+
+/* In callers_mode another entry than before. */
+static int
+next_entry(const struct call *c)
+{
+    struct soak *s = c->s;
+    int entry;
+
+    do {
+        entry = (int)soak_random(s, (uint64_t)s->entries);
+    } while (s->callers_mode && c->sends > 0 && s->entries > 1 &&
+             entry == c->entry);
+    return entry;
+}
+
+/* Draws a fault for half of the long calls and a tenth of the others. */
+static void
+draw_call_fault(struct call *c)
+{
+    struct soak *s = c->s;
+    bool is_long = c->ms[0] >= LONG_MIN_MS;
+
+    c->close_at_ms = 0;
+    c->fault_at_ms = 0;
+    if (s->callers_mode && soak_random(s, is_long ? 2 : 10) == 0) {
+        c->drawn = (enum caller_fault)soak_random(s, DRAWN_FAULTS);
+        c->fault_at_ms = s->now + (is_long ? 50 + soak_random(s, 1500)
+                                           : soak_random(s, 50));
     }
 }
 
 static void
-send_call(struct call *c)
+send_call(struct call *c, int entry)
 {
     struct soak *s = c->s;
+    int offset = s->callers_mode ? PORT_CALLER_PROXY : PORT_ENTRY_CALLERS;
     uint64_t remaining_ms = num_sub_sat(c->deadline_ms, s->now);
     char url[128];
     char deadline[64];
@@ -603,9 +816,10 @@
     c->resend_at_ms = 0;
     c->sent_ms = s->now;
     c->sends++;
-    c->entry = (int)soak_random(s, (uint64_t)s->entries);
+    c->entry = entry;
+    draw_call_fault(c);
     snprintf(url, sizeof(url), "http://127.0.0.1:%d%s%016" PRIx64,
-        s->base + PORT_ENTRY_CALLERS + c->entry, c->prefix, c->id);
+        s->base + offset + entry, c->prefix, c->id);
     snprintf(deadline, sizeof(deadline), "Deadline-Remaining: %" PRIu64,
         remaining_ms);
     snprintf(body, sizeof(body),
@@ -620,16 +834,27 @@
     h.connect_timeout_ms = 1000;
     h.done = on_answer;
     h.ctx = c;
-    httpc_start(s->http, &h);
+    c->req = httpc_start(s->http, &h);
 }
 
 static void
-submit(struct soak *s)
+draw_long_tasks(struct call *c)
+{
+    c->tasks = 1 + (uint32_t)soak_random(c->s, LONG_TASKS_MAX);
+    for (uint32_t i = 0; i < c->tasks; i++) {
+        c->ms[i] = LONG_MIN_MS +
+                   (uint32_t)soak_random(c->s, LONG_MAX_MS - LONG_MIN_MS);
+    }
+}
+
+/* NULL if there are too many. */
+static struct call *
+new_call(struct soak *s)
 {
     struct call *c = &s->calls[s->call_count];
 
     if (s->call_count == CALLS_MAX) {
-        return;
+        return NULL;
     }
     c->s = s;
     c->id = ((soak_random(s, 0xffffffff) + 1) << 32) | s->call_count;
@@ -642,27 +867,99 @@
         c->fail_permille = 100 + (uint32_t)soak_random(s, 901);
     }
     c->prefix = soak_random(s, 20) == 0 ? ROUTE_2 : ROUTE_1;
+    if (s->callers_mode && soak_random(s, LONG_EVERY) == 0) {
+        draw_long_tasks(c);
+        c->fail_permille = 0;
+        c->prefix = ROUTE_1;
+    }
     c->arrival_ms = s->now;
-    c->deadline_ms = s->now + CALL_TIMEOUT_MS;
-    send_call(c);
+    c->deadline_ms = s->now + s->call_timeout_ms;
+    return c;
+}
+
+static void
+submit(struct soak *s)
+{
+    struct call *c = new_call(s);
+
+    if (c != NULL) {
+        send_call(c, next_entry(c));
+    }
+}
+
+/* Does nothing to a request that has met a fault, or that the proxy does not
+ * have. */
+static void
+break_call(struct call *c, enum caller_fault kind)
+{
+    struct soak *s = c->s;
+    const struct caller_fault_kind *k = &fault_kinds[kind];
+    char path[64];
+
+    snprintf(path, sizeof(path), "%s%016" PRIx64, c->prefix, c->id);
+    if (has_fault(c) ||
+        (k->on_connection &&
+            !px_break(s->caller_proxies[c->entry], path, k->conn_fault,
+                300 + (uint32_t)soak_random(s, 2700)))) {
+        return;
+    }
+    log_fault(s, k->name, path, 0);
+    add_call_fault(c, kind);
+    c->fault_at_ms = 0;
+    if (k->close_ms > 0) {
+        c->close_at_ms = s->now + soak_random(s, k->close_ms);
+    }
+}
+
+static void
+close_call(struct call *c)
+{
+    httpc_cancel(c->req);
+    c->req = NULL;
+    c->close_at_ms = 0;
+    c->faults[c->fault_count - 1].ms = c->s->now;
+    resend_later(c);
+}
+
+static void
+update_call(struct call *c)
+{
+    struct soak *s = c->s;
+
+    if (c->req != NULL && c->fault_at_ms != 0 && s->now >= c->fault_at_ms &&
+        s->now < s->faults_end_ms) {
+        break_call(c, c->drawn);
+    }
+    if (c->req != NULL && c->close_at_ms != 0 && s->now >= c->close_at_ms) {
+        close_call(c);
+    }
+    if (c->resend_at_ms != 0 && s->now >= c->resend_at_ms) {
+        send_call(c, next_entry(c));
+    }
+}
+
+static struct call *
+oldest_recent(struct soak *s)
+{
+    return &s->calls[num_sub_sat(s->call_count, RECENT_CALLS)];
 }
 
 static void
 update_callers(struct soak *s)
 {
-    if (s->now >= s->next_submit_ms && s->now + SETTLE_MS < s->end_ms) {
-        s->next_submit_ms = s->now + num_min(SUBMIT_INTERVAL_MS,
-                                         SUBMIT_INTERVAL_MS * AGENTS_DEFAULT /
-                                             (uint64_t)s->agents);
+    uint64_t interval_ms = s->callers_mode ? LONG_SUBMIT_INTERVAL_MS
+                                           : (uint64_t)SUBMIT_INTERVAL_MS;
+
+    if (s->now >= s->next_submit_ms &&
+        s->now + s->call_timeout_ms < s->end_ms) {
+        s->next_submit_ms =
+            s->now + num_min(interval_ms,
+                         interval_ms * AGENTS_DEFAULT / (uint64_t)s->agents);
         submit(s);
     }
-    for (size_t i = num_sub_sat(s->call_count, RECENT_CALLS);
-         i < s->call_count; i++) {
-        struct call *c = &s->calls[i];
-
-        if (c->resend_at_ms != 0 && s->now >= c->resend_at_ms) {
-            send_call(c);
-        }
+    for (struct call *c = oldest_recent(s); c < &s->calls[s->call_count];
+         c++) {
+        update_call(c);
     }
 }
 
@@ -1202,8 +1499,87 @@
     s->next_fault_ms = s->now + GRACE_MS + STOP_BEFORE_END_MS;
 }
 
+static int
+any_entry(struct soak *s)
+{
+    return (int)soak_random(s, (uint64_t)s->entries);
+}
+
+/* All callers of an entry lose their connections. */
+static void
+break_callers(struct soak *s)
+{
+    static const enum caller_fault kinds[] = {
+        FAULT_RESET, FAULT_UNSEEN_CLOSE, FAULT_LATE_CLOSE};
+    enum caller_fault kind = kinds[soak_random(s, 3)];
+    int entry = any_entry(s);
+
+    log_fault(s, "break_callers", s->procs[s->agents + entry].name, 0);
+    for (struct call *c = oldest_recent(s); c < &s->calls[s->call_count];
+         c++) {
+        if (c->req != NULL && c->entry == entry) {
+            break_call(c, kind);
+        }
+    }
+}
+
+/* Callers submit long jobs to an entry that stands still, and close while it
+ * does: it reads the requests after their callers have left. */
+static void
+close_in_pause(struct soak *s)
+{
+    int entry = any_entry(s);
+    uint64_t ms = 300 + soak_random(s, 2700);
+    uint64_t n = 2 + soak_random(s, 5);
+
+    pause_proc(&s->procs[s->agents + entry], ms);
+    for (uint64_t i = 0; i < n; i++) {
+        struct call *c = new_call(s);
+
+        if (c == NULL) {
+            return;
+        }
+        draw_long_tasks(c);
+        send_call(c, entry);
+        c->drawn = FAULT_CLOSE_IN_PAUSE;
+        c->fault_at_ms = s->now + 10 + soak_random(s, ms - 10);
+    }
+}
+
+/* For some seconds an entry gets a tenth of a processor. */
+static void
+slow_entry(struct soak *s)
+{
+    struct daemon_proc *p = &s->procs[s->agents + any_entry(s)];
+    uint64_t ms = 500 + soak_random(s, 4500);
+
+    log_fault(s, "slow", p->name, ms);
+    note_fault(p, ms);
+    p->slow_from_ms = s->now;
+    p->slow_end_ms = num_min(s->now + ms, s->faults_end_ms + PAUSE_OVERRUN_MS);
+}
+
+static void
+kill_entry(struct soak *s)
+{
+    struct daemon_proc *p = &s->procs[s->agents + any_entry(s)];
+
+    if (p->pid > 0) {
+        kill_proc(p);
+    }
+}
+
+static void
+pause_entry(struct soak *s)
+{
+    pause_proc(&s->procs[s->agents + any_entry(s)], any_pause_ms(s));
+}
+
 typedef void (*fault_fn)(struct soak *s);
 
+static const fault_fn caller_faults[] = {break_callers, close_in_pause,
+    close_in_pause, slow_entry, slow_entry, pause_entry, kill_entry};
+
 static const fault_fn worker_faults[] = {worker_crash, worker_drain,
     worker_lossy, worker_slow, worker_unhealthy, worker_unhealthy,
     worker_reset, worker_cut};
@@ -1226,11 +1602,17 @@
             s, sizeof(worker_faults) / sizeof(worker_faults[0]))](s);
         return;
     }
+    if (s->callers_mode && soak_random(s, 2) != 0) {
+        caller_faults[soak_random(
+            s, sizeof(caller_faults) / sizeof(caller_faults[0]))](s);
+        return;
+    }
     faults[soak_random(s, sizeof(faults) / sizeof(faults[0]))](s);
 }
 
-/* Injects a fault every 0.2 to 1 s, or four times as often with worker_mode,
- * so that faults overlap, and clears those whose time is up. */
+/* Injects a fault every 0.2 to 1 s, or more often with worker_mode (four
+ * times) and callers_mode (twice), so that faults overlap, and clears those
+ * whose time is up. */
 static void
 update_faults(struct soak *s)
 {
@@ -1250,7 +1632,7 @@
     }
     else if (s->now >= s->next_fault_ms) {
         s->next_fault_ms =
-            s->now + (200 + soak_random(s, 800)) / (s->worker_mode ? 4 : 1);
+            s->now + (200 + soak_random(s, 800)) / s->fault_rate;
         s->faults++;
         inject_fault(s);
         if (soak_random(s, 5) == 0) {
@@ -1340,6 +1722,11 @@
     for (int i = 0; i < s->entries; i++) {
         add_proc(s, false, i);
     }
+    for (int i = 0; s->callers_mode && i < s->entries; i++) {
+        s->caller_proxies[i] = px_new(s->loop, "127.0.0.1",
+            (uint16_t)(s->base + PORT_CALLER_PROXY + i),
+            (uint16_t)(s->base + PORT_ENTRY_CALLERS + i), false);
+    }
     ev_timer_init(&s->tick, on_tick, TICK_S, TICK_S);
     s->tick.data = s;
     ev_timer_start(s->loop, &s->tick);
@@ -1382,6 +1769,19 @@
     }
 }
 
+/* What callers met, and how many jobs had a task run twice at a time after
+ * this and nothing else. */
+static void
+print_call_fault_counts(const struct soak *s)
+{
+    for (int i = 0; i < FAULT_KINDS; i++) {
+        printf("%s: %" PRIu64 ", %" PRIu64 " jobs ran twice\n",
+            fault_kinds[i].name, s->call_faults[i], s->jobs_twice[i]);
+    }
+    printf(
+        "several or none: %" PRIu64 " jobs ran twice\n", s->jobs_twice_other);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1390,6 +1790,7 @@
     int seconds = 10;
     int worker_mode = 0;
     int stop_mode = 0;
+    int callers_mode = 0;
     int verbose = 0;
     char *dir = NULL;
     char *bin = NULL;
@@ -1408,6 +1809,8 @@
             "most faults are on workers", NULL},
         {"stops", 'x', POPT_ARG_NONE, &stop_mode, 0,
             "stop entries while no agent serves", NULL},
+        {"callers", 'c', POPT_ARG_NONE, &callers_mode, 0,
+            "long tasks; most faults are on callers and entries", NULL},
         {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "print the faults", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext ctx =
@@ -1430,15 +1833,22 @@
     s->verbose = verbose != 0;
     s->worker_mode = worker_mode != 0;
     s->stop_mode = stop_mode != 0;
+    s->callers_mode = callers_mode != 0;
+    s->fault_rate = s->worker_mode ? 4 : s->callers_mode ? 2 : 1;
+    s->call_timeout_ms =
+        s->callers_mode ? LONG_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
     s->bin = bin;
     snprintf(s->dir, sizeof(s->dir), "%s", dir);
     s->epoch_ms = s->now = clock_ms();
     s->faults_end_ms = s->now + STARTUP_MS + (uint64_t)seconds * 1000;
-    s->end_ms = s->faults_end_ms + FAULT_FREE_MS + SETTLE_MS;
+    s->end_ms = s->faults_end_ms + FAULT_FREE_MS + s->call_timeout_ms;
     set_up(s);
     ev_run(s->loop, 0);
     stop_all(s);
     check_fault_free(s, &completed, &failed);
+    if (s->callers_mode) {
+        print_call_fault_counts(s);
+    }
     printf("seed %d: %" PRIu64
            " faults, %zu calls, %zu completed, %zu failed, "
            "%" PRIu64 " starts, %" PRIu64 " violations\n",
--- a/test/soak.h
+++ b/test/soak.h
@@ -3,12 +3,12 @@
  *
  * One process stands in for the platform's store, the workers and the callers,
  * and starts, signals and restarts dunlinweird processes.  Connections from
- * entries to agents, from agents to workers, and from each process to the
- * store, pass through proxies that reset, delay, silence or refuse them.  It
- * checks the guarantees by what callers and workers observe: no task runs
- * twice at a time, a job answered as refused was not started, a job answered
- * as complete ran completely, and every job completes once the faults are
- * over.
+ * entries to agents, from agents to workers, from each process to the store
+ * and, with callers_mode, from callers to entries pass through proxies that
+ * reset, delay, silence or refuse them.  It checks the guarantees by what
+ * callers and workers observe: no task runs twice at a time, a job answered as
+ * refused was not started, a job answered as complete ran completely, and
+ * every job completes once the faults are over.
  */
 #ifndef SOAK_H
 #define SOAK_H
@@ -130,6 +130,18 @@
     PROXY_REFUSE   /* accepts no connections; open ones are served */
 };
 
+/* A fault on one connection. */
+enum conn_fault {
+    CONN_RESET,         /* at both ends */
+    CONN_UNSEEN_CLOSE,  /* reset at the client's end, open at the server's */
+    CONN_LATE_CLOSE,    /* the same, but closed at the server's end later */
+    CONN_CUT_TO_SERVER, /* drops bytes to the server, and the client's close */
+    CONN_CUT_TO_CLIENT, /* drops bytes to the client */
+    /* The server receives bytes behind the request.  The connection is closed
+     * after the answer. */
+    CONN_PIPELINED
+};
+
 struct proxy;
 
 /* Listens on port `from` of addr and connects to port `to` of 127.0.0.1 or, if
@@ -144,6 +156,10 @@
  * connection, by turns with a TCP reset and in order; 0: never.  The server
  * has then read and executed a request that gets no response. */
 void px_set_cut(struct proxy *p, uint32_t n);
+/* A fault on the open connection whose last request has `path` in its request
+ * line; false if there is none.  ms is the delay of CONN_LATE_CLOSE. */
+bool px_break(
+    struct proxy *p, const char *path, enum conn_fault fault, uint32_t ms);
 /* Close all connections with a TCP reset. */
 void px_reset(struct proxy *p);
 
