entries: drop requests whose callers have left

Callers that closed their connection while their request waited unread had their job started all the same: the request can be read as long as it is in the socket, and the close was noticed in the next pass of the loop only.

Each submitted job's connection is now looked at before its request is queued, forwarded or refused, and again before it is started from the queue; if the caller has closed it or its sending side, or reset it, the connection is closed and nothing is done. poll(POLLRDHUP) sees an end behind unread bytes, which recv(MSG_PEEK) does not. Other requests are handled as before: a worker's last message counts though the worker has gone.

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 	property-test fleet world serve-test again-test wire-test route-test sess-test runner-test \
 	runner-net-test agent-test \
 	coord-test leave-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
-	httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test
+	entry-test httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/web.o \
 	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(B)/store.o $(B)/backend.o $(SIM_PARTS)
@@ -114,7 +114,7 @@
 
 test: all test-unit test-regress test-path test-soak
 
-test-unit: $(B)/tests
+test-unit: $(B)/tests $(B)/dunlinweird
 	bash test/shards.sh $(B)/tests
 
 # The whole path with separate processes on loopback.
--- a/entrycall.c
+++ b/entrycall.c
@@ -626,20 +626,19 @@
 /* How long the request waited in the socket, and whether its caller has left
  * already. */
 static void
-note_unread(struct entry *e, const struct web_req *r)
+note_unread(struct entry *e, const struct web_req *r, bool closed)
 {
-    struct web_conn_state state;
+    struct web_conn_state state = {0};
     struct str job = job_id_text(str_of(web_path(r)));
 
-    if (!web_conn_state(r, &state)) {
-        return;
+    if (web_conn_state(r, &state)) {
+        hist_add(&e->unread_ms, state.unread_ms);
     }
-    hist_add(&e->unread_ms, state.unread_ms);
-    e->read_after_close += state.closed;
-    if (state.unread_ms >= LATE_MS || state.closed) {
+    e->read_after_close += closed;
+    if (state.unread_ms >= LATE_MS || closed) {
         log_event(LOG_LEVEL_WARN, "request_read_late",
             "job=%.*s unread_ms=%u closed=%d", (int)job.n, job.p,
-            state.unread_ms, state.closed);
+            state.unread_ms, closed);
     }
 }
 
@@ -650,12 +649,17 @@
     struct entry *e = ctx;
     uint64_t now = proc_now();
     struct caller *c;
+    bool closed;
 
     if (strcmp(web_method(r), "POST") != 0) {
         handle_other(e, now, r);
         return;
     }
-    note_unread(e, r);
+    closed = web_drop_if_left(r);
+    note_unread(e, r, closed);
+    if (closed) {
+        return;
+    }
     c = dw_zero(1, sizeof(*c));
     c->req = r;
     c->read_ms = now;
@@ -677,6 +681,35 @@
     }
 }
 
+static void
+log_caller_left(const struct caller *c)
+{
+    static const char *const ends[] = {
+        [WEB_END_NONE] = "none",
+        [WEB_END_CLOSED] = "closed",
+        [WEB_END_RESET] = "reset",
+        [WEB_END_TIMED_OUT] = "timed_out",
+        [WEB_END_LIBRARY] = "library",
+    };
+    struct str job = job_id_text(path_of(c));
+
+    log_event(LOG_LEVEL_INFO, "caller_left",
+        "job=%.*s how=%s held_ms=%" PRIu64, (int)job.n, job.p,
+        ends[web_end(c->req)], proc_now() - c->read_ms);
+}
+
+/* A close that arrived during this pass of the loop is not known yet. */
+static bool
+drop_if_left(struct caller *c)
+{
+    if (c->req == NULL || !web_drop_if_left(c->req)) {
+        return false;
+    }
+    log_caller_left(c);
+    free(c);
+    return true;
+}
+
 /* After startup, callers connect some ms before the configuration is loaded.
  * Their requests stay queued until then and are refused only when they have
  * waited too long. */
@@ -701,7 +734,7 @@
         if (decision == IT_REFUSE) {
             shed(e, c, "waited");
         }
-        else {
+        else if (!drop_if_left(c)) {
             start_request(e, now, c);
         }
     }
@@ -733,23 +766,6 @@
     (void)revents;
 }
 
-static void
-log_caller_left(const struct caller *c)
-{
-    static const char *const ends[] = {
-        [WEB_END_NONE] = "none",
-        [WEB_END_CLOSED] = "closed",
-        [WEB_END_RESET] = "reset",
-        [WEB_END_TIMED_OUT] = "timed_out",
-        [WEB_END_LIBRARY] = "library",
-    };
-    struct str job = job_id_text(path_of(c));
-
-    log_event(LOG_LEVEL_INFO, "caller_left",
-        "job=%.*s how=%s held_ms=%" PRIu64, (int)job.n, job.p,
-        ends[web_end(c->req)], proc_now() - c->read_ms);
-}
-
 void
 ec_caller_left(void *ctx, struct web_req *r)
 {
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -255,3 +255,56 @@
     close(fd);
     SetUp();
 }
+
+/* Guards against work that begins after its caller has left, as the loop has
+ * not come to the close yet, and against one that is dropped though its caller
+ * waits. */
+TEST_F(Web, ARequestIsDroppedIfItsCallerHasLeft)
+{
+    enum { NONE = -1, RESET = -2 };
+    static const struct {
+        const char *name;
+        const char *behind; /* sent after the request */
+        int how;            /* shutdown() argument, or NONE or RESET */
+        enum web_end end;
+    } cases[] = {
+        {"waits", "", NONE, WEB_END_NONE},
+        {"bytes follow", "GET", NONE, WEB_END_NONE},
+        {"closed", "", SHUT_RDWR, WEB_END_CLOSED},
+        {"sending side closed", "", SHUT_WR, WEB_END_CLOSED},
+        {"closed behind bytes", "GET", SHUT_WR, WEB_END_CLOSED},
+        {"reset", "", RESET, WEB_END_RESET},
+        {"reset behind bytes", "GET", RESET, WEB_END_RESET},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        int fd = connect_server();
+        linger reset = {1, 0};
+
+        held_request = nullptr;
+        send_get(fd, "/hold");
+        ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+        EXPECT_EQ(
+            write(fd, c.behind, strlen(c.behind)), (ssize_t)strlen(c.behind));
+        if (c.how == RESET) {
+            setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+            close(fd);
+        }
+        else if (c.how != NONE) {
+            shutdown(fd, c.how);
+        }
+        EXPECT_EQ(web_drop_if_left(held_request), c.end != WEB_END_NONE);
+        EXPECT_EQ(web_end(held_request), c.end);
+        if (c.end == WEB_END_NONE) {
+            web_reply(held_request, 200, "text/plain", STR("late"), 0);
+            EXPECT_NE(read_until(fd, "late").find("late"), std::string::npos);
+        }
+        held_request = nullptr;
+        if (c.how != RESET) {
+            close(fd);
+        }
+        EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+    }
+    EXPECT_EQ(disconnects, 0);
+}
--- a/web.c
+++ b/web.c
@@ -6,6 +6,7 @@
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -185,35 +186,78 @@
     r->w->work_pending = true;
 }
 
+static int
+fd_of(const struct web_req *r)
+{
+    return MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
 static enum web_end
-end_of_recv(ssize_t n, int error)
+end_of_error(int error)
 {
-    if (n == 0) {
-        return WEB_END_CLOSED;
-    }
     return error == ETIMEDOUT || error == EHOSTUNREACH || error == ENETUNREACH
                ? WEB_END_TIMED_OUT
                : WEB_END_RESET;
 }
 
+static enum web_end
+end_behind_bytes(int fd, int revents)
+{
+    int error = 0;
+    socklen_t n = sizeof(error);
+
+    if ((revents & POLLERR) != 0) {
+        getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &n);
+        return end_of_error(error);
+    }
+    return (revents & (POLLRDHUP | POLLHUP)) != 0 ? WEB_END_CLOSED
+                                                  : WEB_END_NONE;
+}
+
+/* Sets *bytes_follow if bytes wait in the socket, behind which recv() does not
+ * see the end. */
+static enum web_end
+find_end(int fd, bool *bytes_follow)
+{
+    struct pollfd p = {fd, POLLIN | POLLRDHUP, 0};
+    char byte;
+    ssize_t n;
+
+    *bytes_follow = false;
+    if (poll(&p, 1, 0) <= 0) {
+        return WEB_END_NONE;
+    }
+    n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) {
+        *bytes_follow = true;
+        return end_behind_bytes(fd, p.revents);
+    }
+    if (n == 0) {
+        return WEB_END_CLOSED;
+    }
+    return errno == EAGAIN || errno == EINTR ? WEB_END_NONE
+                                             : end_of_error(errno);
+}
+
 /* The library does not watch a suspended connection, so a disconnected caller
  * would go unnoticed and its work would continue needlessly. */
 static void
 on_disconnect(struct ev_loop *loop, ev_io *io, int revents)
 {
     struct web_req *r = io->data;
-    char byte;
-    ssize_t n = recv(io->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    bool bytes_follow;
+    enum web_end end = find_end(io->fd, &bytes_follow);
 
     (void)revents;
-    if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
+    if (end == WEB_END_NONE) {
+        if (bytes_follow) {
+            ev_io_stop(loop, io); /* a pipelined request */
+        }
         return;
     }
     ev_io_stop(loop, io);
-    if (n > 0) {
-        return; /* a pipelined request */
-    }
-    r->end = end_of_recv(n, errno);
+    r->end = end;
     r->w->disconnected(r->w->ctx, r);
     r->disconnected = true;
     resume(r);
@@ -222,10 +266,7 @@
 static void
 watch_disconnect(struct web_req *r)
 {
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-    ev_io_init(&r->disconnect_io, on_disconnect, info->connect_fd, EV_READ);
+    ev_io_init(&r->disconnect_io, on_disconnect, fd_of(r), EV_READ);
     r->disconnect_io.data = r;
     ev_io_start(r->w->loop, &r->disconnect_io);
 }
@@ -252,6 +293,9 @@
     else {
         r->w->handle(r->w->ctx, r);
     }
+    if (r->disconnected) {
+        return MHD_NO;
+    }
     if (r->replied) {
         return queue_reply(r);
     }
@@ -480,7 +524,23 @@
     out->heard_ms = t.tcpi_last_ack_recv < t.tcpi_last_data_recv
                         ? t.tcpi_last_ack_recv
                         : t.tcpi_last_data_recv;
-    out->closed = t.tcpi_state != TCP_ESTABLISHED;
+    return true;
+}
+
+bool
+web_drop_if_left(struct web_req *r)
+{
+    bool bytes_follow;
+
+    r->end = find_end(fd_of(r), &bytes_follow);
+    if (r->end == WEB_END_NONE) {
+        return false;
+    }
+    r->disconnected = true;
+    if (r->suspended) {
+        ev_io_stop(r->w->loop, &r->disconnect_io);
+        resume(r);
+    }
     return true;
 }
 
--- a/web.h
+++ b/web.h
@@ -47,7 +47,6 @@
 struct web_conn_state {
     uint32_t unread_ms; /* since the last bytes arrived */
     uint32_t heard_ms;  /* since the caller's host sent anything */
-    bool closed;        /* the caller has closed it or its sending side */
 };
 
 /* Called with each complete request.  The handler must call web_reply() or
@@ -94,7 +93,13 @@
 
 /* False if the system does not tell. */
 bool web_conn_state(const struct web_req *r, struct web_conn_state *out);
-/* Valid in web_disconnect_fn. */
+/* If the caller of an unanswered request has closed the connection or its
+ * sending side, or reset it, close the connection without a reply and without
+ * calling web_disconnect_fn; true then, and r must not be used after
+ * the return to the server.  A request is read although its caller has left if
+ * both wait in the socket. */
+bool web_drop_if_left(struct web_req *r);
+/* Valid in web_disconnect_fn and after web_drop_if_left(). */
 enum web_end web_end(const struct web_req *r);
 
 /* A pointer for the handler's own state, initially NULL. */
