coord: a job ends when its newest caller leaves

What callers saw: nothing that was traced to it; a task may run twice at a time. A copy of a request arrives while its first connection still counts as open, as its close was lost or is late. Then the copy's connection breaks, too. The job went on for the first connection, while the caller submitted it to another entry 1,300 ms later.

Cause: a job ended only when its last waiter left. But a caller sends a request again only after the earlier connection broke, so an older waiter has nobody behind it.

Fix: the job ends when the newest waiter leaves; older ones get its answer, and change nothing when they leave. The rule holds for forwarded copies: a peer gets a request within the origin's pause and the lease of their session (850 ms after its caller's connection broke at most), before a copy can be sent, so the order of arrival is that of sending. A waiter that is wrongly taken for the older one gets 504, never a second run.

--- a/coord.c
+++ b/coord.c
@@ -453,8 +453,9 @@
     c->has_new_jobs = true;
 }
 
+/* False if the handle does not wait for this job. */
 static bool
-detach(struct co_job *j, const void *handle)
+detach(struct co_job *j, const void *handle, bool *newest)
 {
     struct co_waiter **at;
 
@@ -462,6 +463,7 @@
         if ((*at)->handle == handle) {
             struct co_waiter *w = *at;
 
+            *newest = at == &j->waiters;
             *at = w->next;
             free(w);
             return true;
@@ -470,17 +472,23 @@
     return false;
 }
 
+/*
+ * A caller sends a request again only after the earlier connection broke,
+ * whether or not that is known here, and entries forward a request within less
+ * than that time: only the newest waiter can have a caller behind it.
+ */
 void
 co_caller_left(struct coord *c, uint64_t now, const void *handle)
 {
+    bool newest = false;
     struct co_job *j;
 
     for (j = c->jobs; j != NULL; j = j->hh.next) {
-        if (detach(j, handle)) {
+        if (detach(j, handle, &newest)) {
             break;
         }
     }
-    if (j != NULL && j->waiters == NULL) {
+    if (j != NULL && newest) {
         c->stats.caller_left++;
         give_up(c, now, j, "caller_gone");
     }
--- a/coord.h
+++ b/coord.h
@@ -121,7 +121,7 @@
 /* A job from its acceptance to its answer. */
 struct co_job {
     uint64_t id;
-    struct co_waiter *waiters;
+    struct co_waiter *waiters; /* newest first */
     char *spec;
     size_t spec_len;
     struct co_service_load *load; /* of the job's service */
@@ -261,7 +261,8 @@
  * job; see co_knows_job().  False: it is none. */
 bool co_answer_copy(
     struct coord *c, uint64_t id, void *handle, const char *reason);
-/* A caller has disconnected; a job without callers ends at once. */
+/* A caller has disconnected.  A job whose newest request it sent ends at once;
+ * others that wait for the job get that answer, too. */
 void co_caller_left(struct coord *c, uint64_t now, const void *handle);
 /* Cancels a job; false if it is not in progress here. */
 bool co_cancel(struct coord *c, uint64_t now, uint64_t id);
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -124,6 +124,26 @@
     w.break_callers(some(w, ENTRIES), 1, true);
 }
 
+/* A copy arrives while the first connection still counts as open; then the
+ * copy's connection breaks as well. */
+void
+copies_break(World &w)
+{
+    size_t e = some(w, ENTRIES);
+
+    w.submit(3, 2200);
+    w.after(100, [&w, e] { w.break_callers(e, 1, true, false); });
+    w.after(150 + w.rng() % 300, [&w, e] { w.break_callers(e, 1300); });
+}
+
+/* The waiter of such a copy is another entry. */
+void
+forwarded_copies_break(World &w)
+{
+    w.forward_share = 0.5;
+    copies_break(w);
+}
+
 void
 agent_killed(World &w)
 {
@@ -146,6 +166,8 @@
     {"messages_doubled_and_late", {messages_doubled_and_late}},
     {"callers_send_again", {callers_send_again, sessions_reopen}},
     {"callers_repeat_at_once", {callers_repeat_at_once, sessions_reopen}},
+    {"copies_break", {copies_break}},
+    {"forwarded_copies_break", {forwarded_copies_break}},
     {"all_but_refused",
         {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
             starts_refused, messages_doubled_and_late, callers_send_again,
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -273,6 +273,27 @@
     EXPECT_EQ(co_job_count(&e.c), 0u);
 }
 
+/* Guards against a job that goes on for a broken connection when the caller
+ * sends it to another entry after the copy's connection has broken, too. */
+TEST(Coord, JobEndsWhenItsNewestCallerDisconnects)
+{
+    Entry e;
+    int copies[2];
+
+    e.submit(5, 1, &caller);
+    e.submit(5, 1, &copies[0]);
+    e.submit(5, 1, &copies[1]);
+    co_caller_left(&e.c, e.now, &copies[0]);
+    EXPECT_TRUE(co_has_job(&e.c, 5));
+    co_caller_left(&e.c, e.now, &copies[1]);
+    EXPECT_FALSE(co_has_job(&e.c, 5));
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0],
+        std::make_pair(static_cast<void *>(&caller), CO_GAVE_UP));
+    co_flush(&e.c, e.now);
+    EXPECT_EQ(e.callers.sent.back()->dw_msg_u.orders.stops.stops_len, 1u);
+}
+
 /* Guards against running a task twice: its agent stops reporting, and the
  * entry starts it on another one while the first, or its worker, still runs
  * it.  An agent that has reconnected is believed for longer. */
