web: notice a disconnect behind unread bytes

The server stopped watching the connection once bytes waited in it, as it would be readable all the time.

Such connections are now checked every 50 ms by poll(POLLRDHUP), which reports an end behind unread bytes; the timer runs only while there are any.

--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -93,6 +93,16 @@
         }
         return done();
     }
+    /* Run the loop; returns the number of its passes. */
+    unsigned
+    run_for(ev_tstamp seconds)
+    {
+        unsigned before = ev_iteration(loop);
+        ev_tstamp end = ev_time() + seconds;
+
+        until([&] { return ev_time() >= end; });
+        return ev_iteration(loop) - before;
+    }
     /* Read until the text contains word or the connection is closed. */
     std::string
     read_until(int fd, const char *word)
@@ -308,3 +318,44 @@
     }
     EXPECT_EQ(disconnects, 0);
 }
+
+/* Guards against work that continues after its caller has left, as bytes that
+ * the caller sent behind the request hide the close. */
+TEST_F(Web, ADisconnectBehindUnreadBytesIsDetected)
+{
+    for (bool reset : {false, true}) {
+        SCOPED_TRACE(reset ? "reset" : "closed");
+        int fd = connect_server();
+        linger option = {reset, 0};
+        int before = disconnects;
+
+        send_get(fd, "/hold");
+        ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+        EXPECT_EQ(write(fd, "\r\n", 2), 2);
+        run_for(0.03);
+        setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+        close(fd);
+        run_for(0.2);
+        EXPECT_EQ(disconnects, before + 1);
+        EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+    }
+}
+
+/* Guards against a loop that spins while bytes wait behind a request, and
+ * against a second request that gets no response. */
+TEST_F(Web, APipelinedRequestWaitsForTheFirstAndIsServed)
+{
+    int fd = connect_server();
+
+    send_get(fd, "/hold");
+    ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+    send_get(fd, "/");
+    EXPECT_LT(run_for(0.3), 100U);
+    EXPECT_EQ(handled, 1);
+    web_reply(held_request, 200, "text/plain", STR("late"), 0);
+    held_request = nullptr;
+    EXPECT_NE(read_until(fd, "ok").find("late"), std::string::npos);
+    EXPECT_EQ(handled, 2);
+    EXPECT_EQ(disconnects, 0);
+    close(fd);
+}
--- a/web.c
+++ b/web.c
@@ -15,6 +15,9 @@
 #define CONNECTION_MEMORY_BYTES 65536U
 /* Idle timeout of connections during a drain. */
 #define DRAIN_IDLE_S 1U
+/* s between checks of connections with unread bytes behind a request, which
+ * can't be watched for reading until the request is answered. */
+#define UNREAD_CHECK_S 0.05
 
 /* One open connection. */
 struct web_conn {
@@ -36,7 +39,9 @@
     bool disconnected;   /* by the caller, before the reply */
     enum web_end end;    /* how it disconnected */
     bool suspended;      /* by libmicrohttpd, until the reply */
-    ev_io disconnect_io; /* detects a disconnect; active while suspended */
+    ev_io disconnect_io; /* detects a disconnect; active while suspended
+                            unless bytes follow */
+    bool bytes_follow;   /* w->unread_timer detects a disconnect */
     struct MHD_Response *response; /* not yet queued; else NULL */
     unsigned status;
     void *ctx;
@@ -50,7 +55,8 @@
     struct MHD_Daemon *mhd;
     ev_io io;
     ev_timer timer;
-    ev_prepare prepare; /* the end of a loop iteration */
+    ev_prepare prepare;    /* the end of a loop iteration */
+    ev_timer unread_timer; /* active while bytes follow a suspended request */
     web_handle_fn handle;
     web_disconnect_fn disconnected;
     void *ctx;
@@ -240,27 +246,64 @@
                                              : end_of_error(errno);
 }
 
+static void
+end_request(struct web_req *r, enum web_end end)
+{
+    ev_io_stop(r->w->loop, &r->disconnect_io);
+    r->end = end;
+    r->w->disconnected(r->w->ctx, r);
+    r->disconnected = true;
+    resume(r);
+}
+
 /* The library does not watch a suspended connection, so a disconnected caller
  * would go unnoticed and its work would continue needlessly. */
 static void
 on_disconnect(struct ev_loop *loop, ev_io *io, int revents)
 {
     struct web_req *r = io->data;
-    bool bytes_follow;
-    enum web_end end = find_end(io->fd, &bytes_follow);
+    enum web_end end = find_end(io->fd, &r->bytes_follow);
 
     (void)revents;
-    if (end == WEB_END_NONE) {
-        if (bytes_follow) {
-            ev_io_stop(loop, io); /* a pipelined request */
+    if (end != WEB_END_NONE) {
+        end_request(r, end);
+    }
+    else if (r->bytes_follow) {
+        ev_io_stop(loop, io);
+        if (!ev_is_active(&r->w->unread_timer)) {
+            ev_timer_again(loop, &r->w->unread_timer);
         }
-        return;
     }
-    ev_io_stop(loop, io);
-    r->end = end;
-    r->w->disconnected(r->w->ctx, r);
-    r->disconnected = true;
-    resume(r);
+}
+
+static void
+on_unread_timer(struct ev_loop *loop, ev_timer *t, int revents)
+{
+    struct web *w = t->data;
+    struct web_req *r;
+    struct web_req *next;
+    bool found = false;
+
+    (void)revents;
+    DL_FOREACH_SAFE (w->suspended, r, next) {
+        bool bytes_follow;
+        enum web_end end;
+
+        /* The handler may have answered next when r ended. */
+        if (!r->bytes_follow || !r->suspended) {
+            continue;
+        }
+        end = find_end(fd_of(r), &bytes_follow);
+        if (end != WEB_END_NONE) {
+            end_request(r, end);
+        }
+        else {
+            found = true;
+        }
+    }
+    if (!found) {
+        ev_timer_stop(loop, t);
+    }
 }
 
 static void
@@ -402,6 +445,9 @@
     ev_io_start(loop, &w->io);
     ev_init(&w->timer, on_timer);
     w->timer.data = w;
+    ev_init(&w->unread_timer, on_unread_timer);
+    w->unread_timer.repeat = UNREAD_CHECK_S;
+    w->unread_timer.data = w;
     ev_prepare_init(&w->prepare, on_prepare);
     ev_set_priority(&w->prepare, EV_MINPRI);
     w->prepare.data = w;
@@ -453,6 +499,7 @@
 {
     ev_io_stop(w->loop, &w->io);
     ev_timer_stop(w->loop, &w->timer);
+    ev_timer_stop(w->loop, &w->unread_timer);
     ev_prepare_stop(w->loop, &w->prepare);
     while (w->suspended != NULL) {
         struct web_req *r = w->suspended;
