--- a/entrycall.c
+++ b/entrycall.c
@@ -609,7 +609,8 @@
     }
 }
 
-/* Requests read first after a pause of the machine waited throughout it. */
+/* Requests read first after a pause of the machine waited throughout it.  This
+ * serves systems that do not tell how long a request was unread. */
 static bool
 is_stale(const struct entry *e, uint64_t now)
 {
@@ -623,9 +624,8 @@
     e->stale_passes -= e->stale_passes > 0;
 }
 
-/* How long the request waited in the socket, and whether its caller has left
- * already. */
-static void
+/* How long the request waited in the socket, in ms, 0 if that is not known. */
+static uint32_t
 note_unread(struct entry *e, const struct web_req *r, bool closed)
 {
     struct web_conn_state state = {0};
@@ -640,6 +640,7 @@
             "job=%.*s unread_ms=%u closed=%d", (int)job.n, job.p,
             state.unread_ms, closed);
     }
+    return state.unread_ms;
 }
 
 /* Queues or forwards job submissions; answers all others at once. */
@@ -649,6 +650,7 @@
     struct entry *e = ctx;
     uint64_t now = proc_now();
     struct caller *c;
+    uint32_t unread_ms;
     bool closed;
 
     if (strcmp(web_method(r), "POST") != 0) {
@@ -656,7 +658,7 @@
         return;
     }
     closed = web_drop_if_left(r);
-    note_unread(e, r, closed);
+    unread_ms = note_unread(e, r, closed);
     if (closed) {
         return;
     }
@@ -664,7 +666,7 @@
     c->req = r;
     c->read_ms = now;
     web_set_ctx(r, c);
-    if (is_stale(e, now)) {
+    if (is_stale(e, now) || unread_ms > CO_MAX_PAUSE_MS) {
         refuse(e, c, "paused", "paused", 1000);
         return;
     }
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -187,3 +187,32 @@
     /* One that was taken on is given up when the close is noticed. */
     EXPECT_EQ(lines_with("event=caller_left"), 0U);
 }
+
+/* Guards against jobs that start at two entries: a request waited unread while
+ * the process stood still, so its caller may have sent it elsewhere, but was
+ * read some time after the pause. */
+TEST_F(Entry, RequestsThatWaitedThroughAPauseAreRefused)
+{
+    const int count = 800;
+    std::vector<int> fds;
+
+    start();
+    kill(pid, SIGSTOP);
+    for (int i = 0; i < count; i++) {
+        fds.push_back(submit(i));
+    }
+    usleep(700000);
+    kill(pid, SIGCONT);
+    int paused = 0;
+    for (int fd : fds) {
+        std::string reply = read_until(fd, "}");
+
+        paused += reply.find(" 503 ") != std::string::npos &&
+                  reply.find("paused") != std::string::npos;
+        close(fd);
+    }
+    EXPECT_EQ(paused, count);
+    int fd = submit(count);
+    EXPECT_NE(read_until(fd, "}").find("no_configuration"), std::string::npos);
+    close(fd);
+}
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -4,6 +4,7 @@
 #include <cerrno>
 #include <cstring>
 #include <string>
+#include <vector>
 
 #include "ports.hh"
 #include "web.h"
@@ -16,13 +17,14 @@
     struct ::web *w = nullptr;
     web_req *held_request = nullptr;
     int disconnects = 0;
-    int handled = 0; /* requests passed to the handler */
+    int handled = 0;                 /* requests passed to the handler */
+    std::vector<uint32_t> unread_ms; /* of the requests that were handled */
     uint16_t port = free_port();
 
     void
     SetUp() override
     {
-        web_cfg cfg = {"127.0.0.1", port, 100, 1000, 30};
+        web_cfg cfg = {"127.0.0.1", port, 400, 1000, 30};
         err e = {""};
 
         ASSERT_EQ(
@@ -42,6 +44,10 @@
     static void
     on_request(void *ctx, web_req *r)
     {
+        struct web_conn_state state;
+
+        EXPECT_TRUE(web_conn_state(r, &state));
+        static_cast<Web *>(ctx)->unread_ms.push_back(state.unread_ms);
         static_cast<Web *>(ctx)->handled++;
         if (strcmp(web_path(r), "/hold") == 0) {
             static_cast<Web *>(ctx)->held_request = r;
@@ -357,5 +363,31 @@
     EXPECT_NE(read_until(fd, "ok").find("late"), std::string::npos);
     EXPECT_EQ(handled, 2);
     EXPECT_EQ(disconnects, 0);
+    /* It could not be read before the first was answered. */
+    EXPECT_LT(unread_ms[1], 100U);
     close(fd);
 }
+
+/* Guards against requests taken for new ones that are read long after a pause
+ * of the process, as a call of the HTTP library accepts a few connections
+ * only. */
+TEST_F(Web, TheTimeThatARequestWaitedUnreadIsKnown)
+{
+    std::vector<int> fds;
+
+    for (int i = 0; i < 300; i++) {
+        fds.push_back(connect_server());
+        send_get(fds.back(), "/");
+    }
+    usleep(300000);
+    EXPECT_TRUE(until([&] { return handled == 300; }));
+    for (uint32_t ms : unread_ms) {
+        EXPECT_GE(ms, 250U);
+    }
+    send_get(fds[0], "/");
+    EXPECT_TRUE(until([&] { return handled == 301; }));
+    EXPECT_LT(unread_ms.back(), 100U);
+    for (int fd : fds) {
+        close(fd);
+    }
+}
--- a/web.c
+++ b/web.c
@@ -9,6 +9,7 @@
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 #include <utlist.h>
 
@@ -23,6 +24,7 @@
 struct web_conn {
     struct web *w;
     struct MHD_Connection *conn;
+    uint64_t answered_ms; /* when its latest request was; 0: none was */
     struct web_conn *prev;
     struct web_conn *next;
 };
@@ -143,6 +145,24 @@
     return r;
 }
 
+/* The clock of TCP_INFO's times, which stands while the machine is suspended.
+ */
+static uint64_t
+clock_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static struct web_conn *
+web_conn_of(struct MHD_Connection *conn)
+{
+    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
 static void
 on_request_completed(void *ctx, struct MHD_Connection *conn, void **req_ctx,
     enum MHD_RequestTerminationCode how)
@@ -150,11 +170,11 @@
     struct web *w = ctx;
     struct web_req *r = *req_ctx;
 
-    (void)conn;
     (void)how;
     if (r == NULL) {
         return;
     }
+    web_conn_of(conn)->answered_ms = clock_ms();
     if (r->suspended) {
         ev_io_stop(w->loop, &r->disconnect_io);
         DL_DELETE(w->suspended, r);
@@ -560,6 +580,7 @@
 {
     const union MHD_ConnectionInfo *info =
         MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+    uint64_t answered_ms = web_conn_of(r->conn)->answered_ms;
     struct tcp_info t = {0};
     socklen_t n = sizeof(t);
 
@@ -568,6 +589,9 @@
         return false;
     }
     out->unread_ms = t.tcpi_last_data_recv;
+    if (answered_ms != 0 && clock_ms() - answered_ms < out->unread_ms) {
+        out->unread_ms = (uint32_t)(clock_ms() - answered_ms);
+    }
     out->heard_ms = t.tcpi_last_ack_recv < t.tcpi_last_data_recv
                         ? t.tcpi_last_ack_recv
                         : t.tcpi_last_data_recv;
--- a/web.h
+++ b/web.h
@@ -45,7 +45,8 @@
 
 /* What the system knows of a request's connection.  Times are in ms. */
 struct web_conn_state {
-    uint32_t unread_ms; /* since the last bytes arrived */
+    uint32_t unread_ms; /* since the last bytes arrived, or the connection's
+                           request before was answered if that is later */
     uint32_t heard_ms;  /* since the caller's host sent anything */
 };
 
