web: detect callers whose host has vanished

Connections are now probed after 1 s of silence and each second from then on; they end when two probes were not answered, 3 s after the host was last heard. TCP_USER_TIMEOUT is not set: it would also end connections of callers that are there but read their reply slowly, and while a request waits nothing is unsent.

--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -3,6 +3,7 @@
 
 #include <cerrno>
 #include <cstring>
+#include <linux/filter.h>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     struct ::web *w = nullptr;
     web_req *held_request = nullptr;
     int disconnects = 0;
+    enum web_end end = WEB_END_NONE; /* of the latest disconnect */
     int handled = 0;                 /* requests passed to the handler */
     std::vector<uint32_t> unread_ms; /* of the requests that were handled */
     uint16_t port = free_port();
@@ -56,8 +58,9 @@
         web_reply(r, 200, "text/plain", STR("ok"), 0);
     }
     static void
-    on_disconnect(void *ctx, web_req *)
+    on_disconnect(void *ctx, web_req *r)
     {
+        static_cast<Web *>(ctx)->end = web_end(r);
         static_cast<Web *>(ctx)->disconnects++;
         static_cast<Web *>(ctx)->held_request = nullptr;
     }
@@ -391,3 +394,23 @@
         close(fd);
     }
 }
+
+/* Guards against work that continues for a caller whose host has vanished. */
+TEST_F(Web, AVanishedHostIsDetected)
+{
+    /* This socket drops what it receives, so nothing is acknowledged. */
+    sock_filter drop = {BPF_RET | BPF_K, 0, 0, 0};
+    sock_fprog program = {1, &drop};
+    int fd = connect_server();
+    ev_tstamp start = ev_time();
+
+    send_get(fd, "/hold");
+    ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+    ASSERT_EQ(setsockopt(
+                  fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof(program)),
+        0);
+    EXPECT_TRUE(until([&] { return disconnects == 1; }));
+    EXPECT_LT(ev_time() - start, 5);
+    EXPECT_EQ(end, WEB_END_TIMED_OUT);
+    close(fd);
+}
--- a/web.c
+++ b/web.c
@@ -19,6 +19,10 @@
 /* s between checks of connections with unread bytes behind a request, which
  * can't be watched for reading until the request is answered. */
 #define UNREAD_CHECK_S 0.05
+/* A silent connection is probed after KEEPALIVE_S and each KEEPALIVE_S from
+ * then on; it ends when KEEPALIVE_PROBES were not answered, so after 3 s. */
+#define KEEPALIVE_S 1
+#define KEEPALIVE_PROBES 2
 
 /* One open connection. */
 struct web_conn {
@@ -131,6 +135,13 @@
     web_flush(p->data);
 }
 
+static int
+fd_of(struct MHD_Connection *conn)
+{
+    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
 static void *
 on_request_start(void *ctx, const char *uri, struct MHD_Connection *conn)
 {
@@ -212,13 +223,6 @@
     r->w->work_pending = true;
 }
 
-static int
-fd_of(const struct web_req *r)
-{
-    return MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-        ->connect_fd;
-}
-
 static enum web_end
 end_of_error(int error)
 {
@@ -313,7 +317,7 @@
         if (!r->bytes_follow || !r->suspended) {
             continue;
         }
-        end = find_end(fd_of(r), &bytes_follow);
+        end = find_end(fd_of(r->conn), &bytes_follow);
         if (end != WEB_END_NONE) {
             end_request(r, end);
         }
@@ -329,7 +333,7 @@
 static void
 watch_disconnect(struct web_req *r)
 {
-    ev_io_init(&r->disconnect_io, on_disconnect, fd_of(r), EV_READ);
+    ev_io_init(&r->disconnect_io, on_disconnect, fd_of(r->conn), EV_READ);
     r->disconnect_io.data = r;
     ev_io_start(r->w->loop, &r->disconnect_io);
 }
@@ -404,6 +408,30 @@
         c->conn, MHD_CONNECTION_OPTION_TIMEOUT, DRAIN_IDLE_S);
 }
 
+/* Ends connections to hosts that vanish without closing them.  There is no
+ * TCP_USER_TIMEOUT, as that also ends connections of callers that read their
+ * reply slowly.  Without these options such a request lasts until its
+ * deadline, so a failure to set them is ignored. */
+static void
+probe_when_silent(int fd)
+{
+    static const struct {
+        int level;
+        int name;
+        int value;
+    } options[] = {
+        {IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_S},
+        {IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_S},
+        {IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES},
+        {SOL_SOCKET, SO_KEEPALIVE, 1},
+    };
+
+    for (size_t i = 0; i < sizeof(options) / sizeof(options[0]); i++) {
+        setsockopt(fd, options[i].level, options[i].name, &options[i].value,
+            sizeof(options[i].value));
+    }
+}
+
 static void
 on_connection(void *ctx, struct MHD_Connection *conn, void **socket_ctx,
     enum MHD_ConnectionNotificationCode what)
@@ -421,6 +449,7 @@
     c->conn = conn;
     *socket_ctx = c;
     DL_APPEND(w->conns, c);
+    probe_when_silent(fd_of(conn));
     if (w->draining) {
         set_drain_timeout(c);
     }
@@ -603,7 +632,7 @@
 {
     bool bytes_follow;
 
-    r->end = find_end(fd_of(r), &bytes_follow);
+    r->end = find_end(fd_of(r->conn), &bytes_follow);
     if (r->end == WEB_END_NONE) {
         return false;
     }
