daemon: close inherited internet sockets

A daemon that is started by a process with open connections inherits those that are not marked close-on-exec.

The daemon now closes inherited IPv4 and IPv6 sockets before it opens anything.

Evidence: Entry.InheritedConnectionsAreClosed starts a daemon with the only open end of a connection and waits for its close; before, none came within 1 s.

--- a/dunlinweird.c
+++ b/dunlinweird.c
@@ -345,6 +345,7 @@
     int code = EXIT_BAD_USAGE;
     const char *env_path = getenv(SETTINGS_VARIABLE);
 
+    proc_close_inherited_sockets();
     if (path == NULL && env_path != NULL) {
         path = str_dup(str_of(env_path));
     }
--- a/dwfleet.c
+++ b/dwfleet.c
@@ -86,6 +86,9 @@
             dup2(fd, STDOUT_FILENO);
             dup2(fd, STDERR_FILENO);
         }
+        /* The HTTP client's sockets would stay open in the child, which hides
+         * their close from the daemons at their other end. */
+        close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
         execv(p->argv[0], p->argv);
         _exit(127);
     }
--- a/proc.c
+++ b/proc.c
@@ -1,9 +1,14 @@
 #include "proc.h"
 
+#include <dirent.h>
 #include <signal.h>
+#include <stdbool.h>
+#include <stdlib.h>
 #include <sys/random.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 static uint64_t
 clock_in_ms(clockid_t id)
@@ -68,3 +73,34 @@
     }
     signal(SIGPIPE, SIG_IGN);
 }
+
+static bool
+is_internet_socket(int fd)
+{
+    int domain;
+    socklen_t n = sizeof(domain);
+
+    return getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &n) == 0 &&
+           (domain == AF_INET || domain == AF_INET6);
+}
+
+/* Other descriptors stay open: preloaded libraries may have opened some, which
+ * close_range(2) would take from them. */
+void
+proc_close_inherited_sockets(void)
+{
+    DIR *dir = opendir("/proc/self/fd");
+    const struct dirent *entry;
+
+    if (dir == NULL) {
+        return;
+    }
+    while ((entry = readdir(dir)) != NULL) {
+        int fd = atoi(entry->d_name);
+
+        if (fd > STDERR_FILENO && is_internet_socket(fd)) {
+            close(fd);
+        }
+    }
+    closedir(dir);
+}
--- a/proc.h
+++ b/proc.h
@@ -27,4 +27,9 @@
  * writing to a closed connection returns an error. */
 void proc_raise_limits(void);
 
+/* Close internet sockets that were inherited from the process that started
+ * this one.  As long as they are open here, their peers see no end of the
+ * connection.  To be called before anything is opened. */
+void proc_close_inherited_sockets(void);
+
 #endif
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -216,3 +216,30 @@
     EXPECT_NE(read_until(fd, "}").find("no_configuration"), std::string::npos);
     close(fd);
 }
+
+/* Guards against jobs that run on after their callers have left: a daemon that
+ * inherited a caller's connection holds it open for as long as it lives. */
+TEST_F(Entry, InheritedConnectionsAreClosed)
+{
+    uint16_t port = free_port();
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in sa = {};
+
+    sa.sin_family = AF_INET;
+    sa.sin_port = htons(port);
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(bind(listener, (sockaddr *)&sa, sizeof(sa)), 0);
+    ASSERT_EQ(listen(listener, 1), 0);
+    int caller = connect_to(port);
+    int served = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+    fcntl(caller, F_SETFD, 0);
+    start();
+    close(caller);
+    pollfd p = {served, POLLIN, 0};
+    char byte;
+    ASSERT_EQ(poll(&p, 1, 1000), 1);
+    EXPECT_EQ(recv(served, &byte, 1, 0), 0);
+    EXPECT_EQ(kill(pid, 0), 0);
+    close(served);
+    close(listener);
+}
