coord: a late copy of a cancelled or failed job starts nothing

The same happened to copies of a job that was answered "failed", and to copies of a forwarded job, cancelled at the entry that forwarded it.

Ended jobs are kept for 20 s to answer such copies, but only completed ones were. All jobs whose end was answered with a result are kept now, and an entry keeps the id of a forwarded job that it cancelled. A copy gets the answer that the job got; one with an id of a job that was given up runs as before, as its caller has no result.

Not covered: copies and cancellations that reach another entry, and a DELETE that is handled while the job's request still waits in the intake, which is answered 410.

--- a/coord.c
+++ b/coord.c
@@ -12,7 +12,7 @@
  * start at wall-clock ms, so this exceeds the difference of two entries'
  * clocks. */
 #define RUN_NUMBER_SKIP 5000U
-/* ms for which completed jobs are kept to answer late copies of a request. */
+/* ms for which ended jobs are kept to answer late copies of a request. */
 #define ENDED_RETENTION_MS 20000U
 /* ms without any worker, after a start or a loss, for which jobs are accepted
  * and held: a fleet that lost power is back within half a second, and a late
@@ -190,7 +190,7 @@
 }
 
 static void
-record_completed(
+record_ended(
     struct coord *c, uint64_t now, uint64_t id, enum co_outcome outcome)
 {
     struct co_ended *e = NULL;
@@ -244,8 +244,8 @@
         c->ops->answer(c->ctx, w->handle, outcome, reason, retry_ms);
         free(w);
     }
-    if (outcome == CO_COMPLETED) {
-        record_completed(c, now, j->id, outcome);
+    if (outcome == CO_COMPLETED || outcome == CO_FAILED) {
+        record_ended(c, now, j->id, outcome);
     }
     free_job(c, j);
 }
@@ -506,6 +506,12 @@
     return true;
 }
 
+void
+co_record_cancelled(struct coord *c, uint64_t now, uint64_t id)
+{
+    record_ended(c, now, id, CO_FAILED);
+}
+
 void
 co_give_up_all(struct coord *c, uint64_t now, const char *reason)
 {
@@ -825,7 +831,7 @@
 }
 
 static void
-expire_completed(struct coord *c, uint64_t now)
+expire_ended(struct coord *c, uint64_t now)
 {
     struct co_ended *e;
     struct co_ended *tmp;
@@ -881,7 +887,7 @@
         }
     }
     expire_outliving_runs(c, now);
-    expire_completed(c, now);
+    expire_ended(c, now);
 }
 
 /* --- release and queries --- */
--- a/coord.h
+++ b/coord.h
@@ -168,7 +168,8 @@
     struct co_outliving *next;
 };
 
-/* A completed job, kept to answer late copies of its request. */
+/* A job that completed, failed or was cancelled, kept to answer late copies of
+ * its request. */
 struct co_ended {
     uint64_t id;
     uint64_t ended_ms;
@@ -266,6 +267,9 @@
 void co_caller_left(struct coord *c, uint64_t now, const void *handle);
 /* Cancels a job; false if it is not in progress here. */
 bool co_cancel(struct coord *c, uint64_t now, uint64_t id);
+/* A forwarded job was cancelled here: a late copy of its request starts
+ * nothing. */
+void co_record_cancelled(struct coord *c, uint64_t now, uint64_t id);
 /* Ends all jobs, as this entry leaves. */
 void co_give_up_all(struct coord *c, uint64_t now, const char *reason);
 /* Handles a report of agent from. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -413,6 +413,7 @@
             answer(e, forwarded, CO_FAILED, "cancelled", 0);
             forwarded = rl_find(&e->relay, str_of(web_path(r)));
         }
+        co_record_cancelled(&e->coord, now, id);
         ec_reply(r, 200, "{}");
         return;
     }
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -730,3 +730,54 @@
     EXPECT_EQ(e.callers.answers[0].second, CO_GAVE_UP);
     EXPECT_FALSE(co_answer_copy(&e.c, 6, &copy, "leaving"));
 }
+
+/* Guards against a job that starts again after its end was answered: a copy of
+ * its request arrives seconds later. */
+TEST(Coord, LateCopyOfAnEndedJobGetsItsAnswer)
+{
+    const struct {
+        void (*end)(Entry &e);
+        co_outcome outcome;
+    } cases[] = {
+        {[](Entry &e) {
+             e.report({{{5, 0, 51}, DW_END_DONE, 9}});
+         },
+            CO_COMPLETED},
+        {[](Entry &e) {
+             e.report({{{5, 0, 51}, DW_END_FAILED, 9}});
+             e.report({{{5, 0, 52}, DW_END_FAILED, 9}});
+         },
+            CO_FAILED},
+        {[](Entry &e) { co_cancel(&e.c, e.now, 5); }, CO_FAILED},
+    };
+
+    for (auto &c : cases) {
+        Entry e;
+        int copy;
+
+        e.submit(5, 1, &caller);
+        c.end(e);
+        ASSERT_EQ(e.callers.answers.size(), 1u);
+        for (int i = 0; i < 20; i++) {
+            e.now += 200;
+            e.report({});
+            co_tick(&e.c, e.now);
+        }
+        e.submit(5, 1, &copy);
+        EXPECT_EQ(co_job_count(&e.c), 0u);
+        ASSERT_EQ(e.callers.answers.size(), 2u);
+        EXPECT_EQ(e.callers.answers[1].second, c.outcome);
+    }
+}
+
+/* Guards against the same for a job that ran at another entry. */
+TEST(Coord, LateCopyOfAForwardedJobThatWasCancelledStartsNothing)
+{
+    Entry e;
+
+    co_record_cancelled(&e.c, e.now, 5);
+    e.submit(5, 1, &caller);
+    EXPECT_EQ(co_job_count(&e.c), 0u);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_FAILED);
+}
