soak: closes that entries see, late stops, slower entries

With -c every task that ran twice had a close that its entry did not see before it, which hid whether runs may also outlast a close that was seen. -n leaves the unseen closes out, and the end of the run tells how many jobs ran twice without one.

Two faults are new: callers that submit to an entry with a tenth of a processor, or with 10 of each 460 ms, and close within its slow time; and a reset whose entry is paused for less than the 350 ms after which its sessions end, while the workers of the runs carry stops out late and answer polls. The second one makes the runs end as late as the settings allow.

With -c the entries of the call have to be in touch, too; the other modes are unchanged.

Long tasks after the faults take up to 3 s: callers wait 9 s, so a job with a run of 5 s that is repeated once could not complete in time.

--- a/test/soak.h
+++ b/test/soak.h
@@ -106,6 +106,8 @@
  * seconds late without an answer. */
 void fw_set_loss(
     struct fake_worker *w, uint32_t lost_permille, uint32_t late_permille);
+/* Carry all stops out seconds late without an answer.  Polls are answered. */
+void fw_set_late_stops(struct fake_worker *w, bool on);
 /* Of 1000 starts, how many are refused with 429 or 503 and not carried out. */
 void fw_set_refusals(struct fake_worker *w, uint32_t permille);
 /* Multiply the run time of tasks started from now on. */
