--- a/Makefile
+++ b/Makefile
@@ -127,6 +127,7 @@
 	FLEET_BIN=$(B) bash test/soak.sh 6 1 2 3
 	SOAK_ARGS=-w FLEET_BIN=$(B) bash test/soak.sh 8 104 105 106
 	SOAK_ARGS=-x FLEET_BIN=$(B) bash test/soak.sh 6 201 202 203
+	SOAK_ARGS="-c -a 16 -e 5" FLEET_BIN=$(B) bash test/soak.sh 8 301 302 303
 
 test-regress: all
 	FLEET_BIN=$(B) bash regress/run.sh
