--- a/test/soak.c
+++ b/test/soak.c
@@ -235,6 +235,7 @@
     uint64_t jobs_twice[FAULT_KINDS];
     uint64_t jobs_twice_other; /* after several faults, or none */
     uint64_t jobs_twice_seen;  /* of all, after no unseen fault */
+    uint64_t runs_left;        /* jobs sent again while they ran, neither */
     struct {                   /* faults to be cleared */
         uint64_t at_ms;
         void (*fn)(struct soak *s, int i);
@@ -507,11 +508,21 @@
     }
 }
 
+static bool
+met_unseen(const struct call *c)
+{
+    bool unseen = false;
+
+    for (uint32_t i = 0; i < c->fault_count; i++) {
+        unseen = unseen || fault_kinds[c->faults[i].kind].unseen;
+    }
+    return unseen;
+}
+
 static void
 count_twice(struct soak *s, struct call *c, uint32_t index)
 {
     bool counted = false;
-    bool unseen = false;
 
     for (uint32_t i = 0; i < c->tasks; i++) {
         counted = counted || c->twice_ms[i] != 0;
@@ -520,10 +531,7 @@
     if (counted) {
         return;
     }
-    for (uint32_t i = 0; i < c->fault_count; i++) {
-        unseen = unseen || fault_kinds[c->faults[i].kind].unseen;
-    }
-    s->jobs_twice_seen += !unseen;
+    s->jobs_twice_seen += !met_unseen(c);
     if (c->fault_count == 1) {
         s->jobs_twice[c->faults[0].kind]++;
     }
@@ -988,6 +996,7 @@
         close_call(c);
     }
     if (c->resend_at_ms != 0 && s->now >= c->resend_at_ms) {
+        s->runs_left += s->callers_mode && !met_unseen(c) && has_run_active(c);
         send_call(c, next_entry(c));
     }
 }
@@ -1711,6 +1720,10 @@
             s, sizeof(worker_faults) / sizeof(worker_faults[0]))](s);
         return;
     }
+    if (s->seen_only && soak_random(s, 2) != 0) {
+        late_stop(s);
+        return;
+    }
     if (s->callers_mode && soak_random(s, 2) != 0) {
         caller_faults[soak_random(
             s, sizeof(caller_faults) / sizeof(caller_faults[0]))](s);
@@ -1888,8 +1901,9 @@
             fault_kinds[i].name, s->call_faults[i], s->jobs_twice[i]);
     }
     printf("several or none: %" PRIu64 " jobs ran twice\n"
-           "of all, after no unseen close: %" PRIu64 " jobs ran twice\n",
-        s->jobs_twice_other, s->jobs_twice_seen);
+           "of all, after no unseen close: %" PRIu64 " jobs ran twice\n"
+           "after no unseen close: %" PRIu64 " still ran when sent again\n",
+        s->jobs_twice_other, s->jobs_twice_seen, s->runs_left);
 }
 
 int
