runner, entries: stopped runs are over before their caller is back

What callers saw: nothing that was traced to it; a task may run twice at a time. A caller's connection breaks while the entry stands still, and its stop meets a worker that answers polls but no stop. The caller submits the job to another entry 1,300 ms after the break, where it runs beside the first run.

Cause: the sum was not written down. Up to 500 ms pass until the entry reads the close, up to 350 until the order reaches the agent, 800 until the lease is not renewed for unanswered stops, and 326 until it runs out: 1,976 ms. After a pause and a loss of the entry 1,276 ms were allowed, 24 less than callers wait.

Fix: the lease is not renewed from 150 ms on after a stop, and an entry gives its jobs up after a pause of 350 ms, when its agents have ended its sessions anyhow. The sums are 1,126 (entry lost after a pause) and 1,176 ms (caller left); resend.h names them, a margin of 100 ms, and compares them with the 1,300 ms at compile time. Settings are refused below the same value as before, 1,276. The sum of forwarded requests stays 1,276, of which 150 are for scheduling.

The price: an entry that stands still for 350 to 500 ms gives up jobs that wait. Its dispatched runs were lost before, too. While a stop is unresolved for more than 150 ms, its worker starts nothing.

--- a/conf.c
+++ b/conf.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "coord.h"
+#include "resend.h"
 
 enum kind { KIND_U16, KIND_U32, KIND_SECONDS, KIND_TEXT, KIND_CHOICE };
 
@@ -210,7 +210,7 @@
     c->trail_events_max = 20000;
     c->audit_entries_max = 2000;
     c->platform.grace_ms = 6000;
-    c->platform.caller_resend_ms = 1300;
+    c->platform.caller_resend_ms = RS_RESEND_MS;
 }
 
 static enum conf_status
@@ -360,11 +360,11 @@
         return CONF_BAD_VALUE;
     }
     if (c->platform.store_url[0] != '\0' &&
-        c->platform.caller_resend_ms <= CO_ORPHAN_RUNS_MS) {
+        c->platform.caller_resend_ms <= RS_RUNS_OVER_MS) {
         err_set(e,
-            "%s: key 'platform.resend_ms': want more than %u, as runs of an "
-            "entry that died may go on for so long",
-            path, CO_ORPHAN_RUNS_MS);
+            "%s: key 'platform.resend_ms': want more than %u, as runs whose "
+            "caller has left may go on for so long",
+            path, RS_RUNS_OVER_MS);
         return CONF_BAD_VALUE;
     }
     if (n->me.rack[0] == '\0') {
--- a/coord.h
+++ b/coord.h
@@ -34,16 +34,10 @@
 
 /* Maximum number of tasks of a job. */
 #define CO_TASKS_MAX 1024U
-/* ms between ticks above which an entry gives up all its jobs: after a longer
- * pause it would place tasks again whose runs, if it is lost then, outlast the
- * time after which callers send the jobs to other entries. */
-#define CO_MAX_PAUSE_MS 500U
-/* Upper bound, in ms, on how long runs continue after their entry was last
- * heard: it may resume from a pause, order runs and die; then the session's
- * lease, the time to stop them and the worker's lease pass.  After that
- * callers may send a job to another entry. */
-#define CO_ORPHAN_RUNS_MS                                                     \
-    (CO_MAX_PAUSE_MS + SESS_LEASE_MS + RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS)
+/* ms between ticks above which an entry gives up all its jobs, as their
+ * callers may have sent them to other entries (resend.h).  Its agents have
+ * ended their sessions by then and stop its runs. */
+#define CO_MAX_PAUSE_MS SESS_LEASE_MS
 
 enum co_outcome {
     CO_COMPLETED, /* every task succeeded */
--- a/runner.h
+++ b/runner.h
@@ -54,9 +54,11 @@
 /* ms within which runs of an ended session must have stopped; after that the
  * lease is not renewed, for any run, until they have. */
 #define RN_STOP_LIMIT_MS 100U
-/* The same for a run that its entry has stopped: RN_LEASE_EXPIRY_MS later it
- * is over, before the job's caller may have submitted it to another entry. */
-#define RN_ORDERED_STOP_LIMIT_MS 800U
+/* The same for a run that its entry has stopped, as the job's caller may
+ * submit it to another entry (resend.h).  Longer than a usual stop, which
+ * takes up to 100 ms on a loaded machine: until it is over, no run is started
+ * either. */
+#define RN_ORDERED_STOP_LIMIT_MS 150U
 /* Ended runs remembered: the answer of a poll that was sent before the end was
  * known does not report the run as unknown, and a report that proves untrue is
  * noticed after seconds without contact, at some hundred runs a second. */
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -124,6 +124,29 @@
     w.break_callers(some(w, ENTRIES), 1, true);
 }
 
+void
+none(World &)
+{
+}
+
+/* An entry that stands still learns late that its callers have gone; its first
+ * messages after that are lost, and a worker's stops stay unanswered while its
+ * polls are answered. */
+void
+late_break_and_stops_lost(World &w)
+{
+    size_t e = some(w, ENTRIES);
+    size_t a = some(w, AGENTS);
+    uint64_t ms = 100 + w.rng() % 250;
+
+    w.workers[a]->lost_stop_share = 1;
+    w.freeze_entry(e, ms);
+    w.break_callers(e, 1300);
+    w.after(
+        ms - 5, [&w, e, a] { w.cut(e, a, true, false, 10 + w.rng() % 60); });
+    w.after(1600, [&w, a] { w.workers[a]->lost_stop_share = 0; });
+}
+
 /* A copy arrives while the first connection still counts as open; then the
  * copy's connection breaks as well. */
 void
@@ -153,6 +176,8 @@
 struct AgainCase {
     const char *name;
     std::vector<void (*)(World &)> faults;
+    uint32_t task_ms = 700;
+    uint64_t pause_ms = 60; /* between jobs */
 };
 
 const AgainCase cases[] = {
@@ -166,6 +191,8 @@
     {"messages_doubled_and_late", {messages_doubled_and_late}},
     {"callers_send_again", {callers_send_again, sessions_reopen}},
     {"callers_repeat_at_once", {callers_repeat_at_once, sessions_reopen}},
+    {"late_break_and_stops_lost", {late_break_and_stops_lost, none, none},
+        1800, 200},
     {"copies_break", {copies_break}},
     {"forwarded_copies_break", {forwarded_copies_break}},
     {"all_but_refused",
@@ -221,8 +248,8 @@
         for (size_t i = 0; i < ENTRIES; i++) {
             w.entries[i]->wall_offset_ms = i * 3000;
         }
-        for (uint64_t t = 0; t < 9000; t += 60) {
-            w.after(t, [&w] { w.submit(3, 700); });
+        for (uint64_t t = 0; t < 9000; t += c.pause_ms) {
+            w.after(t, [&w, &c] { w.submit(3, c.task_ms); });
         }
         w.run(500);
         for (int k = 0; k < 12; k++) {
