again-test: entries that stand still twice, or in the middle of a pass

entry_pauses_twice: each pause is too short to be noticed. The entry reads the closes in the pass between the two. Orders after the second pause go to sessions that their agents have opened since.

entry_pauses_mid_pass: the pause lies between the tick with its check and the placement, so that tasks are placed before the jobs are given up. The orders echo clocks that are older than the pause, and agents drop them after 350 ms.

--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -147,6 +147,37 @@
     w.after(1600, [&w, a] { w.workers[a]->lost_stop_share = 0; });
 }
 
+/* Each pause is too short to be noticed; callers leave in either, which the
+ * entry reads at its end, or is lost before it does. */
+void
+entry_pauses_twice(World &w)
+{
+    size_t e = some(w, ENTRIES);
+    uint64_t first_ms = 100 + w.rng() % (CO_MAX_PAUSE_MS - 120);
+    uint64_t second_ms = 100 + w.rng() % (CO_MAX_PAUSE_MS - 120);
+    uint64_t both_ms = first_ms + 1 + second_ms;
+
+    w.freeze_entry(e, first_ms);
+    w.after(first_ms + 1 + w.rng() % 25,
+        [&w, e, second_ms] { w.freeze_entry(e, second_ms); });
+    w.after(w.rng() % both_ms, [&w, e] { w.break_callers(e, 1300); });
+    if (w.rng() % 2) {
+        w.after(
+            both_ms + w.rng() % 50, [&w, e] { w.power_off_entry(e, 500); });
+    }
+}
+
+/* An entry stands still between its check for a pause and placing tasks. */
+void
+entry_pauses_mid_pass(World &w)
+{
+    size_t e = some(w, ENTRIES);
+
+    w.submit(8, 700);
+    w.freeze_entry(e, 50 + w.rng() % 1800, true);
+    w.break_callers(e, 1300);
+}
+
 /* A copy arrives while the first connection still counts as open; then the
  * copy's connection breaks as well. */
 void
@@ -187,6 +218,8 @@
     {"sessions_reopen", {sessions_reopen, stops_lost}},
     {"entry_pauses", {entry_pauses}},
     {"entry_pauses_and_is_lost", {entry_pauses_and_is_lost}},
+    {"entry_pauses_twice", {entry_pauses_twice, none}, 1800, 200},
+    {"entry_pauses_mid_pass", {entry_pauses_mid_pass, sessions_reopen}},
     {"starts_refused", {starts_refused, sessions_reopen}},
     {"messages_doubled_and_late", {messages_doubled_and_late}},
     {"callers_send_again", {callers_send_again, sessions_reopen}},
--- a/test/world.cc
+++ b/test/world.cc
@@ -913,7 +913,7 @@
 }
 
 void
-World::freeze_entry(size_t i, uint64_t for_ms)
+World::freeze_entry(size_t i, uint64_t for_ms, bool mid_pass)
 {
     trace("freeze_entry %zu for %lu", i, for_ms);
     FakeEntry *e = entries[i].get();
@@ -923,11 +923,15 @@
         return;
     }
     e->frozen_until = now + for_ms;
-    after(for_ms, [this, e, id] {
+    after(for_ms, [this, e, id, mid_pass] {
         if (!e->up || e->id != id) {
             return;
         }
         e->frozen_until = 0;
+        if (mid_pass) {
+            co_flush(&e->coord_state, now);
+            rl_flush(&e->relay_state, now);
+        }
         auto unread = std::move(e->unread);
         e->unread.clear();
         for (auto &fn : unread) {
--- a/test/world.hh
+++ b/test/world.hh
@@ -124,7 +124,8 @@
     void kill_agent(size_t i, uint64_t for_ms);
     void kill_entry(size_t i, uint64_t for_ms);
     void freeze_agent(size_t i, uint64_t for_ms);
-    void freeze_entry(size_t i, uint64_t for_ms);
+    /* mid_pass: after its tick, before it places tasks. */
+    void freeze_entry(size_t i, uint64_t for_ms, bool mid_pass = false);
     /* Drops the messages between two processes, in the given directions. */
     void cut(size_t entry, size_t agent, bool to_agent, bool to_entry,
         uint64_t for_ms);
