entries: claim jobs, so that one runs at one entry only

An entry that does not learn that its caller has gone runs the job on, and the caller sends it to another entry 1,300 ms later; entries share no state of jobs.

Entries now announce the jobs that they have had for 400 ms, those that they gave up and whose runs may be at work, and requests that wait (DW_CLAIMS). A request for a job that another entry claims waits: the claimant is told (DW_MOVED), gives the job up and withdraws its claim when its runs are over, or has been silent for 1,676 ms. If two entries have a job, the one with the older request gives it up (claim_conflict).

An entry of an older version decodes the messages as of an unknown type and ignores them.

--- a/coord.c
+++ b/coord.c
@@ -432,11 +432,14 @@
         c->stats.not_run++;
         c->ops->log_refusal(c->ctx, s, &est, reason, co_queued_ms(c, now));
         c->ops->answer(c->ctx, handle,
-            has_outliving_run(c, s->id) ? CO_GAVE_UP : CO_NOT_RUN, reason,
+            s->may_have_run || has_outliving_run(c, s->id) ? CO_GAVE_UP
+                                                           : CO_NOT_RUN,
+            reason,
             qp_retry_after_ms(c, now, get_service_load(c, s->service)));
         return;
     }
     j = admit(c, now, s, &est, handle);
+    j->started = s->may_have_run;
     take_over_runs(c, j);
     co_share_arrived(c, now, j, s);
     qp_record_job(now, j, &est);
@@ -506,6 +509,18 @@
     return true;
 }
 
+bool
+co_give_up_job(struct coord *c, uint64_t now, uint64_t id, const char *reason)
+{
+    struct co_job *j = co_find_job(c, id);
+
+    if (j == NULL) {
+        return false;
+    }
+    end_job(c, now, j, CO_GAVE_UP, reason);
+    return true;
+}
+
 void
 co_record_cancelled(struct coord *c, uint64_t now, uint64_t id)
 {
--- a/coord.h
+++ b/coord.h
@@ -68,6 +68,7 @@
     uint32_t timeout_ms;              /* until the caller's deadline */
     const struct co_task_spec *tasks; /* est_ms as declared by the caller */
     size_t task_count;
+    bool may_have_run; /* another entry had the job */
 };
 
 enum co_task_state {
@@ -132,7 +133,8 @@
     uint32_t slack_ms;        /* how long it could wait on arrival */
     uint32_t longest_run_ms;  /* longest run so far, scaled to usual speed */
     bool ran_slow;            /* a run was on a slow worker: learn nothing */
-    bool started;             /* a run of it has been ordered */
+    bool started;             /* a run of it has been ordered, here or at
+                               * another entry */
     bool queued;              /* in coord.queue */
     struct sh_route *share;   /* of its route; NULL: shares are not in use */
     bool large;               /* one of the largest of its route */
@@ -264,6 +266,10 @@
 /* A forwarded job was cancelled here: a late copy of its request starts
  * nothing. */
 void co_record_cancelled(struct coord *c, uint64_t now, uint64_t id);
+/* Ends a job without a result; tasks of it may run elsewhere.  False if it is
+ * not in progress here. */
+bool co_give_up_job(
+    struct coord *c, uint64_t now, uint64_t id, const char *reason);
 /* Ends all jobs, as this entry leaves. */
 void co_give_up_all(struct coord *c, uint64_t now, const char *reason);
 /* Handles a report of agent from. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -172,6 +172,27 @@
     return it_find(&e->intake, has_path, &path) != NULL;
 }
 
+/* The last component of a job's path: its id as the caller wrote it. */
+static struct str
+job_id_text(struct str path)
+{
+    size_t at = path.n;
+
+    while (at > 0 && path.p[at - 1] != '/') {
+        at--;
+    }
+    return str_make(path.p + at, path.n - at);
+}
+
+/* Another entry has the job, or a request for it waits until that is over. */
+static bool
+is_claimed(const struct entry *e, struct str path)
+{
+    uint64_t id;
+
+    return wire_job_id(job_id_text(path), &id) && cl_may_run(&e->claims, id);
+}
+
 /* A request that is not in the intake.  It is not answered as not run if a
  * copy of it may run. */
 static void
@@ -182,7 +203,8 @@
     struct caller *c = handle;
 
     if (outcome == CO_NOT_RUN &&
-        (is_queued(e, path_of(c)) ||
+        (c->waits_since_ms != 0 || is_queued(e, path_of(c)) ||
+            is_claimed(e, path_of(c)) ||
             rl_may_run_elsewhere(&e->relay, proc_now(), path_of(c)))) {
         outcome = CO_GAVE_UP;
     }
@@ -243,6 +265,26 @@
     web_problem(r, 400, "bad_job", why, 0);
 }
 
+/* True: another entry has the job; the request starts again when that is over.
+ * Else s is set to what is left after an earlier wait. */
+static bool
+wait_for_claimant(struct entry *e, uint64_t now, struct caller *c, uint64_t id,
+    struct co_submit *s)
+{
+    if (c->waits_since_ms != 0) {
+        s->may_have_run = true;
+        s->timeout_ms =
+            (uint32_t)num_sub_sat(s->timeout_ms, now - c->waits_since_ms);
+    }
+    if (!cl_wait(&e->claims, now, id, c, now + s->timeout_ms)) {
+        return false;
+    }
+    if (c->waits_since_ms == 0) {
+        c->waits_since_ms = now;
+    }
+    return true;
+}
+
 static void
 submit(struct entry *e, uint64_t now, struct caller *c,
     const struct rt_route *route, uint64_t id)
@@ -279,6 +321,10 @@
     if (co_has_job(&e->coord, id)) {
         log_event(LOG_LEVEL_INFO, "request_joined", "job=%016" PRIx64, id);
     }
+    else if (wait_for_claimant(e, now, c, id, &s)) {
+        wire_job_free(&job);
+        return;
+    }
     co_submit(&e->coord, now, &s, c);
     wire_job_free(&job);
 }
@@ -325,18 +371,6 @@
     return NULL;
 }
 
-/* The last component of a job's path: its id as the caller wrote it. */
-static struct str
-job_id_text(struct str path)
-{
-    size_t at = path.n;
-
-    while (at > 0 && path.p[at - 1] != '/') {
-        at--;
-    }
-    return str_make(path.p + at, path.n - at);
-}
-
 static void
 log_request_refused(const struct entry *e, struct str path, const char *why)
 {
@@ -405,6 +439,8 @@
 cancel(struct entry *e, uint64_t now, struct web_req *r, uint64_t id)
 {
     struct caller *forwarded = rl_find(&e->relay, str_of(web_path(r)));
+    struct caller *waiting;
+    bool found;
 
     if (forwarded != NULL) {
         /* The peer runs the job until all copies are cancelled. */
@@ -417,13 +453,18 @@
         ec_reply(r, 200, "{}");
         return;
     }
-    ec_reply(r, co_cancel(&e->coord, now, id) ? 200 : 410, "{}");
+    found = co_cancel(&e->coord, now, id);
+    while ((waiting = cl_take(&e->claims, id)) != NULL) {
+        answer(e, waiting, CO_FAILED, "cancelled", 0);
+        found = true;
+    }
+    ec_reply(r, found ? 200 : 410, "{}");
 }
 
 static void
 reply_state(struct entry *e, struct web_req *r, uint64_t id)
 {
-    if (co_has_job(&e->coord, id) ||
+    if (co_has_job(&e->coord, id) || cl_is_waiting(&e->claims, id) ||
         rl_find(&e->relay, str_of(web_path(r))) != NULL) {
         ec_reply(r, 200, "{\"state\":\"running\"}");
     }
@@ -481,24 +522,36 @@
     log_event(LOG_LEVEL_INFO, "request_given", "job=%.*s", (int)job.n, job.p);
 }
 
+/* Queues a request that must not be forwarded. */
+static void
+queue_here(struct entry *e, struct caller *c)
+{
+    if (!it_add(&e->intake, proc_now_us(), c)) {
+        shed(e, c, "would_wait");
+    }
+}
+
 /* Keeps one owner per request.  A copy of a request that waits, runs or has
  * just ended here is queued here; a copy of a forwarded one goes to the same
- * peer.  False: the request is not known to be a copy. */
+ * peer; one whose job another entry claims waits here.  False: the request is
+ * not known to be a copy. */
 static bool
 handle_copy(struct entry *e, uint64_t now, struct caller *c)
 {
     uint64_t id;
 
     if (is_queued(e, path_of(c)) || route_of_known_job(e, c, &id) != NULL) {
-        if (!it_add(&e->intake, proc_now_us(), c)) {
-            shed(e, c, "would_wait");
-        }
+        queue_here(e, c);
         return true;
     }
     switch (rl_forward_copy(&e->relay, now, c, host_of(c), path_of(c),
         body_of(c), left_ms(c->req))) {
     case RL_NO_COPY:
-        return false;
+        if (!is_claimed(e, path_of(c))) {
+            return false;
+        }
+        queue_here(e, c);
+        break;
     case RL_COPY_SENT:
         log_forwarded(e, c);
         break;
@@ -570,7 +623,8 @@
 {
     struct entry *e = ctx;
 
-    if (!it_remove(&e->intake, request->data)) {
+    if (!it_remove(&e->intake, request->data) &&
+        !cl_caller_left(&e->claims, request->data)) {
         co_caller_left(&e->coord, proc_now(), request->data);
     }
     free(request->data);
@@ -600,6 +654,63 @@
 const struct rl_ops ec_rl_ops = {send_message, start_forwarded,
     abandon_forwarded, answer_from_peer, log_relay};
 
+/* --- operations of claim --- */
+
+static void
+broadcast(void *ctx, const dw_msg *m)
+{
+    struct entry *e = ctx;
+
+    rl_broadcast(&e->relay, m);
+}
+
+static void
+hold_jobs(void *ctx, struct claims *claims)
+{
+    struct entry *e = ctx;
+
+    cl_hold_jobs(claims, &e->coord);
+}
+
+static void
+start_waited(void *ctx, void *handle)
+{
+    start_request(ctx, proc_now(), handle);
+}
+
+static void
+refuse_waited(void *ctx, void *handle, const char *reason)
+{
+    struct caller *c = handle;
+
+    log_request_refused(ctx, path_of(c), reason);
+    answer(ctx, c, CO_GAVE_UP, reason, 0);
+}
+
+static void
+give_up_job(void *ctx, uint64_t job, const char *reason)
+{
+    struct entry *e = ctx;
+
+    co_give_up_job(&e->coord, proc_now(), job, reason);
+}
+
+static void
+log_claim(
+    void *ctx, const char *event, uint64_t job, uint64_t entry, uint64_t ms)
+{
+    (void)ctx;
+    log_event(
+        strcmp(event, "claim_conflict") == 0 ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+        event, "job=%016" PRIx64 " entry=%016" PRIx64 " ms=%" PRIu64, job,
+        entry, ms);
+}
+
+const struct cl_ops ec_cl_ops = {broadcast, send_message, hold_jobs,
+    start_waited, refuse_waited, give_up_job, log_claim};
+
+/* --- the loop --- */
+
 /* Make the loop start its next pass without waiting for events. */
 static void
 request_pass(struct entry *e)
@@ -757,6 +868,7 @@
     while ((c = it_pop(&e->intake)) != NULL) {
         refuse(e, c, "leaving", "leaving", OVERLOAD_RETRY_MS);
     }
+    cl_refuse_all(&e->claims, "leaving");
     rl_give_up(&e->relay, now, "leaving");
     co_give_up_all(&e->coord, now, "leaving");
 }
@@ -779,7 +891,8 @@
         return;
     }
     log_caller_left(c);
-    if (!it_remove(&e->intake, c) && !rl_cancel(&e->relay, proc_now(), c)) {
+    if (!it_remove(&e->intake, c) && !cl_caller_left(&e->claims, c) &&
+        !rl_cancel(&e->relay, proc_now(), c)) {
         co_caller_left(&e->coord, proc_now(), c);
     }
     free(c);
@@ -790,4 +903,5 @@
 {
     ev_init(&e->resume_timer, on_resume);
     rl_init(&e->relay, &ec_rl_ops, e, e->s->id);
+    cl_init(&e->claims, &ec_cl_ops, e, e->s->id);
 }
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -8,6 +8,7 @@
 #ifndef ENTRYD_INT_H
 #define ENTRYD_INT_H
 
+#include "claim.h"
 #include "coord.h"
 #include "hist.h"
 #include "intake.h"
@@ -24,7 +25,8 @@
 struct caller {
     struct web_req *req; /* NULL if the request was forwarded to this entry */
     struct rl_accepted *forwarded; /* NULL if the caller is local */
-    uint64_t read_ms; /* when the request of a local caller was read */
+    uint64_t read_ms;        /* when the request of a local caller was read */
+    uint64_t waits_since_ms; /* another entry claimed its job; 0: never */
 };
 
 struct entry {
@@ -37,6 +39,7 @@
     struct follow *operators; /* configuration and withdrawn domains */
     struct follow *members;   /* registrations and run time estimates */
     struct relay relay;
+    struct claims claims;
     uint64_t forwarded_out; /* requests forwarded to other entries */
     uint64_t forwarded_in;  /* requests received from other entries */
     struct opstate opstate;
@@ -66,6 +69,7 @@
 /* --- entrycall.c: requests of callers, forwarded requests --- */
 extern const struct co_ops ec_co_ops;
 extern const struct rl_ops ec_rl_ops;
+extern const struct cl_ops ec_cl_ops;
 void ec_open(struct entry *e);
 /* Callbacks of the callers' server: a request was received completely; the
  * caller of an unanswered request closed its connection. */
--- a/entryd.c
+++ b/entryd.c
@@ -129,6 +129,7 @@
     ev_check_stop(s->loop, &e->pass_check);
     ev_timer_stop(s->loop, &e->resume_timer);
     it_free(&e->intake);
+    cl_free(&e->claims);
     rl_free(&e->relay);
     co_free(&e->coord);
     rk_free(&e->ranks);
@@ -284,6 +285,7 @@
     update_relay(e, now);
     start_us = proc_now_us();
     co_tick(&e->coord, now);
+    cl_tick(&e->claims, now);
     lg_record_probe(&e->lag, proc_now_us(), proc_now_us() - start_us,
         FL_SELECTED_MAX + co_job_count(&e->coord));
     en_save_estimates(e, now);
@@ -337,6 +339,12 @@
     else if (m->type == DW_WAITS) {
         rl_receive_waits(&e->relay, now, from, &m->dw_msg_u.waits);
     }
+    else if (m->type == DW_CLAIMS) {
+        cl_receive_claims(&e->claims, now, from, &m->dw_msg_u.claims);
+    }
+    else if (m->type == DW_MOVED) {
+        cl_receive_moved(&e->claims, now, from, &m->dw_msg_u.moved);
+    }
     else if (m->type == DW_NEWS) {
         en_operator_state(e, from, &m->dw_msg_u.news);
     }
@@ -373,7 +381,8 @@
 
     (void)now;
     return !e->accepting && co_job_count(&e->coord) == 0 &&
-           it_count(&e->intake) == 0 && rl_replies_delivered(&e->relay) &&
+           it_count(&e->intake) == 0 && cl_waiting_count(&e->claims) == 0 &&
+           rl_replies_delivered(&e->relay) &&
            web_open_requests(e->callers) == 0;
 }
 
@@ -438,6 +447,10 @@
         {"dw_balance_reports_received", e->relay.reports_received},
         {"dw_balance_reports_ignored", e->relay.reports_ignored},
         {"dw_requests_read_after_close", e->read_after_close},
+        {"dw_claims_sent", e->claims.stats.sent},
+        {"dw_claims_known", cl_known_count(&e->claims)},
+        {"dw_requests_waited", e->claims.stats.waited},
+        {"dw_claim_conflicts", e->claims.stats.conflicts},
         {"dw_busy_permille", (uint64_t)(e->lag.utilization * 1000)},
         {"dw_behind", lg_is_out_of_rotation(&e->lag)},
     };
--- a/proto.h
+++ b/proto.h
@@ -61,6 +61,8 @@
 	DW_WAITS = 31,
 	DW_RESERVE = 32,
 	DW_RESERVED = 33,
+	DW_CLAIMS = 34,
+	DW_MOVED = 35,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -692,6 +694,39 @@
 };
 typedef struct dw_reserved dw_reserved;
 
+enum dw_claim_kind {
+	DW_CLAIM_ENDS = 0,
+	DW_CLAIM_WAITS = 1,
+	DW_CLAIM_RUNS = 2,
+};
+typedef enum dw_claim_kind dw_claim_kind;
+
+struct dw_claim {
+	u_quad_t job;
+	u_int age_ms;
+	dw_claim_kind kind;
+};
+typedef struct dw_claim dw_claim;
+
+struct dw_claims {
+	u_quad_t seq;
+	struct {
+		u_int claims_len;
+		dw_claim *claims_val;
+	} claims;
+	struct {
+		u_int over_len;
+		u_quad_t *over_val;
+	} over;
+};
+typedef struct dw_claims dw_claims;
+
+struct dw_moved {
+	u_quad_t job;
+	u_int age_ms;
+};
+typedef struct dw_moved dw_moved;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -727,6 +762,8 @@
 		dw_waits waits;
 		dw_reserve reserve;
 		dw_reserved reserved;
+		dw_claims claims;
+		dw_moved moved;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -811,6 +848,10 @@
 extern  bool_t xdr_dw_waits (XDR *, dw_waits*);
 extern  bool_t xdr_dw_reserve (XDR *, dw_reserve*);
 extern  bool_t xdr_dw_reserved (XDR *, dw_reserved*);
+extern  bool_t xdr_dw_claim_kind (XDR *, dw_claim_kind*);
+extern  bool_t xdr_dw_claim (XDR *, dw_claim*);
+extern  bool_t xdr_dw_claims (XDR *, dw_claims*);
+extern  bool_t xdr_dw_moved (XDR *, dw_moved*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -878,6 +919,10 @@
 extern bool_t xdr_dw_waits ();
 extern bool_t xdr_dw_reserve ();
 extern bool_t xdr_dw_reserved ();
+extern bool_t xdr_dw_claim_kind ();
+extern bool_t xdr_dw_claim ();
+extern bool_t xdr_dw_claims ();
+extern bool_t xdr_dw_moved ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -49,7 +49,9 @@
     DW_SUPPLY = 30,
     DW_WAITS = 31,
     DW_RESERVE = 32,
-    DW_RESERVED = 33
+    DW_RESERVED = 33,
+    DW_CLAIMS = 34,
+    DW_MOVED = 35
 };
 
 /* State of a submission, in an answer. */
@@ -631,6 +633,36 @@
     unsigned int valid_ms;   /* from receipt of the request's answer */
 };
 
+/* What an entry has of a job that it claims; if several apply, the highest. */
+enum dw_claim_kind {
+    DW_CLAIM_ENDS = 0,  /* runs of a job that it has given up */
+    DW_CLAIM_WAITS = 1, /* a request that waits for another entry's runs */
+    DW_CLAIM_RUNS = 2   /* the job is in progress */
+};
+
+/* age_ms is that of the request; for DW_CLAIM_ENDS, since the job ended. */
+struct dw_claim {
+    unsigned hyper job;
+    unsigned int age_ms;
+    dw_claim_kind kind;
+};
+
+/*
+ * Entry to all entries: jobs that it has, and those of earlier messages that
+ * it has no longer.  Ignored unless it is newer than the sender's last one.
+ */
+struct dw_claims {
+    unsigned hyper seq; /* rises while the sender lives */
+    dw_claim claims<48>;
+    unsigned hyper over<16>;
+};
+
+/* Entry to one that claims a job: the job's caller has come to the sender. */
+struct dw_moved {
+    unsigned hyper job;
+    unsigned int age_ms; /* of the request */
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -664,6 +696,8 @@
 case DW_WAITS: dw_waits waits;
 case DW_RESERVE: dw_reserve reserve;
 case DW_RESERVED: dw_reserved reserved;
+case DW_CLAIMS: dw_claims claims;
+case DW_MOVED: dw_moved moved;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -1948,6 +1948,58 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_claim_kind (XDR *xdrs, dw_claim_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_claim (XDR *xdrs, dw_claim *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_dw_claim_kind (xdrs, &objp->kind))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_claims (XDR *xdrs, dw_claims *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, 48,
+		sizeof (dw_claim), (xdrproc_t) xdr_dw_claim))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->over.over_val, (u_int *) &objp->over.over_len, 16,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_moved (XDR *xdrs, dw_moved *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -2084,6 +2136,14 @@
 		 if (!xdr_dw_reserved (xdrs, &objp->dw_msg_u.reserved))
 			 return FALSE;
 		break;
+	case DW_CLAIMS:
+		 if (!xdr_dw_claims (xdrs, &objp->dw_msg_u.claims))
+			 return FALSE;
+		break;
+	case DW_MOVED:
+		 if (!xdr_dw_moved (xdrs, &objp->dw_msg_u.moved))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/relay.c
+++ b/relay.c
@@ -138,6 +138,16 @@
     }
 }
 
+void
+rl_broadcast(const struct relay *r, const dw_msg *m)
+{
+    const struct rl_peer *p;
+
+    for (p = r->peers; p != NULL; p = p->hh.next) {
+        r->ops->send(r->ctx, p->id, m);
+    }
+}
+
 void
 rl_need_peers(struct relay *r, uint64_t now)
 {
--- a/relay.h
+++ b/relay.h
@@ -167,6 +167,8 @@
 /* An entry was added to, or removed from, the list of entries. */
 void rl_add_entry(struct relay *r, uint64_t id);
 void rl_remove_entry(struct relay *r, uint64_t id);
+/* Sends a message to all entries of the list; it may get lost. */
+void rl_broadcast(const struct relay *r, const dw_msg *m);
 /* Peers are needed, or may be soon. */
 void rl_need_peers(struct relay *r, uint64_t now);
 /* Sets the state that is reported to origins from now on. */
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -117,6 +117,13 @@
     w.break_callers(some(w, ENTRIES), 1300);
 }
 
+/* Something else holds the socket open, or the close is lost. */
+void
+callers_leave_unseen(World &w)
+{
+    w.break_callers(some(w, ENTRIES), 1300, false, false);
+}
+
 /* A proxy or a client library repeats requests by itself. */
 void
 callers_repeat_at_once(World &w)
@@ -207,8 +214,10 @@
 struct AgainCase {
     const char *name;
     std::vector<void (*)(World &)> faults;
-    uint32_t task_ms = 700;
+    uint32_t task_ms = 700; /* mean; above 1,300 tasks outlast the time after
+                               which callers send a job again */
     uint64_t pause_ms = 60; /* between jobs */
+    uint64_t caller_wait_ms = 3000;
 };
 
 const AgainCase cases[] = {
@@ -228,6 +237,13 @@
         1800, 200},
     {"copies_break", {copies_break}},
     {"forwarded_copies_break", {forwarded_copies_break}},
+    {"callers_leave_unseen", {callers_leave_unseen}, 2500, 60, 9000},
+    {"callers_leave_unseen_and_sessions_reopen",
+        {callers_leave_unseen, sessions_reopen}, 2500, 60, 9000},
+    {"callers_leave_unseen_and_entry_pauses",
+        {callers_leave_unseen, entry_pauses}, 2500, 60, 9000},
+    {"callers_leave_unseen_late_messages",
+        {callers_leave_unseen, messages_doubled_and_late}, 2500, 60, 9000},
     {"all_but_refused",
         {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
             starts_refused, messages_doubled_and_late, callers_send_again,
@@ -278,6 +294,7 @@
     for (uint64_t seed = 1; seed <= seed_count(); seed++) {
         World w(seed, ENTRIES, AGENTS);
 
+        w.caller_wait_ms = c.caller_wait_ms;
         for (size_t i = 0; i < ENTRIES; i++) {
             w.entries[i]->wall_offset_ms = i * 3000;
         }
--- a/test/demand-test.cc
+++ b/test/demand-test.cc
@@ -63,7 +63,7 @@
     {
         std::vector<co_task_spec> specs(tasks, {millicores, 10, 0, task_ms});
         struct co_submit s = {id, now, STR("spec"), "s", 2, 1, "r",
-            {1000, 900 - task_ms}, 60000, specs.data(), tasks};
+            {1000, 900 - task_ms}, 60000, specs.data(), tasks, false};
 
         c.last_capacity_ms = now;
         co_submit(&c, now, &s, this);
--- a/test/world.cc
+++ b/test/world.cc
@@ -296,6 +296,9 @@
     Call *c = waiter->call;
     uint64_t id = e->id;
 
+    if (outcome == CO_NOT_RUN && waiter->waited) {
+        outcome = CO_GAVE_UP;
+    }
     if (waiter->forwarded != nullptr) {
         rl_reply(waiter->forwarded, outcome, "", 0);
     }
@@ -329,7 +332,9 @@
     FakeEntry *e = static_cast<FakeEntry *>(ctx);
     FakeWaiter *waiter = static_cast<FakeWaiter *>(forwarded->data);
 
-    co_caller_left(&e->coord_state, e->w->now, waiter);
+    if (!cl_caller_left(&e->claims_state, waiter)) {
+        co_caller_left(&e->coord_state, e->w->now, waiter);
+    }
 }
 
 void
@@ -369,6 +374,56 @@
 {
 }
 
+/* --- claims --- */
+
+void
+claims_broadcast(void *ctx, const dw_msg *m)
+{
+    rl_broadcast(&static_cast<FakeEntry *>(ctx)->relay_state, m);
+}
+
+void
+claims_hold(void *ctx, claims *c)
+{
+    cl_hold_jobs(c, &static_cast<FakeEntry *>(ctx)->coord_state);
+}
+
+void
+claims_start(void *ctx, void *handle)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+    FakeWaiter *waiter = static_cast<FakeWaiter *>(handle);
+
+    e->w->submit_at(e, waiter->call, waiter);
+}
+
+void
+claims_refuse(void *ctx, void *handle, const char *reason)
+{
+    entry_answer(ctx, handle, CO_GAVE_UP, reason, 0);
+}
+
+void
+claims_give_up(void *ctx, uint64_t job, const char *reason)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+
+    co_give_up_job(&e->coord_state, e->w->now, job, reason);
+}
+
+void
+claims_note(
+    void *ctx, const char *event, uint64_t job, uint64_t entry, uint64_t ms)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+
+    e->w->trace("entry %zu: %s job %lu entry %lu ms %lu", e->index, event, job,
+        entry, ms);
+}
+
+const cl_ops claims_ops = {claims_broadcast, entry_send, claims_hold,
+    claims_start, claims_refuse, claims_give_up, claims_note};
+
 const co_ops entry_ops = {entry_send, entry_answer, entry_note,
     entry_note_refusal, entry_note_run, entry_note_agent, entry_note_outlived};
 
@@ -411,6 +466,7 @@
         if (e->up) {
             co_free(&e->coord_state);
             rl_free(&e->relay_state);
+            cl_free(&e->claims_state);
         }
     }
 }
@@ -549,6 +605,7 @@
     }
     rl_tick(&e->relay_state, now);
     co_tick(&e->coord_state, now);
+    cl_tick(&e->claims_state, now);
 }
 
 /* The worker reports every 1.5 s. */
@@ -581,6 +638,7 @@
     co_init(&e->coord_state, &entry_ops, e, rng(), "d0", "10.0.0.1", 1);
     e->coord_state.settings = settings;
     rl_init(&e->relay_state, &relay_ops, e, e->id);
+    cl_init(&e->claims_state, &claims_ops, e, e->id);
     for (auto &other : entries) {
         if (other->up && other->id != e->id) {
             rl_add_entry(&e->relay_state, other->id);
@@ -690,6 +748,18 @@
                     &p->relay_state, now, from, &copy->dw_msg_u.relayed);
             });
         }
+        else if (p->up && p->id == to && copy->type == DW_CLAIMS) {
+            on_entry(p, [this, p, from, copy] {
+                cl_receive_claims(
+                    &p->claims_state, now, from, &copy->dw_msg_u.claims);
+            });
+        }
+        else if (p->up && p->id == to && copy->type == DW_MOVED) {
+            on_entry(p, [this, p, from, copy] {
+                cl_receive_moved(
+                    &p->claims_state, now, from, &copy->dw_msg_u.moved);
+            });
+        }
     }
     for (auto &a : agents) {
         FakeAgent *p = a.get();
@@ -848,6 +918,7 @@
     e->answers.clear();
     co_free(&e->coord_state);
     rl_free(&e->relay_state);
+    cl_free(&e->claims_state);
     for (auto &c : calls) {
         Call *call = c.second.get();
         if (call->awaiting_answer && call->entry_id == id) {
@@ -1132,7 +1203,7 @@
         c->task_ms.push_back(ms / 2 + (uint32_t)(rng() % (ms + 1)));
     }
     c->sent_at = now;
-    c->deadline = now + 3000;
+    c->deadline = now + caller_wait_ms;
     Call *call = c.get();
     calls[id] = std::move(c);
     send_call(call);
@@ -1194,6 +1265,10 @@
                 str_make(path.data(), path.size()), STR("body"),
                 (uint32_t)(c->deadline - now))) {
             case RL_NO_COPY:
+                if (cl_may_run(&e->claims_state, c->id)) {
+                    submit_at(e, c, waiter);
+                    return;
+                }
                 break;
             case RL_COPY_LOST:
                 entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
@@ -1232,7 +1307,8 @@
 void
 World::caller_left(FakeEntry *e, FakeWaiter *waiter)
 {
-    if (e->up && !rl_cancel(&e->relay_state, now, waiter)) {
+    if (e->up && !cl_caller_left(&e->claims_state, waiter) &&
+        !rl_cancel(&e->relay_state, now, waiter)) {
         co_caller_left(&e->coord_state, now, waiter);
     }
 }
@@ -1241,7 +1317,8 @@
 FakeWaiter *
 World::new_waiter(Call *c, rl_accepted *forwarded)
 {
-    waiters.push_back(std::make_unique<FakeWaiter>(FakeWaiter{c, forwarded}));
+    waiters.push_back(
+        std::make_unique<FakeWaiter>(FakeWaiter{c, forwarded, false}));
     return waiters.back().get();
 }
 
@@ -1252,6 +1329,12 @@
         c->task_ms.size(), {6000, 64, 0, c->task_ms[0]});
     struct co_submit s = {};
 
+    if (!co_has_job(&e->coord_state, c->id) &&
+        cl_wait(&e->claims_state, now, c->id, waiter, c->deadline)) {
+        waiter->waited = true;
+        return;
+    }
+    s.may_have_run = waiter->waited;
     s.id = c->id;
     s.wall_ms = now + e->wall_offset_ms;
     s.spec = STR("spec");
--- a/test/world.hh
+++ b/test/world.hh
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "agent.h"
+#include "claim.h"
 #include "coord.h"
 #include "relay.h"
 
@@ -84,6 +85,7 @@
     uint64_t wall_offset_ms = 0; /* its time of day is later by this much */
     coord coord_state;
     relay relay_state;
+    claims claims_state;
     std::vector<std::function<void()>> unread;
     std::vector<std::function<void()>> answers;
 };
@@ -94,6 +96,7 @@
 struct FakeWaiter {
     Call *call;
     rl_accepted *forwarded; /* null: a caller */
+    bool waited = false;    /* another entry claimed the job */
 };
 
 /* A request of a caller, which may resend it to another entry. */
@@ -156,6 +159,8 @@
     /* Prints if DW_TRACE is set. */
     void trace(const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 
+    /* ms that callers wait for an answer, over all their sends. */
+    uint64_t caller_wait_ms = 3000;
     /* Share of requests that an entry forwards to another. */
     double forward_share = 0;
     /* Share of requests that go to entry 0, beyond its equal share. */
