again-test: unseen closes with forwarded requests and lost messages

Callers that break off unseen, with a request in four of ten forwarded, and with messages between two entries lost for up to 600 ms.

--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -124,6 +124,17 @@
     w.break_callers(some(w, ENTRIES), 1300, false, false);
 }
 
+/* For less than the time after which callers send a job again, less the age at
+ * which it is announced. */
+void
+entries_lose_messages(World &w)
+{
+    size_t from = some(w, ENTRIES);
+
+    w.drop_entry_messages(
+        from, (from + 1 + some(w, ENTRIES - 1)) % ENTRIES, w.rng() % 600);
+}
+
 /* A proxy or a client library repeats requests by itself. */
 void
 callers_repeat_at_once(World &w)
@@ -218,6 +229,7 @@
                                which callers send a job again */
     uint64_t pause_ms = 60; /* between jobs */
     uint64_t caller_wait_ms = 3000;
+    double forward_share = 0;
 };
 
 const AgainCase cases[] = {
@@ -244,6 +256,10 @@
         {callers_leave_unseen, entry_pauses}, 2500, 60, 9000},
     {"callers_leave_unseen_late_messages",
         {callers_leave_unseen, messages_doubled_and_late}, 2500, 60, 9000},
+    {"callers_leave_unseen_forwarded", {callers_leave_unseen}, 2500, 60, 9000,
+        0.4},
+    {"callers_leave_unseen_messages_lost",
+        {callers_leave_unseen, entries_lose_messages}, 2500, 60, 9000},
     {"all_but_refused",
         {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
             starts_refused, messages_doubled_and_late, callers_send_again,
@@ -295,6 +311,7 @@
         World w(seed, ENTRIES, AGENTS);
 
         w.caller_wait_ms = c.caller_wait_ms;
+        w.forward_share = c.forward_share;
         for (size_t i = 0; i < ENTRIES; i++) {
             w.entries[i]->wall_offset_ms = i * 3000;
         }
