entries: announce all claims to a new entry at once

An entry that has just started knew no claims for up to 400 ms after the others had learned of it. A request that it reads before the others know of it is still started.

--- a/claim.c
+++ b/claim.c
@@ -568,6 +568,12 @@
     c->wanted &= ending;
 }
 
+void
+cl_entry_added(struct claims *c)
+{
+    c->announced_ms = 0;
+}
+
 /* --- both --- */
 
 void
--- a/claim.h
+++ b/claim.h
@@ -104,6 +104,9 @@
     struct claims *c, const struct cl_ops *ops, void *ctx, uint64_t self);
 void cl_free(struct claims *c);
 
+/* An entry was added to those that are known: all claims are announced at the
+ * next tick. */
+void cl_entry_added(struct claims *c);
 /* This entry has a job; since_ms: when its request was read, or when the job
  * was given up.  To be called by ops->hold(). */
 void cl_hold(struct claims *c, uint64_t job, uint64_t since_ms,
--- a/entrystore.c
+++ b/entrystore.c
@@ -196,6 +196,7 @@
         rk_mark_present(&e->ranks, p->name, p->domain);
         update_rank(e);
         rl_add_entry(&e->relay, p->id);
+        cl_entry_added(&e->claims);
         return;
     }
     a = fl_add(&e->coord.fleet, p->id, p->name, p->domain, p->service);
--- a/test/claim-test.cc
+++ b/test/claim-test.cc
@@ -368,6 +368,22 @@
     EXPECT_TRUE(n.at(1).given_up.empty());
 }
 
+/* Guards against an entry that has just started and starts a claimed job. */
+TEST(Claim, NewEntryGetsAllClaimsAtOnce)
+{
+    Net n(2);
+
+    n.cut = true;
+    n.hold(1, 1000);
+    n.run(100);
+    n.cut = false;
+    n.run(40);
+    EXPECT_FALSE(cl_may_run(&n.at(2).c, JOB));
+    cl_entry_added(&n.at(1).c);
+    n.run(20);
+    EXPECT_TRUE(cl_may_run(&n.at(2).c, JOB));
+}
+
 /* Guards against traffic of deployments that have short tasks only. */
 TEST(Claim, ShortJobsAreNotAnnounced)
 {
--- a/test/world.cc
+++ b/test/world.cc
@@ -643,6 +643,7 @@
         if (other->up && other->id != e->id) {
             rl_add_entry(&e->relay_state, other->id);
             rl_add_entry(&other->relay_state, e->id);
+            cl_entry_added(&other->claims_state);
         }
     }
     for (auto &a : agents) {
