agent, coord: repeat no run whose start may still be executed

A zone lost power just after orders to its workers had got no answer.

Only the agent knew of the lost start, and it had died. The restarted worker knows no fence and no stop, and the lease in the start is a time far ahead on its new clock, so that the order itself can't be made void.

A message before each report now lists the runs of which a start got lost and may still be executed; entries of before ignore it. When the session ends, the entry repeats these when a later agent of the same worker serves: the worker has seen its fence then, which refuses the late start, and has nothing else left. Or when the same agent is back without them, or after 15 s. All other runs are repeated after 776 ms as before.

The price is on those tasks: they wait for the agent's return, beyond their caller's deadline if it stays away. Not covered: an agent that dies before its next report, within about 120 ms of the start; a lost entry; a job that was given up and submitted elsewhere.

--- a/agent.c
+++ b/agent.c
@@ -162,9 +162,31 @@
     e->reported_millicores = free_millicores;
 }
 
+/* Sent before each report: one that comes without it has no open starts. */
+static void
+send_open_runs(struct agent *a, uint64_t now, const struct ag_entry *e)
+{
+    dw_run_ref open[AG_OPEN_MAX];
+    size_t n =
+        rn_open_runs(&a->runner, now, e->sess.number, open, AG_OPEN_MAX);
+    dw_msg m;
+
+    if (n == 0) {
+        return;
+    }
+    memset(&m, 0, sizeof(m));
+    m.type = DW_OPEN;
+    m.dw_msg_u.open.session = e->sess.number;
+    m.dw_msg_u.open.clock_ms = now;
+    m.dw_msg_u.open.runs.runs_val = open;
+    m.dw_msg_u.open.runs.runs_len = (u_int)n;
+    a->ops->send(a->ctx, e->id, &m);
+}
+
 static void
 fill_report(struct agent *a, uint64_t now, struct ag_entry *e, dw_report *r)
 {
+    send_open_runs(a, now, e);
     r->clean = rn_leftover_count(&a->runner, e->id, e->sess.number) == 0;
     rn_get_capacity(&a->runner, now, &r->room);
     r->room.free_millicores =
--- a/agent.h
+++ b/agent.h
@@ -52,6 +52,10 @@
  * used is offered to others; a round trip takes 2 to 6. */
 #define AG_OFFER_MS 20U
 
+/* Runs of which an entry is told that they have an open start; more than a
+ * worker runs. */
+#define AG_OPEN_MAX 64U
+
 /* An entry and its session with this agent. */
 struct ag_entry {
     uint64_t id;
--- a/coord.c
+++ b/coord.c
@@ -12,6 +12,7 @@
  * start at wall-clock ms, so this exceeds the difference of two entries'
  * clocks. */
 #define RUN_NUMBER_SKIP 5000U
+#define WORKER_HASH_SEED 0x6c617465U
 /* ms for which ended jobs are kept to answer late copies of a request. */
 #define ENDED_RETENTION_MS 20000U
 /* ms without any worker, after a start or a loss, for which jobs are accepted
@@ -151,6 +152,8 @@
         t->session = o->task.session;
         t->sent_ms = o->task.sent_ms;
         t->retry_at_ms = o->task.retry_at_ms;
+        t->open_clock_ms = o->task.open_clock_ms;
+        t->late_worker = o->task.late_worker;
         t->moving = true; /* its stop has been sent */
         j->started = true;
         co_set_state(c, j, t, o->task.state);
@@ -658,9 +661,29 @@
 
 /* --- lost sessions --- */
 
+static uint64_t
+worker_hash(const struct fl_agent *a)
+{
+    return num_max(str_hash(str_of(a->name), WORKER_HASH_SEED), 1);
+}
+
+/* Nobody else knows of a start that was open when its agent was heard last: a
+ * worker that restarts under its id may execute it much later. */
+static void
+mark_run_lost(const struct fl_agent *a, struct co_task *t, uint64_t now,
+    uint64_t retry_at_ms)
+{
+    bool open =
+        t->open_clock_ms != 0 && t->open_clock_ms >= a->sess.peer_clock_ms;
+
+    t->late_worker = open ? worker_hash(a) : 0;
+    t->retry_at_ms = open ? now + RN_LATE_START_MS : retry_at_ms;
+}
+
 /* Runs of an ended session may be retried from retry_at_ms on. */
 static void
-mark_runs_lost(struct coord *c, const struct fl_agent *a, uint64_t retry_at_ms)
+mark_runs_lost(struct coord *c, uint64_t now, const struct fl_agent *a,
+    uint64_t retry_at_ms)
 {
     struct co_outliving *o;
     struct co_job *j;
@@ -668,7 +691,7 @@
     DL_FOREACH (c->outliving, o) {
         if (o->task.state == CO_DISPATCHED && o->task.agent == a->id) {
             o->task.state = CO_LOST;
-            o->task.retry_at_ms = retry_at_ms;
+            mark_run_lost(a, &o->task, now, retry_at_ms);
         }
     }
     for (j = c->jobs; j != NULL; j = j->hh.next) {
@@ -677,7 +700,7 @@
 
             if (t->state == CO_DISPATCHED && t->agent == a->id) {
                 co_set_state(c, j, t, CO_LOST);
-                t->retry_at_ms = retry_at_ms;
+                mark_run_lost(a, t, now, retry_at_ms);
             }
         }
     }
@@ -719,7 +742,7 @@
         sess_peer_expiry_ms(&a->sess) + RN_STOP_LIMIT_MS + RN_LEASE_EXPIRY_MS;
 
     c->ops->log_agent(c->ctx, a, event);
-    mark_runs_lost(c, a, num_max(ended_ms, now));
+    mark_runs_lost(c, now, a, num_max(ended_ms, now));
     fl_close(a);
 }
 
@@ -735,6 +758,39 @@
     close_session(c, now, a, "agent_dead");
 }
 
+static void
+note_open(struct co_task *t, const struct fl_agent *a, const dw_run_ref *ref,
+    uint64_t clock_ms)
+{
+    if (t->run == ref->run && t->agent == a->id) {
+        t->open_clock_ms = num_max(t->open_clock_ms, clock_ms);
+    }
+}
+
+void
+co_open_starts(struct coord *c, uint64_t from, const dw_open *m)
+{
+    const struct fl_agent *a = fl_find(&c->fleet, from);
+
+    if (a == NULL || m->session != a->sess.number) {
+        return;
+    }
+    for (u_int i = 0; i < m->runs.runs_len; i++) {
+        const dw_run_ref *ref = &m->runs.runs_val[i];
+        struct co_job *j = co_find_job(c, ref->job);
+        struct co_outliving *o;
+
+        if (j != NULL && ref->index < j->task_count) {
+            note_open(&j->tasks[ref->index], a, ref, m->clock_ms);
+        }
+        DL_FOREACH (c->outliving, o) {
+            if (o->job == ref->job && o->index == ref->index) {
+                note_open(&o->task, a, ref, m->clock_ms);
+            }
+        }
+    }
+}
+
 void
 co_report(struct coord *c, uint64_t now, uint64_t from, const dw_report *r)
 {
@@ -799,6 +855,23 @@
     }
 }
 
+/* A later agent of the worker serves: the worker has seen its fence, which
+ * refuses open starts of the former one, and nothing of those is left. */
+static bool
+late_start_refused(struct coord *c, const struct co_task *t)
+{
+    const struct fl_agent *a;
+
+    for (a = c->fleet.agents; a != NULL && t->late_worker != 0;
+         a = a->hh.next) {
+        if (a->id != t->agent && a->session_open && a->status.serving &&
+            worker_hash(a) == t->late_worker) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* The time has come at which the lost run is over by all rules.  The agent
  * knows better: a connection may have been refused while it was alive. */
 static bool
@@ -806,7 +879,7 @@
 {
     const struct fl_agent *a = fl_find(&c->fleet, t->agent);
 
-    return now >= t->retry_at_ms &&
+    return (now >= t->retry_at_ms || late_start_refused(c, t)) &&
            !(a != NULL && a->session_open && a->leftover);
 }
 
--- a/coord.h
+++ b/coord.h
@@ -86,6 +86,10 @@
     uint64_t session;     /* of the last run */
     uint64_t retry_at_ms; /* CO_LOST: when the last run has certainly ended */
     uint64_t sent_ms;     /* when the last run was sent */
+    uint64_t open_clock_ms; /* newest report, by the agent's clock, by which a
+                             * start of the last run was open; 0: none */
+    uint64_t late_worker;   /* CO_LOST: hash of the name of the agent whose
+                             * worker may execute that start; 0: none */
     uint32_t failures;
     uint64_t avoid_agent;   /* where it failed or ran too slowly; 0: none */
     bool moving;            /* being stopped, to run on another worker */
@@ -275,6 +279,8 @@
 /* Handles a report of agent from. */
 void co_report(
     struct coord *c, uint64_t now, uint64_t from, const dw_report *r);
+/* Runs of agent from of which a start may still be executed. */
+void co_open_starts(struct coord *c, uint64_t from, const dw_open *m);
 /* An agent's process has died: its port refuses connections. */
 void co_agent_dead(struct coord *c, uint64_t now, uint64_t id);
 /* Handles timeouts, slow workers and overload; to be called regularly. */
--- a/coplace.c
+++ b/coplace.c
@@ -137,6 +137,8 @@
     t->agent = a->id;
     t->session = a->sess.number;
     t->sent_ms = now;
+    t->open_clock_ms = 0;
+    t->late_worker = 0;
     t->moving = false;
     j->started = true;
     c->stats.runs++;
--- a/entryd.c
+++ b/entryd.c
@@ -327,6 +327,9 @@
     if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
+    else if (m->type == DW_OPEN) {
+        co_open_starts(&e->coord, from, &m->dw_msg_u.open);
+    }
     else if (m->type == DW_SUPPLY) {
         dm_handle_supply(&e->coord, now, from, &m->dw_msg_u.supply);
     }
--- a/proto.h
+++ b/proto.h
@@ -63,6 +63,7 @@
 	DW_RESERVED = 33,
 	DW_CLAIMS = 34,
 	DW_MOVED = 35,
+	DW_OPEN = 36,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -727,6 +728,16 @@
 };
 typedef struct dw_moved dw_moved;
 
+struct dw_open {
+	u_quad_t session;
+	u_quad_t clock_ms;
+	struct {
+		u_int runs_len;
+		dw_run_ref *runs_val;
+	} runs;
+};
+typedef struct dw_open dw_open;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -764,6 +775,7 @@
 		dw_reserved reserved;
 		dw_claims claims;
 		dw_moved moved;
+		dw_open open;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -852,6 +864,7 @@
 extern  bool_t xdr_dw_claim (XDR *, dw_claim*);
 extern  bool_t xdr_dw_claims (XDR *, dw_claims*);
 extern  bool_t xdr_dw_moved (XDR *, dw_moved*);
+extern  bool_t xdr_dw_open (XDR *, dw_open*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -923,6 +936,7 @@
 extern bool_t xdr_dw_claim ();
 extern bool_t xdr_dw_claims ();
 extern bool_t xdr_dw_moved ();
+extern bool_t xdr_dw_open ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -51,7 +51,8 @@
     DW_RESERVE = 32,
     DW_RESERVED = 33,
     DW_CLAIMS = 34,
-    DW_MOVED = 35
+    DW_MOVED = 35,
+    DW_OPEN = 36
 };
 
 /* State of a submission, in an answer. */
@@ -663,6 +664,17 @@
     unsigned int age_ms; /* of the request */
 };
 
+/*
+ * From agent to entry, right before a report: runs of the session of which a
+ * start may still be executed, by a worker that restarts.  Not sent if there
+ * are none.
+ */
+struct dw_open {
+    unsigned hyper session;
+    unsigned hyper clock_ms; /* as in the report that follows */
+    dw_run_ref runs<DW_MAX_ITEMS>;
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -698,6 +710,7 @@
 case DW_RESERVED: dw_reserved reserved;
 case DW_CLAIMS: dw_claims claims;
 case DW_MOVED: dw_moved moved;
+case DW_OPEN: dw_open open;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -2000,6 +2000,21 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_open (XDR *xdrs, dw_open *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->session))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->clock_ms))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->runs.runs_val, (u_int *) &objp->runs.runs_len, DW_MAX_ITEMS,
+		sizeof (dw_run_ref), (xdrproc_t) xdr_dw_run_ref))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -2144,6 +2159,10 @@
 		 if (!xdr_dw_moved (xdrs, &objp->dw_msg_u.moved))
 			 return FALSE;
 		break;
+	case DW_OPEN:
+		 if (!xdr_dw_open (xdrs, &objp->dw_msg_u.open))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/runner.c
+++ b/runner.c
@@ -1233,6 +1233,45 @@
     return n;
 }
 
+/* A start that was sent just now usually gets its answer. */
+static bool
+has_lost_start(const struct runner *r, uint64_t now, const struct rn_run *run)
+{
+    return has_open_start(r, now, run) &&
+           (run->starts > 1 || run->state != RN_STARTING);
+}
+
+static size_t
+add_ref(dw_run_ref *out, size_t at, size_t n, const struct rn_run *run)
+{
+    if (at < n) {
+        out[at].job = run->key.job;
+        out[at].index = (u_int)run->key.index;
+        out[at].run = run->key.run;
+    }
+    return num_min(at + 1, n);
+}
+
+size_t
+rn_open_runs(const struct runner *r, uint64_t now, uint64_t session,
+    dw_run_ref *out, size_t n)
+{
+    const struct rn_run *run;
+    size_t count = 0;
+
+    for (run = r->runs; run != NULL; run = run->hh.next) {
+        if (run->session == session && has_lost_start(r, now, run)) {
+            count = add_ref(out, count, n, run);
+        }
+    }
+    DL_FOREACH (r->held, run) {
+        if (run->session == session && has_lost_start(r, now, run)) {
+            count = add_ref(out, count, n, run);
+        }
+    }
+    return count;
+}
+
 size_t
 rn_held_count(const struct runner *r)
 {
--- a/runner.h
+++ b/runner.h
@@ -405,6 +405,10 @@
 /* Runs of an entry's earlier sessions, held ones included. */
 size_t rn_leftover_count(
     const struct runner *r, uint64_t entry, uint64_t session);
+/* Runs of a session of which a start has got lost and may still be executed,
+ * at most n; writes their references. */
+size_t rn_open_runs(const struct runner *r, uint64_t now, uint64_t session,
+    dw_run_ref *out, size_t n);
 /* Runs in state RN_HELD. */
 size_t rn_held_count(const struct runner *r);
 /* All runs reported as DW_END_NOT_RUN. */
--- a/simentry.c
+++ b/simentry.c
@@ -372,7 +372,10 @@
     uint64_t now = sim_now_ms(e->s);
 
     use_core_us(e, RECEIVE_COST_US);
-    if (m->type == DW_REPORT) {
+    if (m->type == DW_OPEN) {
+        co_open_starts(&e->coord, from, &m->dw_msg_u.open);
+    }
+    else if (m->type == DW_REPORT) {
         co_report(&e->coord, now, from, &m->dw_msg_u.report);
     }
     else if (m->type == DW_SUPPLY) {
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -81,6 +81,7 @@
     Callers callers;
     uint64_t now = 1000;
     uint64_t report_seq = 0;
+    uint64_t agent_id = 3;
 
     Entry()
     {
@@ -98,11 +99,14 @@
     fl_agent *
     agent()
     {
-        return fl_find(&c.fleet, 3);
+        return fl_find(&c.fleet, agent_id);
     }
     void
-    report(std::vector<dw_run_end> outcomes, bool clean = false)
+    report(std::vector<dw_run_end> outcomes, bool clean = false,
+        std::vector<dw_run_ref> open = {})
     {
+        dw_open starts = {
+            agent()->sess.number, now, {(u_int)open.size(), open.data()}};
         dw_report r = {};
 
         r.clean = clean;
@@ -121,7 +125,8 @@
         r.room.free_memory_mb = 1000;
         r.ends.ends_val = outcomes.data();
         r.ends.ends_len = (u_int)outcomes.size();
-        co_report(&c, now, 3, &r);
+        co_open_starts(&c, agent_id, &starts);
+        co_report(&c, now, agent_id, &r);
         co_flush(&c, now);
     }
     /* The agent's worker reported this many free millicores. */
@@ -781,3 +786,47 @@
     ASSERT_EQ(e.callers.answers.size(), 1u);
     EXPECT_EQ(e.callers.answers[0].second, CO_FAILED);
 }
+
+/* The agent of a run of job 5 falls silent for 2.4 s. */
+static void
+lose_agent(Entry &e)
+{
+    e.agent()->member = false;
+    for (int i = 0; i < 12; i++) {
+        e.now += 200;
+        co_tick(&e.c, e.now);
+    }
+}
+
+/* Guards against a second run beside a late start: its worker restarted under
+ * its id, and its agent, which knew of the open start, is dead. */
+TEST(Coord, RunWithAnOpenStartWaitsForALaterAgentOfItsWorker)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller, 20000);
+    e.report({}, false, {{5, 0, 51}});
+    lose_agent(e);
+    EXPECT_EQ(e.callers.again.size(), 0u);
+    e.agent_id = 4;
+    e.report_seq = 0;
+    fl_add(&e.c.fleet, 4, "a", "kolding", "s")->member = true;
+    co_tick(&e.c, e.now);
+    EXPECT_EQ(e.callers.again.size(), 0u);
+    e.report({});
+    co_tick(&e.c, e.now);
+    EXPECT_EQ(e.callers.again.size(), 1u);
+}
+
+/* Guards against a wait for a start that was confirmed after all. */
+TEST(Coord, RunWhoseStartIsConfirmedIsRepeatedAfterTheLeases)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller, 20000);
+    e.report({}, false, {{5, 0, 51}});
+    e.now += 10;
+    e.report({});
+    lose_agent(e);
+    EXPECT_EQ(e.callers.again.size(), 1u);
+}
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -1023,6 +1023,25 @@
     EXPECT_LT(a.r.fence, 1ULL << 53);
 }
 
+/* Guards against an entry that repeats a run of which a start may still be
+ * executed: it is not told of it. */
+TEST(Runner, OnlyRunsWithALostStartAreListedAsOpen)
+{
+    Fixture a;
+    dw_run_ref open[4];
+
+    a.order(1, 1000);
+    a.order(2, 1000);
+    EXPECT_EQ(rn_open_runs(&a.r, a.now, 1, open, 4), 0u);
+    a.started(1, RN_START_LOST);
+    a.started(2, RN_START_OK);
+    ASSERT_EQ(rn_open_runs(&a.r, a.now, 1, open, 4), 1u);
+    EXPECT_EQ(open[0].job, 1u);
+    EXPECT_EQ(rn_open_runs(&a.r, a.now, 2, open, 4), 0u);
+    a.now += RN_LATE_START_MS;
+    EXPECT_EQ(rn_open_runs(&a.r, a.now, 1, open, 4), 0u);
+}
+
 /* Guards against a run that is reported as not run though the worker confirmed
  * its start, after the stop was sent. */
 TEST(Runner, StartConfirmedAfterTheStopIsRemembered)
--- a/test/world.cc
+++ b/test/world.cc
@@ -541,7 +541,8 @@
         1000000, 0, workers[i]->incarnation);
     for (auto &e : entries) {
         if (e->up) {
-            fl_add(&e->coord_state.fleet, a->id, "agent", "domain", "s")
+            fl_add(&e->coord_state.fleet, a->id,
+                ("agent-" + std::to_string(a->index)).c_str(), "domain", "s")
                 ->member = true;
         }
     }
@@ -648,7 +649,8 @@
     }
     for (auto &a : agents) {
         if (a->up) {
-            fl_add(&e->coord_state.fleet, a->id, "agent", "domain", "s")
+            fl_add(&e->coord_state.fleet, a->id,
+                ("agent-" + std::to_string(a->index)).c_str(), "domain", "s")
                 ->member = true;
         }
     }
@@ -731,6 +733,11 @@
                 co_report(&p->coord_state, now, from, &copy->dw_msg_u.report);
             });
         }
+        else if (p->up && p->id == to && copy->type == DW_OPEN) {
+            on_entry(p, [p, from, copy] {
+                co_open_starts(&p->coord_state, from, &copy->dw_msg_u.open);
+            });
+        }
         else if (p->up && p->id == to && copy->type == DW_SUPPLY) {
             on_entry(p, [this, p, from, copy] {
                 dm_handle_supply(
