again-test: entries that are cut off while their callers leave

An entry that is cut off from its agents learns neither of the closes of its callers nor that other entries have its jobs, and repeats the lost runs when the cut ends.

entry_cut_off: cut off from all agents for 0.7 to 2.2 s.

--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -196,6 +196,46 @@
     w.break_callers(e, 1300);
 }
 
+/* The entry hears neither its agents nor that its callers have gone. */
+void
+entry_cut_off(World &w)
+{
+    size_t e = some(w, ENTRIES);
+    uint64_t ms = 2 * SESS_LEASE_MS + w.rng() % 1500;
+
+    if (!w.dropped_links.empty()) {
+        return;
+    }
+    for (size_t a = 0; a < AGENTS; a++) {
+        w.cut(e, a, true, true, ms);
+    }
+    w.after(w.rng() % SESS_LEASE_MS,
+        [&w, e] { w.break_callers(e, 1300, false, false); });
+}
+
+/* The same, and it hears no other entry either. */
+void
+entry_isolated(World &w)
+{
+    size_t e = some(w, ENTRIES);
+    uint64_t ms = 2 * SESS_LEASE_MS + w.rng() % 1500;
+
+    if (!w.dropped_links.empty()) {
+        return;
+    }
+    for (size_t a = 0; a < AGENTS; a++) {
+        w.cut(e, a, true, true, ms);
+    }
+    for (size_t other = 0; other < ENTRIES; other++) {
+        if (other != e) {
+            w.drop_entry_messages(e, other, ms);
+            w.drop_entry_messages(other, e, ms);
+        }
+    }
+    w.after(w.rng() % SESS_LEASE_MS,
+        [&w, e] { w.break_callers(e, 1300, false, false); });
+}
+
 /* A copy arrives while the first connection still counts as open; then the
  * copy's connection breaks as well. */
 void
@@ -247,6 +287,8 @@
     {"callers_repeat_at_once", {callers_repeat_at_once, sessions_reopen}},
     {"late_break_and_stops_lost", {late_break_and_stops_lost, none, none},
         1800, 200},
+    {"entry_cut_off", {entry_cut_off, none, none}},
+    {"entry_isolated", {entry_isolated, none, none}},
     {"copies_break", {copies_break}},
     {"forwarded_copies_break", {forwarded_copies_break}},
     {"callers_leave_unseen", {callers_leave_unseen}, 2500, 60, 9000},
