entries: claims reach entries whose registration has vanished; copies of a job cancelled while it waits

An entry whose key is taken from the store, or that cannot renew it, lives and serves callers. The others removed it from those that get claims, so that it started jobs that they had: two runs of a task until its own claim was heard. Found by review; it now gets claims for another minute. A start of it before it is known at all is still not covered.

A DELETE of a request that waits for a claimant is remembered like other cancelled jobs: a late copy of the request starts nothing.

Not shown by a test: both were found by reading.

--- a/entrycall.c
+++ b/entrycall.c
@@ -456,6 +456,7 @@
     found = co_cancel(&e->coord, now, id);
     while ((waiting = cl_take(&e->claims, id)) != NULL) {
         answer(e, waiting, CO_FAILED, "cancelled", 0);
+        co_record_cancelled(&e->coord, now, id);
         found = true;
     }
     ec_reply(r, found ? 200 : 410, "{}");
@@ -656,12 +657,24 @@
 
 /* --- operations of claim --- */
 
+/* ms for which an entry that is missing in the store still gets claims: it may
+ * live and serve callers, but be unable to renew its registration. */
+#define ABSENT_ENTRY_MS 60000U
+
 static void
 broadcast(void *ctx, const dw_msg *m)
 {
     struct entry *e = ctx;
+    uint64_t now = proc_now();
+    const struct sv_peer *p;
 
     rl_broadcast(&e->relay, m);
+    for (p = e->s->peers; p != NULL; p = p->hh.next) {
+        if (!p->is_agent && !p->registered &&
+            now - p->absent_ms < ABSENT_ENTRY_MS) {
+            send_message(e, p->id, m);
+        }
+    }
 }
 
 static void
--- a/entrystore.c
+++ b/entrystore.c
@@ -268,7 +268,10 @@
         if (strcmp(p->name, name) != 0) {
             continue;
         }
-        p->registered = false;
+        if (p->registered) {
+            p->registered = false;
+            p->absent_ms = proc_now();
+        }
         if (!p->is_agent) {
             rl_remove_entry(&e->relay, p->id);
         }
--- a/serve.h
+++ b/serve.h
@@ -37,7 +37,8 @@
     char addr[SV_NAME_MAX];
     uint16_t port;
     bool is_agent;
-    bool registered; /* in the store */
+    bool registered;    /* in the store */
+    uint64_t absent_ms; /* when its registration vanished */
     UT_hash_handle hh;
 };
 
