claim: above its limits, the newest jobs are left out

The oldest were dropped, whose callers may have sent them elsewhere already. The time of cl_tick() no longer counts in the probe of an entry's slowness, as it grows with the jobs of the others.

--- a/claim.c
+++ b/claim.c
@@ -310,15 +310,13 @@
     return p;
 }
 
+/* NULL: no space for it. */
 static struct cl_known *
 get_known(struct cl_peer *p, uint64_t job)
 {
     struct cl_known *k = find_known(p, job);
 
-    if (k == NULL) {
-        if (HASH_COUNT(p->claims) >= CL_KNOWN_MAX) {
-            forget_known(p, p->claims);
-        }
+    if (k == NULL && HASH_COUNT(p->claims) < CL_KNOWN_MAX) {
         k = dw_zero(1, sizeof(*k));
         k->job = job;
         HASH_ADD(hh, p->claims, job, sizeof(k->job), k);
@@ -348,6 +346,9 @@
         const dw_claim *claim = &m->claims.claims_val[i];
         struct cl_known *k = get_known(p, claim->job);
 
+        if (k == NULL) {
+            continue;
+        }
         k->since_ms = num_sub_sat(now, claim->age_ms);
         k->heard_ms = now;
         k->kind = claim->kind;
@@ -466,6 +467,7 @@
         o->due |= o->announced ? all
                                : is_new && num_sub_sat(now, o->since_ms) >=
                                                CL_MIN_AGE_MS;
+        o->due = o->due && n < CL_ANNOUNCED_MAX;
         n += o->due;
     }
     return n;
@@ -507,9 +509,6 @@
     size_t over = 0;
     struct cl_own *o = c->own;
 
-    while (due > CL_ANNOUNCED_MAX && o != NULL) {
-        o = take_due(o, &due);
-    }
     while (due > 0 || over < c->over_count) {
         dw_claim rows[CLAIMS_PER_MESSAGE];
         dw_msg m;
--- a/claim.h
+++ b/claim.h
@@ -48,8 +48,9 @@
 /* ms between ticks above which this entry did not listen: the time does not
  * count as silence of the others. */
 #define CL_TICK_GAP_MS 100U
-/* Announced claims, claims known of an entry, and withdrawals that wait to be
- * sent; the oldest are dropped first. */
+/* Claims announced at a time, and known of an entry: of more jobs, the newest
+ * are left out, as callers send the others again sooner.  Withdrawals that
+ * wait to be sent; the oldest are dropped. */
 #define CL_ANNOUNCED_MAX 512U
 #define CL_KNOWN_MAX 1024U
 #define CL_OVER_MAX 512U
--- a/entryd.c
+++ b/entryd.c
@@ -285,9 +285,9 @@
     update_relay(e, now);
     start_us = proc_now_us();
     co_tick(&e->coord, now);
-    cl_tick(&e->claims, now);
     lg_record_probe(&e->lag, proc_now_us(), proc_now_us() - start_us,
         FL_SELECTED_MAX + co_job_count(&e->coord));
+    cl_tick(&e->claims, now);
     en_save_estimates(e, now);
     log_load(e, now);
     log_sharing(e, now);
