--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -196,9 +196,10 @@
     w.break_callers(e, 1300);
 }
 
-/* The entry hears neither its agents nor that its callers have gone. */
+/* The entry hears neither its agents nor that its callers have gone; or no
+ * other entry either. */
 void
-entry_cut_off(World &w)
+cut_off(World &w, bool from_entries)
 {
     size_t e = some(w, ENTRIES);
     uint64_t ms = 2 * SESS_LEASE_MS + w.rng() % 1500;
@@ -209,24 +210,7 @@
     for (size_t a = 0; a < AGENTS; a++) {
         w.cut(e, a, true, true, ms);
     }
-    w.after(w.rng() % SESS_LEASE_MS,
-        [&w, e] { w.break_callers(e, 1300, false, false); });
-}
-
-/* The same, and it hears no other entry either. */
-void
-entry_isolated(World &w)
-{
-    size_t e = some(w, ENTRIES);
-    uint64_t ms = 2 * SESS_LEASE_MS + w.rng() % 1500;
-
-    if (!w.dropped_links.empty()) {
-        return;
-    }
-    for (size_t a = 0; a < AGENTS; a++) {
-        w.cut(e, a, true, true, ms);
-    }
-    for (size_t other = 0; other < ENTRIES; other++) {
+    for (size_t other = 0; from_entries && other < ENTRIES; other++) {
         if (other != e) {
             w.drop_entry_messages(e, other, ms);
             w.drop_entry_messages(other, e, ms);
@@ -236,6 +220,18 @@
         [&w, e] { w.break_callers(e, 1300, false, false); });
 }
 
+void
+entry_cut_off(World &w)
+{
+    cut_off(w, false);
+}
+
+void
+entry_isolated(World &w)
+{
+    cut_off(w, true);
+}
+
 /* A copy arrives while the first connection still counts as open; then the
  * copy's connection breaks as well. */
 void
