web: tell how long a request waited unread, and nothing else

web_conn_state also told when the caller's host was last heard, which nobody reads, and looked up the socket beside fd_of(). web_unread_ms() is the one value that is used. Behaviour and the test's checks are as before.

In the same file, cancel() records a cancelled job once instead of once for each request that waited for it.

--- a/entrycall.c
+++ b/entrycall.c
@@ -456,9 +456,11 @@
     found = co_cancel(&e->coord, now, id);
     while ((waiting = cl_take(&e->claims, id)) != NULL) {
         answer(e, waiting, CO_FAILED, "cancelled", 0);
-        co_record_cancelled(&e->coord, now, id);
         found = true;
     }
+    if (found) {
+        co_record_cancelled(&e->coord, now, id);
+    }
     ec_reply(r, found ? 200 : 410, "{}");
 }
 
@@ -753,19 +755,19 @@
 static uint32_t
 note_unread(struct entry *e, const struct web_req *r, bool closed)
 {
-    struct web_conn_state state = {0};
+    uint32_t unread_ms = 0;
     struct str job = job_id_text(str_of(web_path(r)));
 
-    if (web_conn_state(r, &state)) {
-        hist_add(&e->unread_ms, state.unread_ms);
+    if (web_unread_ms(r, &unread_ms)) {
+        hist_add(&e->unread_ms, unread_ms);
     }
     e->read_after_close += closed;
-    if (state.unread_ms >= LATE_MS || closed) {
+    if (unread_ms >= LATE_MS || closed) {
         log_event(LOG_LEVEL_WARN, "request_read_late",
-            "job=%.*s unread_ms=%u closed=%d", (int)job.n, job.p,
-            state.unread_ms, closed);
+            "job=%.*s unread_ms=%u closed=%d", (int)job.n, job.p, unread_ms,
+            closed);
     }
-    return state.unread_ms;
+    return unread_ms;
 }
 
 /* Queues or forwards job submissions; answers all others at once. */
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -46,10 +46,10 @@
     static void
     on_request(void *ctx, web_req *r)
     {
-        struct web_conn_state state;
+        uint32_t ms = 0;
 
-        EXPECT_TRUE(web_conn_state(r, &state));
-        static_cast<Web *>(ctx)->unread_ms.push_back(state.unread_ms);
+        EXPECT_TRUE(web_unread_ms(r, &ms));
+        static_cast<Web *>(ctx)->unread_ms.push_back(ms);
         static_cast<Web *>(ctx)->handled++;
         if (strcmp(web_path(r), "/hold") == 0) {
             static_cast<Web *>(ctx)->held_request = r;
--- a/web.c
+++ b/web.c
@@ -13,6 +13,8 @@
 #include <unistd.h>
 #include <utlist.h>
 
+#include "num.h"
+
 #define CONNECTION_MEMORY_BYTES 65536U
 /* Idle timeout of connections during a drain. */
 #define DRAIN_IDLE_S 1U
@@ -605,25 +607,19 @@
 }
 
 bool
-web_conn_state(const struct web_req *r, struct web_conn_state *out)
+web_unread_ms(const struct web_req *r, uint32_t *out)
 {
-    const union MHD_ConnectionInfo *info =
-        MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
     uint64_t answered_ms = web_conn_of(r->conn)->answered_ms;
     struct tcp_info t = {0};
     socklen_t n = sizeof(t);
 
-    if (info == NULL ||
-        getsockopt(info->connect_fd, IPPROTO_TCP, TCP_INFO, &t, &n) != 0) {
+    if (getsockopt(fd_of(r->conn), IPPROTO_TCP, TCP_INFO, &t, &n) != 0) {
         return false;
     }
-    out->unread_ms = t.tcpi_last_data_recv;
-    if (answered_ms != 0 && clock_ms() - answered_ms < out->unread_ms) {
-        out->unread_ms = (uint32_t)(clock_ms() - answered_ms);
+    *out = t.tcpi_last_data_recv;
+    if (answered_ms != 0) {
+        *out = (uint32_t)num_min(*out, clock_ms() - answered_ms);
     }
-    out->heard_ms = t.tcpi_last_ack_recv < t.tcpi_last_data_recv
-                        ? t.tcpi_last_ack_recv
-                        : t.tcpi_last_data_recv;
     return true;
 }
 
--- a/web.h
+++ b/web.h
@@ -43,13 +43,6 @@
     WEB_END_LIBRARY    /* the HTTP library ended the request */
 };
 
-/* What the system knows of a request's connection.  Times are in ms. */
-struct web_conn_state {
-    uint32_t unread_ms; /* since the last bytes arrived, or the connection's
-                           request before was answered if that is later */
-    uint32_t heard_ms;  /* since the caller's host sent anything */
-};
-
 /* Called with each complete request.  The handler must call web_reply() or
  * web_problem() exactly once, now or later, unless web_disconnect_fn
  * is called for r. */
@@ -92,8 +85,9 @@
 /* True if the caller's address is in 127.0.0.0/8. */
 bool web_is_local(const struct web_req *r);
 
-/* False if the system does not tell. */
-bool web_conn_state(const struct web_req *r, struct web_conn_state *out);
+/* ms since the request's last bytes arrived, or since the connection's request
+ * before was answered if that is later.  False if the system does not tell. */
+bool web_unread_ms(const struct web_req *r, uint32_t *out);
 /* If the caller of an unanswered request has closed the connection or its
  * sending side, or reset it, close the connection without a reply and without
  * calling web_disconnect_fn; true then, and r must not be used after
