--- a/coord.c
+++ b/coord.c
@@ -500,28 +500,29 @@
     }
 }
 
-bool
-co_cancel(struct coord *c, uint64_t now, uint64_t id)
+/* False if the job is not in progress here. */
+static bool
+end_job_by_id(struct coord *c, uint64_t now, uint64_t id,
+    enum co_outcome outcome, const char *reason)
 {
     struct co_job *j = co_find_job(c, id);
 
-    if (j == NULL) {
-        return false;
+    if (j != NULL) {
+        end_job(c, now, j, outcome, reason);
     }
-    end_job(c, now, j, CO_FAILED, "cancelled");
-    return true;
+    return j != NULL;
 }
 
 bool
-co_give_up_job(struct coord *c, uint64_t now, uint64_t id, const char *reason)
+co_cancel(struct coord *c, uint64_t now, uint64_t id)
 {
-    struct co_job *j = co_find_job(c, id);
+    return end_job_by_id(c, now, id, CO_FAILED, "cancelled");
+}
 
-    if (j == NULL) {
-        return false;
-    }
-    end_job(c, now, j, CO_GAVE_UP, reason);
-    return true;
+bool
+co_give_up_job(struct coord *c, uint64_t now, uint64_t id, const char *reason)
+{
+    return end_job_by_id(c, now, id, CO_GAVE_UP, reason);
 }
 
 void
