agent: filling in a report sends nothing

fill_report() also sent the message on open starts that goes before a report. send_report() sends both, at the three places that send reports. The header of resend.h no longer says that entries know nothing of each other's jobs.

--- a/agent.c
+++ b/agent.c
@@ -162,7 +162,8 @@
     e->reported_millicores = free_millicores;
 }
 
-/* Sent before each report: one that comes without it has no open starts. */
+/* To be sent before each report: with one that comes alone, no start is open.
+ */
 static void
 send_open_runs(struct agent *a, uint64_t now, const struct ag_entry *e)
 {
@@ -186,7 +187,6 @@
 static void
 fill_report(struct agent *a, uint64_t now, struct ag_entry *e, dw_report *r)
 {
-    send_open_runs(a, now, e);
     r->clean = rn_leftover_count(&a->runner, e->id, e->sess.number) == 0;
     rn_get_capacity(&a->runner, now, &r->room);
     r->room.free_millicores =
@@ -197,6 +197,13 @@
     }
 }
 
+static void
+send_report(struct agent *a, uint64_t now, struct ag_entry *e, const dw_msg *m)
+{
+    send_open_runs(a, now, e);
+    a->ops->send(a->ctx, e->id, m);
+}
+
 static void
 send_heartbeat(struct agent *a, uint64_t now, struct ag_entry *e)
 {
@@ -206,7 +213,7 @@
     m.type = DW_REPORT;
     fill_report(a, now, e, &m.dw_msg_u.report);
     sess_fill_head(&e->sess, now, &m);
-    a->ops->send(a->ctx, e->id, &m);
+    send_report(a, now, e, &m);
 }
 
 static void
@@ -217,7 +224,7 @@
     e->batch = NULL;
     fill_report(a, now, e, &m->dw_msg_u.report);
     sess_enqueue(&e->sess, now, m);
-    a->ops->send(a->ctx, e->id, m);
+    send_report(a, now, e, m);
 }
 
 static void
@@ -229,7 +236,7 @@
          m = sess_next_resend(&e->sess, now, m)) {
         /* The capacity must match the acknowledgement in the same message. */
         fill_report(a, now, e, &m->dw_msg_u.report);
-        a->ops->send(a->ctx, e->id, m);
+        send_report(a, now, e, m);
     }
 }
 
--- a/resend.h
+++ b/resend.h
@@ -2,9 +2,9 @@
  * resend - how long runs may outlast the connection of their caller
  *
  * A caller whose connection breaks sends its job to another entry
- * platform.resend_ms later, and entries share no state of jobs: by then the
- * first entry's runs must be over.  Each sum below is that of one chain of
- * faults, all at their worst.
+ * platform.resend_ms later.  By then the first entry's runs must be over, as
+ * the second one may not know of them (claim.h).  Each sum below is that of
+ * one chain of faults, all at their worst.
  */
 #ifndef RESEND_H
 #define RESEND_H
