entries: a cancelled or failed job ends at all entries

A DELETE for a request that still waited in the intake got 410 and the request started; this third way is known by reading only.

An entry that hears of one ends the job and requests for it that wait, and starts no copy. Cancelling a job that has completed no longer replaces the answer that its copies get.

Completed jobs are not told: their copies may run again, and a message for each job would take 120 KB/s for a daemon at 10,000 jobs/s.

--- a/coord.c
+++ b/coord.c
@@ -528,7 +528,10 @@
 void
 co_record_cancelled(struct coord *c, uint64_t now, uint64_t id)
 {
-    record_ended(c, now, id, CO_FAILED);
+    struct co_ended *e;
+
+    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
+    record_ended(c, now, id, e != NULL ? e->outcome : CO_FAILED);
 }
 
 void
@@ -547,10 +550,13 @@
 static void
 run_failed(struct coord *c, uint64_t now, struct co_job *j, struct co_task *t)
 {
+    uint64_t id = j->id;
+
     t->failures++;
     t->avoid_agent = t->agent;
     if (t->failures >= j->max_attempts) {
         end_job(c, now, j, CO_FAILED, "task_failed");
+        c->ops->job_failed(c->ctx, id);
         return;
     }
     c->stats.retried++;
@@ -1028,12 +1034,19 @@
 }
 
 bool
-co_knows_job(const struct coord *c, uint64_t id)
+co_has_ended(const struct coord *c, uint64_t id)
 {
     struct co_ended *e;
 
     HASH_FIND(hh, c->ended, &id, sizeof(id), e);
-    return e != NULL || co_has_job(c, id) || has_outliving_run(c, id);
+    return e != NULL;
+}
+
+bool
+co_knows_job(const struct coord *c, uint64_t id)
+{
+    return co_has_ended(c, id) || co_has_job(c, id) ||
+           has_outliving_run(c, id);
 }
 
 size_t
--- a/coord.h
+++ b/coord.h
@@ -184,6 +184,8 @@
      * retry_ms: ms after which to retry a job that was not run. */
     void (*answer)(void *ctx, void *handle, enum co_outcome outcome,
         const char *reason, uint32_t retry_ms);
+    /* A task of the job has failed max_attempts times. */
+    void (*job_failed)(void *ctx, uint64_t job);
     /* Log what happens to a job, a run or an agent.  how is how the run ended
      * without a result; NULL if it is not over or has failed. */
     void (*log_job)(void *ctx, const struct co_job *job, const char *reason);
@@ -267,8 +269,9 @@
 void co_caller_left(struct coord *c, uint64_t now, const void *handle);
 /* Cancels a job; false if it is not in progress here. */
 bool co_cancel(struct coord *c, uint64_t now, uint64_t id);
-/* A forwarded job was cancelled here: a late copy of its request starts
- * nothing. */
+/* A job that is not in progress here was cancelled, or has failed at another
+ * entry: a late copy of its request starts nothing.  The outcome of a job that
+ * has ended here stays. */
 void co_record_cancelled(struct coord *c, uint64_t now, uint64_t id);
 /* Ends a job without a result; tasks of it may run elsewhere.  False if it is
  * not in progress here. */
@@ -295,6 +298,9 @@
 /* Queries. */
 /* The job is in progress here. */
 bool co_has_job(const struct coord *c, uint64_t id);
+/* The job ended so recently that a copy of its request gets the same answer.
+ */
+bool co_has_ended(const struct coord *c, uint64_t id);
 /* The job is in progress here, ended here so recently that a copy of its
  * request gets the same answer, or was given up and a run of it may be at
  * work. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -70,6 +70,14 @@
         waiting_ms, sum.capacity, sum.free);
 }
 
+static void
+job_failed(void *ctx, uint64_t job)
+{
+    struct entry *e = ctx;
+
+    tb_add(&e->tombs, proc_now(), job);
+}
+
 static void
 log_run(void *ctx, const struct co_job *j, uint32_t index, const char *what,
     const char *how)
@@ -218,8 +226,8 @@
     free(c);
 }
 
-const struct co_ops ec_co_ops = {send_message, answer, log_job, log_refusal,
-    log_run, log_agent, log_outlived};
+const struct co_ops ec_co_ops = {send_message, answer, job_failed, log_job,
+    log_refusal, log_run, log_agent, log_outlived};
 
 /* --- callers --- */
 
@@ -321,7 +329,8 @@
     if (co_has_job(&e->coord, id)) {
         log_event(LOG_LEVEL_INFO, "request_joined", "job=%016" PRIx64, id);
     }
-    else if (wait_for_claimant(e, now, c, id, &s)) {
+    else if (!co_has_ended(&e->coord, id) &&
+             wait_for_claimant(e, now, c, id, &s)) {
         wire_job_free(&job);
         return;
     }
@@ -435,33 +444,63 @@
     }
 }
 
-static void
-cancel(struct entry *e, uint64_t now, struct web_req *r, uint64_t id)
+static bool
+has_job_id(const void *caller, const void *id)
 {
-    struct caller *forwarded = rl_find(&e->relay, str_of(web_path(r)));
-    struct caller *waiting;
-    bool found;
+    uint64_t own;
 
-    if (forwarded != NULL) {
-        /* The peer runs the job until all copies are cancelled. */
-        while (forwarded != NULL) {
-            rl_cancel(&e->relay, now, forwarded);
-            answer(e, forwarded, CO_FAILED, "cancelled", 0);
-            forwarded = rl_find(&e->relay, str_of(web_path(r)));
-        }
-        co_record_cancelled(&e->coord, now, id);
-        ec_reply(r, 200, "{}");
-        return;
+    return wire_job_id(job_id_text(path_of(caller)), &own) &&
+           own == *(const uint64_t *)id;
+}
+
+/* Ends the job and requests for it that wait; false if there was nothing. */
+static bool
+cancel_here(struct entry *e, uint64_t now, uint64_t id)
+{
+    bool found = co_cancel(&e->coord, now, id);
+    struct caller *c;
+
+    while ((c = it_find(&e->intake, has_job_id, &id)) != NULL) {
+        it_remove(&e->intake, c);
+        answer(e, c, CO_FAILED, "cancelled", 0);
+        found = true;
     }
-    found = co_cancel(&e->coord, now, id);
-    while ((waiting = cl_take(&e->claims, id)) != NULL) {
-        answer(e, waiting, CO_FAILED, "cancelled", 0);
+    while ((c = cl_take(&e->claims, id)) != NULL) {
+        answer(e, c, CO_FAILED, "cancelled", 0);
         found = true;
     }
-    if (found) {
-        co_record_cancelled(&e->coord, now, id);
+    co_record_cancelled(&e->coord, now, id);
+    return found;
+}
+
+/* The peer runs a job until all copies of its request are cancelled. */
+static bool
+cancel_forwarded(struct entry *e, uint64_t now, struct str path)
+{
+    struct caller *c;
+    bool found = false;
+
+    while ((c = rl_find(&e->relay, path)) != NULL) {
+        rl_cancel(&e->relay, now, c);
+        answer(e, c, CO_FAILED, "cancelled", 0);
+        found = true;
     }
-    ec_reply(r, found ? 200 : 410, "{}");
+    return found;
+}
+
+/* The job may be at any entry, also one that has not heard of it yet. */
+static void
+cancel(struct entry *e, uint64_t now, struct web_req *r, uint64_t id)
+{
+    struct caller *c = dw_zero(1, sizeof(*c));
+    bool found = cancel_forwarded(e, now, str_of(web_path(r)));
+
+    found = cancel_here(e, now, id) || found;
+    c->req = r;
+    c->read_ms = now;
+    web_set_ctx(r, c);
+    tb_add(&e->tombs, now, id);
+    tb_settle(&e->tombs, now, id, c, found);
 }
 
 static void
@@ -724,6 +763,47 @@
 const struct cl_ops ec_cl_ops = {broadcast, send_message, hold_jobs,
     start_waited, refuse_waited, give_up_job, log_claim};
 
+/* --- operations of tomb --- */
+
+static bool
+end_job_elsewhere(void *ctx, uint64_t job, uint64_t ms)
+{
+    struct entry *e = ctx;
+
+    if (!cancel_here(e, proc_now(), job)) {
+        return false;
+    }
+    log_event(LOG_LEVEL_INFO, "job_cancelled_elsewhere",
+        "job=%016" PRIx64 " told_ms=%" PRIu64, job, ms);
+    return true;
+}
+
+static void
+answer_cancel(void *ctx, void *handle, uint64_t job, enum tb_result result)
+{
+    static const struct {
+        unsigned status;
+        const char *text;
+        const char *logged;
+    } replies[] = {
+        [TB_STOPPED] = {200, "{}", "stopped"},
+        [TB_ABSENT] = {410, "{}", "absent"},
+        [TB_UNHEARD] = {504, "{\"error\":\"entries_unheard\"}", "unheard"},
+    };
+    struct caller *c = handle;
+
+    (void)ctx;
+    log_event(result == TB_UNHEARD ? LOG_LEVEL_WARN : LOG_LEVEL_INFO,
+        "cancel_answered", "job=%016" PRIx64 " result=%s ms=%" PRIu64, job,
+        replies[result].logged, proc_now() - c->read_ms);
+    web_set_ctx(c->req, NULL);
+    ec_reply(c->req, replies[result].status, replies[result].text);
+    free(c);
+}
+
+const struct tb_ops ec_tb_ops = {
+    send_message, end_job_elsewhere, answer_cancel};
+
 /* --- the loop --- */
 
 /* Make the loop start its next pass without waiting for events. */
@@ -906,7 +986,8 @@
         return;
     }
     log_caller_left(c);
-    if (!it_remove(&e->intake, c) && !cl_caller_left(&e->claims, c) &&
+    if (!tb_caller_left(&e->tombs, c) && !it_remove(&e->intake, c) &&
+        !cl_caller_left(&e->claims, c) &&
         !rl_cancel(&e->relay, proc_now(), c)) {
         co_caller_left(&e->coord, proc_now(), c);
     }
@@ -919,4 +1000,5 @@
     ev_init(&e->resume_timer, on_resume);
     rl_init(&e->relay, &ec_rl_ops, e, e->s->id);
     cl_init(&e->claims, &ec_cl_ops, e, e->s->id);
+    tb_init(&e->tombs, &ec_tb_ops, e);
 }
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -19,9 +19,10 @@
 #include "relay.h"
 #include "route.h"
 #include "serve.h"
+#include "tomb.h"
 
-/* The recipient of a job's answer: an HTTP caller of this entry, or another
- * entry that forwarded the request. */
+/* The recipient of an answer: an HTTP caller of this entry, or another entry
+ * that forwarded the request. */
 struct caller {
     struct web_req *req; /* NULL if the request was forwarded to this entry */
     struct rl_accepted *forwarded; /* NULL if the caller is local */
@@ -40,6 +41,7 @@
     struct follow *members;   /* registrations and run time estimates */
     struct relay relay;
     struct claims claims;
+    struct tombs tombs;
     uint64_t forwarded_out; /* requests forwarded to other entries */
     uint64_t forwarded_in;  /* requests received from other entries */
     struct opstate opstate;
@@ -70,6 +72,7 @@
 extern const struct co_ops ec_co_ops;
 extern const struct rl_ops ec_rl_ops;
 extern const struct cl_ops ec_cl_ops;
+extern const struct tb_ops ec_tb_ops;
 void ec_open(struct entry *e);
 /* Callbacks of the callers' server: a request was received completely; the
  * caller of an unanswered request closed its connection. */
--- a/entryd.c
+++ b/entryd.c
@@ -130,6 +130,7 @@
     ev_timer_stop(s->loop, &e->resume_timer);
     it_free(&e->intake);
     cl_free(&e->claims);
+    tb_free(&e->tombs);
     rl_free(&e->relay);
     co_free(&e->coord);
     rk_free(&e->ranks);
@@ -314,6 +315,7 @@
     e->coord.report_interval_ms = lg_report_interval_ms(&e->lag);
     co_flush(&e->coord, now);
     rl_flush(&e->relay, now);
+    tb_flush(&e->tombs, now);
     ec_flush(e);
     lg_pass_end(&e->lag, proc_now_us());
     log_overload(e);
@@ -348,6 +350,12 @@
     else if (m->type == DW_MOVED) {
         cl_receive_moved(&e->claims, now, from, &m->dw_msg_u.moved);
     }
+    else if (m->type == DW_TOMBS) {
+        tb_receive(&e->tombs, now, from, &m->dw_msg_u.tombs);
+    }
+    else if (m->type == DW_TOMBS_ACK) {
+        tb_receive_ack(&e->tombs, now, from, &m->dw_msg_u.tombs_ack);
+    }
     else if (m->type == DW_NEWS) {
         en_operator_state(e, from, &m->dw_msg_u.news);
     }
@@ -360,6 +368,7 @@
 
     co_agent_dead(&e->coord, now, id);
     rl_process_dead(&e->relay, now, id);
+    tb_entry_absent(&e->tombs, now, id);
 }
 
 static void
@@ -454,6 +463,10 @@
         {"dw_claims_known", cl_known_count(&e->claims)},
         {"dw_requests_waited", e->claims.stats.waited},
         {"dw_claim_conflicts", e->claims.stats.conflicts},
+        {"dw_tombstones", e->tombs.stats.added},
+        {"dw_tombstones_received", e->tombs.stats.received},
+        {"dw_tombstones_stopped", e->tombs.stats.stopped},
+        {"dw_cancels_unheard", e->tombs.stats.unheard},
         {"dw_busy_permille", (uint64_t)(e->lag.utilization * 1000)},
         {"dw_behind", lg_is_out_of_rotation(&e->lag)},
     };
--- a/entrystore.c
+++ b/entrystore.c
@@ -197,6 +197,9 @@
         update_rank(e);
         rl_add_entry(&e->relay, p->id);
         cl_entry_added(&e->claims);
+        if (p->id != e->s->id) {
+            tb_add_entry(&e->tombs, p->id);
+        }
         return;
     }
     a = fl_add(&e->coord.fleet, p->id, p->name, p->domain, p->service);
@@ -274,6 +277,7 @@
         }
         if (!p->is_agent) {
             rl_remove_entry(&e->relay, p->id);
+            tb_entry_absent(&e->tombs, proc_now(), p->id);
         }
         if (a != NULL) {
             a->member = false;
@@ -314,8 +318,12 @@
 {
     struct entry *e = ctx;
     struct fl_agent *a;
+    const struct sv_peer *p;
 
     (void)rev;
+    for (p = e->s->peers; p != NULL; p = p->hh.next) {
+        tb_entry_absent(&e->tombs, proc_now(), p->id);
+    }
     for (a = e->coord.fleet.agents; a != NULL; a = a->hh.next) {
         a->member = false;
     }
@@ -323,6 +331,7 @@
     for (size_t i = 0; i < n; i++) {
         members_change(e, &items[i]);
     }
+    tb_set_listed(&e->tombs);
 }
 
 static void
--- a/proto.h
+++ b/proto.h
@@ -64,6 +64,8 @@
 	DW_CLAIMS = 34,
 	DW_MOVED = 35,
 	DW_OPEN = 36,
+	DW_TOMBS = 37,
+	DW_TOMBS_ACK = 38,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -738,6 +740,31 @@
 };
 typedef struct dw_open dw_open;
 
+struct dw_tomb {
+	u_quad_t job;
+	u_int age_ms;
+};
+typedef struct dw_tomb dw_tomb;
+
+struct dw_tombs {
+	u_quad_t first;
+	u_quad_t base;
+	struct {
+		u_int tombs_len;
+		dw_tomb *tombs_val;
+	} tombs;
+};
+typedef struct dw_tombs dw_tombs;
+
+struct dw_tombs_ack {
+	u_quad_t last;
+	struct {
+		u_int stopped_len;
+		u_quad_t *stopped_val;
+	} stopped;
+};
+typedef struct dw_tombs_ack dw_tombs_ack;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -776,6 +803,8 @@
 		dw_claims claims;
 		dw_moved moved;
 		dw_open open;
+		dw_tombs tombs;
+		dw_tombs_ack tombs_ack;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -865,6 +894,9 @@
 extern  bool_t xdr_dw_claims (XDR *, dw_claims*);
 extern  bool_t xdr_dw_moved (XDR *, dw_moved*);
 extern  bool_t xdr_dw_open (XDR *, dw_open*);
+extern  bool_t xdr_dw_tomb (XDR *, dw_tomb*);
+extern  bool_t xdr_dw_tombs (XDR *, dw_tombs*);
+extern  bool_t xdr_dw_tombs_ack (XDR *, dw_tombs_ack*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -937,6 +969,9 @@
 extern bool_t xdr_dw_claims ();
 extern bool_t xdr_dw_moved ();
 extern bool_t xdr_dw_open ();
+extern bool_t xdr_dw_tomb ();
+extern bool_t xdr_dw_tombs ();
+extern bool_t xdr_dw_tombs_ack ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -52,7 +52,9 @@
     DW_RESERVED = 33,
     DW_CLAIMS = 34,
     DW_MOVED = 35,
-    DW_OPEN = 36
+    DW_OPEN = 36,
+    DW_TOMBS = 37,
+    DW_TOMBS_ACK = 38
 };
 
 /* State of a submission, in an answer. */
@@ -675,6 +677,29 @@
     dw_run_ref runs<DW_MAX_ITEMS>;
 };
 
+/* A job that was cancelled or has failed: no task of it may start again. */
+struct dw_tomb {
+    unsigned hyper job;
+    unsigned int age_ms; /* since the job ended */
+};
+
+/*
+ * Entry to another entry: jobs that ended at the sender, which numbers them;
+ * the first one here is number `first`.  The receiver needs none up to `base`.
+ */
+struct dw_tombs {
+    unsigned hyper first;
+    unsigned hyper base;
+    dw_tomb tombs<48>;
+};
+
+/* Reply: the receiver has all up to `last`.  stopped: those of the message
+ * that were in progress at the receiver. */
+struct dw_tombs_ack {
+    unsigned hyper last;
+    unsigned hyper stopped<48>;
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -711,6 +736,8 @@
 case DW_CLAIMS: dw_claims claims;
 case DW_MOVED: dw_moved moved;
 case DW_OPEN: dw_open open;
+case DW_TOMBS: dw_tombs tombs;
+case DW_TOMBS_ACK: dw_tombs_ack tombs_ack;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -2015,6 +2015,46 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_tomb (XDR *xdrs, dw_tomb *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->job))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_tombs (XDR *xdrs, dw_tombs *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->first))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tombs.tombs_val, (u_int *) &objp->tombs.tombs_len, 48,
+		sizeof (dw_tomb), (xdrproc_t) xdr_dw_tomb))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_tombs_ack (XDR *xdrs, dw_tombs_ack *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->last))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->stopped.stopped_val, (u_int *) &objp->stopped.stopped_len, 48,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -2163,6 +2203,14 @@
 		 if (!xdr_dw_open (xdrs, &objp->dw_msg_u.open))
 			 return FALSE;
 		break;
+	case DW_TOMBS:
+		 if (!xdr_dw_tombs (xdrs, &objp->dw_msg_u.tombs))
+			 return FALSE;
+		break;
+	case DW_TOMBS_ACK:
+		 if (!xdr_dw_tombs_ack (xdrs, &objp->dw_msg_u.tombs_ack))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/simentry.c
+++ b/simentry.c
@@ -181,8 +181,16 @@
     (void)how;
 }
 
-static const struct co_ops entry_ops = {entry_send, entry_answer, entry_note,
-    entry_note_refusal, entry_note_run, entry_note_agent, entry_note_outlived};
+static void
+entry_job_failed(void *ctx, uint64_t job)
+{
+    (void)ctx;
+    (void)job;
+}
+
+static const struct co_ops entry_ops = {entry_send, entry_answer,
+    entry_job_failed, entry_note, entry_note_refusal, entry_note_run,
+    entry_note_agent, entry_note_outlived};
 
 static void
 flush(struct sim_entry *e)
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -15,6 +15,7 @@
     std::set<uint32_t> retry_times; /* ms */
     std::vector<dw_msg *> sent;
     std::vector<std::pair<uint64_t, std::string>> again; // run, how
+    std::vector<uint64_t> failed;                        /* jobs */
 
     ~Callers()
     {
@@ -62,6 +63,12 @@
     }
 }
 
+void
+on_job_failed(void *ctx, uint64_t job)
+{
+    static_cast<Callers *>(ctx)->failed.push_back(job);
+}
+
 void
 on_log_agent(void *, const fl_agent *, const char *)
 {
@@ -72,8 +79,8 @@
 {
 }
 
-const co_ops callers_ops = {on_send, on_answer, on_log_job, on_log_refusal,
-    on_log_run, on_log_agent, on_log_outlived};
+const co_ops callers_ops = {on_send, on_answer, on_job_failed, on_log_job,
+    on_log_refusal, on_log_run, on_log_agent, on_log_outlived};
 
 /* An entry with one agent, 3, of 10 cores. */
 struct Entry {
@@ -787,6 +794,32 @@
     EXPECT_EQ(e.callers.answers[0].second, CO_FAILED);
 }
 
+/* Guards against a completed job whose late copy is answered as failed, as it
+ * was cancelled after its end. */
+TEST(Coord, CancellingACompletedJobKeepsItsOutcome)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller);
+    e.report({{{5, 0, 51}, DW_END_DONE, 9}});
+    co_record_cancelled(&e.c, e.now, 5);
+    e.submit(5, 1, &caller);
+    ASSERT_EQ(e.callers.answers.size(), 2u);
+    EXPECT_EQ(e.callers.answers[1].second, CO_COMPLETED);
+}
+
+/* Guards against a job that failed and runs again at an entry that was not
+ * told. */
+TEST(Coord, FailedJobIsTold)
+{
+    Entry e;
+
+    e.submit(5, 1, &caller);
+    e.report({{{5, 0, 51}, DW_END_FAILED, 9}});
+    e.report({{{5, 0, 52}, DW_END_FAILED, 9}});
+    EXPECT_EQ(e.callers.failed, std::vector<uint64_t>{5});
+}
+
 /* The agent of a run of job 5 falls silent for 2.4 s. */
 static void
 lose_agent(Entry &e)
--- a/test/demand-test.cc
+++ b/test/demand-test.cc
@@ -19,7 +19,7 @@
                               }
                           },
     [](void *, void *, co_outcome, const char *, uint32_t) {},
-    [](void *, const co_job *, const char *) {},
+    [](void *, uint64_t) {}, [](void *, const co_job *, const char *) {},
     [](void *, const struct co_submit *, const es_estimate *, const char *,
         uint64_t) {},
     [](void *, const co_job *, uint32_t, const char *, const char *) {},
--- a/test/soak.c
+++ b/test/soak.c
@@ -34,6 +34,15 @@
 #define LONG_MAX_FAULT_FREE_MS 3000
 #define LONG_CALL_TIMEOUT_MS 9000U
 #define LONG_SUBMIT_INTERVAL_MS 80U /* instead of SUBMIT_INTERVAL_MS */
+/* With cancel_mode: one call in CANCEL_EVERY is cancelled at some entry, and a
+ * copy of its request arrives at some entry seconds after that. */
+#define CANCEL_EVERY 4
+#define CANCEL_RETRY_MS 300U
+#define COPY_MIN_MS 500U
+#define COPY_MAX_MS 7000U
+/* Bounds after the acknowledgement: no task starts, none is at work. */
+#define CANCEL_MS 3000U
+#define CANCEL_STOP_MS 50U
 /* Calls that may still be open: one each tick, some more while an entry is
  * paused. */
 #define RECENT_CALLS (LONG_CALL_TIMEOUT_MS * TICKS_PER_S / 1000 + 300)
@@ -183,6 +192,11 @@
         uint64_t ms;
     } faults[CALL_FAULTS_MAX];
     uint32_t fault_count;
+    uint64_t cancel_at_ms; /* 0: it is not cancelled, or it has been */
+    bool cancel_sent;
+    uint64_t cancel_ack_ms; /* 0: not acknowledged */
+    uint64_t copy_at_ms;    /* 0: no copy, or it has been sent */
+    uint64_t gone_at_ms;    /* when its runs are looked for; 0: not */
     uint64_t twice_ms[SOAK_TASKS_MAX]; /* second run at a time; 0: none */
     bool answered;
     bool completed;
@@ -247,6 +261,8 @@
     bool stop_mode;    /* the faults are planned stops while no agent serves */
     bool callers_mode; /* most faults are on callers and entries */
     bool seen_only;    /* no unseen faults of callers */
+    bool cancel_mode;  /* some calls are cancelled */
+    uint64_t cancels;  /* acknowledged */
     uint32_t call_timeout_ms;
     ev_timer tick;
 };
@@ -576,6 +592,16 @@
     }
 }
 
+static void
+check_cancelled(
+    struct soak *s, int i, const struct fw_run *r, const struct call *c)
+{
+    if (c->cancel_ack_ms != 0 && s->now > c->cancel_ack_ms + CANCEL_MS &&
+        !r->unanswered && in_touch(&s->procs[i], s->now)) {
+        report_run(s, i, r, "started after its job was cancelled");
+    }
+}
+
 static void
 on_start(void *ctx, struct fake_worker *w, const struct fw_run *r)
 {
@@ -591,6 +617,7 @@
         return;
     }
     check_bounds(s, worker_index(s, w), r, c);
+    check_cancelled(s, worker_index(s, w), r, c);
     c->started++;
     if (c->sends > 0 && c->rejects == c->sends) {
         snprintf(text, sizeof(text),
@@ -646,6 +673,12 @@
 
 /* --- callers --- */
 
+static int
+any_entry(struct soak *s)
+{
+    return (int)soak_random(s, (uint64_t)s->entries);
+}
+
 #define ROUTE_1 "/q/" /* in all configurations */
 #define ROUTE_2 "/t/" /* added and removed */
 
@@ -684,6 +717,9 @@
 check_failed(struct call *c)
 {
     c->failed = true;
+    if (c->cancel_sent) {
+        return;
+    }
     for (uint32_t i = 0; i < c->tasks; i++) {
         if (c->failures[i] >= ATTEMPTS) {
             return;
@@ -791,7 +827,7 @@
 {
     uint64_t at_ms = clock_ms() + RESEND_DELAY_MS;
 
-    if (at_ms < c->deadline_ms) {
+    if (at_ms < c->deadline_ms && !c->cancel_sent) {
         c->resend_at_ms = at_ms;
     }
 }
@@ -858,12 +894,13 @@
     }
 }
 
-static void
-send_call(struct call *c, int entry)
+/* Sends a request for the call to an entry: a POST, or a DELETE. */
+static struct httpc_req *
+send_request(struct call *c, int entry, const char *method,
+    uint64_t remaining_ms, httpc_done_fn done)
 {
     struct soak *s = c->s;
     int offset = s->callers_mode ? PORT_CALLER_PROXY : PORT_ENTRY_CALLERS;
-    uint64_t remaining_ms = num_sub_sat(c->deadline_ms, s->now);
     char url[128];
     char deadline[64];
     char body[256];
@@ -871,11 +908,6 @@
         "Host: h.example", "Content-Type: application/json", deadline, NULL};
     struct httpc_call h = {0};
 
-    c->resend_at_ms = 0;
-    c->sent_ms = s->now;
-    c->sends++;
-    c->entry = entry;
-    draw_call_fault(c);
     snprintf(url, sizeof(url), "http://127.0.0.1:%d%s%016" PRIx64,
         s->base + offset + entry, c->prefix, c->id);
     snprintf(deadline, sizeof(deadline), "Deadline-Remaining: %" PRIu64,
@@ -884,15 +916,95 @@
         "{\"task_spec\":\"x\",\"best_effort\":true,\"steps\":[{\"count\":%u,"
         "\"cpu\":2000,\"mem_mb\":10,\"est_runtime_ms\":%u}]}",
         c->tasks, c->ms[0]);
-    h.method = "POST";
+    h.method = method;
     h.url = url;
     h.headers = headers;
-    h.body = str_of(body);
+    h.body = str_of(strcmp(method, "POST") == 0 ? body : "");
     h.timeout_ms = (uint32_t)remaining_ms;
     h.connect_timeout_ms = 1000;
-    h.done = on_answer;
+    h.done = done;
     h.ctx = c;
-    c->req = httpc_start(s->http, &h);
+    return httpc_start(s->http, &h);
+}
+
+static void
+send_call(struct call *c, int entry)
+{
+    struct soak *s = c->s;
+
+    c->resend_at_ms = 0;
+    c->sent_ms = s->now;
+    c->sends++;
+    c->entry = entry;
+    draw_call_fault(c);
+    c->req = send_request(
+        c, entry, "POST", num_sub_sat(c->deadline_ms, s->now), on_answer);
+}
+
+/* --- cancelled calls --- */
+
+static void
+on_cancelled(void *ctx, const struct httpc_result *d)
+{
+    struct call *c = ctx;
+    struct soak *s = c->s;
+
+    if (d->status != HTTPC_OK ||
+        (d->http_status != 200 && d->http_status != 410)) {
+        c->cancel_at_ms = s->now + CANCEL_RETRY_MS;
+        return;
+    }
+    c->cancel_ack_ms = s->now;
+    c->gone_at_ms = s->now + CANCEL_MS + CANCEL_STOP_MS;
+    c->copy_at_ms =
+        s->now + COPY_MIN_MS + soak_random(s, COPY_MAX_MS - COPY_MIN_MS);
+    s->cancels++;
+}
+
+static void
+on_copy_answered(void *ctx, const struct httpc_result *d)
+{
+    (void)ctx;
+    (void)d;
+}
+
+static void
+check_gone(const struct call *c)
+{
+    if (has_run_active(c) && entries_in_touch(c)) {
+        report_violation(c->s, "a task of a cancelled job is at work");
+    }
+}
+
+static bool
+take_time(uint64_t *at_ms, uint64_t now)
+{
+    bool due = *at_ms != 0 && now >= *at_ms;
+
+    if (due) {
+        *at_ms = 0;
+    }
+    return due;
+}
+
+static void
+update_cancel(struct call *c)
+{
+    struct soak *s = c->s;
+
+    if (take_time(&c->cancel_at_ms, s->now)) {
+        c->cancel_sent = true;
+        c->resend_at_ms = 0;
+        send_request(
+            c, any_entry(s), "DELETE", s->call_timeout_ms, on_cancelled);
+    }
+    if (take_time(&c->copy_at_ms, s->now)) {
+        send_request(
+            c, any_entry(s), "POST", s->call_timeout_ms, on_copy_answered);
+    }
+    if (take_time(&c->gone_at_ms, s->now)) {
+        check_gone(c);
+    }
 }
 
 static void
@@ -936,6 +1048,9 @@
     }
     c->arrival_ms = s->now;
     c->deadline_ms = s->now + s->call_timeout_ms;
+    if (s->cancel_mode && soak_random(s, CANCEL_EVERY) == 0) {
+        c->cancel_at_ms = s->now + soak_random(s, c->ms[0] + 100);
+    }
     return c;
 }
 
@@ -995,6 +1110,9 @@
     if (c->req != NULL && c->close_at_ms != 0 && s->now >= c->close_at_ms) {
         close_call(c);
     }
+    if (s->cancel_mode) {
+        update_cancel(c);
+    }
     if (c->resend_at_ms != 0 && s->now >= c->resend_at_ms) {
         s->runs_left += s->callers_mode && !met_unseen(c) && has_run_active(c);
         send_call(c, next_entry(c));
@@ -1563,12 +1681,6 @@
     s->next_fault_ms = s->now + GRACE_MS + STOP_BEFORE_END_MS;
 }
 
-static int
-any_entry(struct soak *s)
-{
-    return (int)soak_random(s, (uint64_t)s->entries);
-}
-
 /* All callers of an entry lose their connections. */
 static void
 break_callers(struct soak *s)
@@ -1881,7 +1993,7 @@
         *completed += c->completed;
         *failed += c->failed;
         if (c->arrival_ms >= fault_free_from && !c->completed && !c->failed &&
-            strcmp(c->prefix, ROUTE_1) == 0) {
+            !c->cancel_sent && strcmp(c->prefix, ROUTE_1) == 0) {
             char text[120];
 
             snprintf(text, sizeof(text),
@@ -1916,6 +2028,7 @@
     int stop_mode = 0;
     int callers_mode = 0;
     int seen_only = 0;
+    int cancel_mode = 0;
     int verbose = 0;
     char *dir = NULL;
     char *bin = NULL;
@@ -1938,6 +2051,8 @@
             "long tasks; most faults are on callers and entries", NULL},
         {"seen", 'n', POPT_ARG_NONE, &seen_only, 0,
             "with -c: entries see each close of a caller", NULL},
+        {"cancels", 'k', POPT_ARG_NONE, &cancel_mode, 0,
+            "cancel some calls, at any entry", NULL},
         {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "print the faults", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext ctx =
@@ -1962,6 +2077,7 @@
     s->stop_mode = stop_mode != 0;
     s->callers_mode = callers_mode != 0;
     s->seen_only = seen_only != 0;
+    s->cancel_mode = cancel_mode != 0;
     s->fault_rate = s->worker_mode ? 4 : s->callers_mode ? 2 : 1;
     s->call_timeout_ms =
         s->callers_mode ? LONG_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
@@ -1977,6 +2093,9 @@
     if (s->callers_mode) {
         print_call_fault_counts(s);
     }
+    if (s->cancel_mode) {
+        printf("%" PRIu64 " cancels acknowledged\n", s->cancels);
+    }
     printf("seed %d: %" PRIu64
            " faults, %zu calls, %zu completed, %zu failed, "
            "%" PRIu64 " starts, %" PRIu64 " violations\n",
--- a/test/tail-test.cc
+++ b/test/tail-test.cc
@@ -224,6 +224,10 @@
 {
 }
 void
+on_job_failed(void *, uint64_t)
+{
+}
+void
 on_log_run(void *, const co_job *, uint32_t, const char *, const char *)
 {
 }
@@ -236,8 +240,8 @@
 on_log_outlived(void *, const co_outliving *, uint64_t, const char *)
 {
 }
-const co_ops ops = {on_send, on_answer, on_log_job, on_log_refusal, on_log_run,
-    on_log_agent, on_log_outlived};
+const co_ops ops = {on_send, on_answer, on_job_failed, on_log_job,
+    on_log_refusal, on_log_run, on_log_agent, on_log_outlived};
 
 int caller;
 
--- a/test/world.cc
+++ b/test/world.cc
@@ -353,6 +353,11 @@
 {
 }
 
+void
+entry_job_failed(void *, uint64_t)
+{
+}
+
 void
 entry_note_refusal(void *, const struct co_submit *,
     const struct es_estimate *, const char *, uint64_t)
@@ -424,8 +429,9 @@
 const cl_ops claims_ops = {claims_broadcast, entry_send, claims_hold,
     claims_start, claims_refuse, claims_give_up, claims_note};
 
-const co_ops entry_ops = {entry_send, entry_answer, entry_note,
-    entry_note_refusal, entry_note_run, entry_note_agent, entry_note_outlived};
+const co_ops entry_ops = {entry_send, entry_answer, entry_job_failed,
+    entry_note, entry_note_refusal, entry_note_run, entry_note_agent,
+    entry_note_outlived};
 
 } // namespace
 
