entries: one that starts learns what the others know first

Cause: claims and tombstones are soft state that is sent to the entries known at the time, and an entry is known only once the others have read its registration. What it heard itself is lost with its process.

An entry now asks those that the store lists when it starts (DW_JOIN); each replies with its claims in one message (DW_JOINED) and sends it all later ones. Two of them add what they heard of others and the ended jobs that they know: an entry may have died right before, while its runs go on for up to 1,176 ms.

--- a/claim.c
+++ b/claim.c
@@ -356,6 +356,27 @@
     }
 }
 
+void
+cl_receive_heard(struct claims *c, uint64_t now, const dw_heard *m)
+{
+    uint64_t heard_ms = num_sub_sat(now, m->silent_ms);
+    struct cl_peer *p;
+    struct cl_known *k;
+
+    if (m->entry == c->self) {
+        return;
+    }
+    p = get_peer(c, m->entry);
+    k = get_known(p, m->claim.job);
+    if (k == NULL || k->heard_ms >= heard_ms) {
+        return;
+    }
+    p->heard_ms = num_max(p->heard_ms, heard_ms);
+    k->since_ms = num_sub_sat(now, m->claim.age_ms);
+    k->heard_ms = heard_ms;
+    k->kind = m->claim.kind;
+}
+
 static void
 expire_known(struct claims *c, uint64_t now, uint64_t deaf_ms)
 {
@@ -491,15 +512,13 @@
 #define CLAIMS_PER_MESSAGE 48U
 #define OVER_PER_MESSAGE 16U
 
-static void
-add_claim(dw_claims *m, uint64_t now, struct cl_own *o)
+static dw_claim
+make_claim(uint64_t now, struct cl_own *o)
 {
-    dw_claim *claim = &m->claims.claims_val[m->claims.claims_len++];
+    dw_claim claim = {o->job, (u_int)num_sub_sat(now, o->since_ms), o->kind};
 
-    claim->job = o->job;
-    claim->age_ms = (u_int)num_sub_sat(now, o->since_ms);
-    claim->kind = o->kind;
     o->announced = true;
+    return claim;
 }
 
 static void
@@ -520,7 +539,7 @@
         out->claims.claims_val = rows;
         while (out->claims.claims_len < CLAIMS_PER_MESSAGE &&
                (o = take_due(o, &due)) != NULL) {
-            add_claim(out, now, o);
+            rows[out->claims.claims_len++] = make_claim(now, o);
         }
         out->over.over_val = (u_quad_t *)&c->over[over];
         out->over.over_len =
@@ -567,6 +586,38 @@
     c->wanted &= ending;
 }
 
+uint64_t
+cl_list(struct claims *c, uint64_t now, dw_claim **rows, u_int *count)
+{
+    struct cl_own *o;
+
+    run_round(c, now);
+    *rows = dw_zero(HASH_COUNT(c->own), sizeof(**rows));
+    *count = 0;
+    for (o = c->own; o != NULL; o = o->hh.next) {
+        (*rows)[(*count)++] = make_claim(now, o);
+    }
+    return ++c->seq;
+}
+
+void
+cl_list_heard(
+    const struct claims *c, uint64_t now, dw_heard **rows, u_int *count)
+{
+    const struct cl_peer *p;
+    const struct cl_known *k;
+
+    *rows = dw_zero(cl_known_count(c), sizeof(**rows));
+    *count = 0;
+    for (p = c->peers; p != NULL; p = p->hh.next) {
+        for (k = p->claims; k != NULL; k = k->hh.next) {
+            (*rows)[(*count)++] = (dw_heard){p->id,
+                {k->job, (u_int)num_sub_sat(now, k->since_ms), k->kind},
+                (u_int)(now - k->heard_ms)};
+        }
+    }
+}
+
 void
 cl_entry_added(struct claims *c)
 {
--- a/claim.h
+++ b/claim.h
@@ -108,6 +108,16 @@
 /* An entry was added to those that are known: all claims are announced at the
  * next tick. */
 void cl_entry_added(struct claims *c);
+/* The claims of this entry, for one that has just started: allocates *rows.
+ * From then on that entry has to get all announcements.  Returns the number of
+ * the announcement. */
+uint64_t cl_list(
+    struct claims *c, uint64_t now, dw_claim **rows, u_int *count);
+/* The claims of other entries, for the same: allocates *rows. */
+void cl_list_heard(
+    const struct claims *c, uint64_t now, dw_heard **rows, u_int *count);
+/* A claim that a third entry has heard. */
+void cl_receive_heard(struct claims *c, uint64_t now, const dw_heard *m);
 /* This entry has a job; since_ms: when its request was read, or when the job
  * was given up.  To be called by ops->hold(). */
 void cl_hold(struct claims *c, uint64_t job, uint64_t since_ms,
--- a/coord.c
+++ b/coord.c
@@ -1049,6 +1049,21 @@
            has_outliving_run(c, id);
 }
 
+void
+co_list_failed(
+    const struct coord *c, uint64_t now, dw_tomb **rows, u_int *count)
+{
+    const struct co_ended *e;
+
+    *rows = dw_zero(HASH_COUNT(c->ended), sizeof(**rows));
+    *count = 0;
+    for (e = c->ended; e != NULL; e = e->hh.next) {
+        if (e->outcome == CO_FAILED) {
+            (*rows)[(*count)++] = (dw_tomb){e->id, (u_int)(now - e->ended_ms)};
+        }
+    }
+}
+
 size_t
 co_job_count(const struct coord *c)
 {
--- a/coord.h
+++ b/coord.h
@@ -305,6 +305,9 @@
  * request gets the same answer, or was given up and a run of it may be at
  * work. */
 bool co_knows_job(const struct coord *c, uint64_t id);
+/* The jobs that are known to be cancelled or failed: allocates *rows. */
+void co_list_failed(
+    const struct coord *c, uint64_t now, dw_tomb **rows, u_int *count);
 /* Jobs in progress here. */
 size_t co_job_count(const struct coord *c);
 /* Jobs with waiting tasks of which no run has been ordered. */
--- a/entrycall.c
+++ b/entrycall.c
@@ -765,11 +765,9 @@
 
 /* --- operations of tomb --- */
 
-static bool
-end_job_elsewhere(void *ctx, uint64_t job, uint64_t ms)
+bool
+ec_end_job(struct entry *e, uint64_t job, uint64_t ms)
 {
-    struct entry *e = ctx;
-
     if (!cancel_here(e, proc_now(), job)) {
         return false;
     }
@@ -778,6 +776,12 @@
     return true;
 }
 
+static bool
+end_job(void *ctx, uint64_t job, uint64_t ms)
+{
+    return ec_end_job(ctx, job, ms);
+}
+
 static void
 answer_cancel(void *ctx, void *handle, uint64_t job, enum tb_result result)
 {
@@ -801,8 +805,7 @@
     free(c);
 }
 
-const struct tb_ops ec_tb_ops = {
-    send_message, end_job_elsewhere, answer_cancel};
+const struct tb_ops ec_tb_ops = {send_message, end_job, answer_cancel};
 
 /* --- the loop --- */
 
@@ -919,21 +922,34 @@
     return true;
 }
 
-/* After startup, callers connect some ms before the configuration is loaded.
- * Their requests stay queued until then and are refused only when they have
- * waited too long. */
+/* Another entry may run the job, so that it is not answered as not run. */
+static void
+refuse_while_starting(struct entry *e, struct caller *c)
+{
+    log_request_refused(e, path_of(c), "starting");
+    answer(e, c, CO_GAVE_UP, "starting", 0);
+}
+
+/* After startup, callers connect some ms before the configuration is loaded
+ * and the other entries have told what they know.  Their requests stay queued
+ * until then and are refused only when they have waited too long. */
 void
 ec_start_queued(struct entry *e, uint64_t now)
 {
     enum it_action decision;
     void *c;
 
-    while (e->routes.version == 0) {
+    while (e->routes.version == 0 || !cu_is_ready(&e->catchup)) {
         c = it_pop_expired(&e->intake, proc_now_us());
         if (c == NULL) {
             return;
         }
-        start_request(e, now, c);
+        if (e->routes.version == 0) {
+            start_request(e, now, c);
+        }
+        else {
+            refuse_while_starting(e, c);
+        }
     }
     for (;;) {
         decision = it_next(&e->intake, proc_now_us(), &c);
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -2,12 +2,13 @@
  * entryd-int - internal interface of the entry daemon on the users' platform
  *
  * entryd.c is the role (see serve.h), entrycall.c handles requests of callers
- * and of other entries, entrystore.c applies the contents of the platform's
- * store.
+ * and of other entries, entryjoin.c lets an entry that starts learn what the
+ * others know, entrystore.c applies the contents of the platform's store.
  */
 #ifndef ENTRYD_INT_H
 #define ENTRYD_INT_H
 
+#include "catchup.h"
 #include "claim.h"
 #include "coord.h"
 #include "hist.h"
@@ -42,6 +43,7 @@
     struct relay relay;
     struct claims claims;
     struct tombs tombs;
+    struct catchup catchup;
     uint64_t forwarded_out; /* requests forwarded to other entries */
     uint64_t forwarded_in;  /* requests received from other entries */
     struct opstate opstate;
@@ -73,6 +75,9 @@
 extern const struct rl_ops ec_rl_ops;
 extern const struct cl_ops ec_cl_ops;
 extern const struct tb_ops ec_tb_ops;
+/* A job was cancelled or has failed at another entry, ms ago: ends it here,
+ * and requests for it that wait; true if it was in progress. */
+bool ec_end_job(struct entry *e, uint64_t job, uint64_t ms);
 void ec_open(struct entry *e);
 /* Callbacks of the callers' server: a request was received completely; the
  * caller of an unanswered request closed its connection. */
@@ -87,6 +92,14 @@
 /* Reply with a JSON body. */
 void ec_reply(struct web_req *r, unsigned status, const char *text);
 
+/* --- entryjoin.c: an entry that has just started --- */
+void ej_open(struct entry *e);
+void ej_close(struct entry *e);
+/* Handle messages of another entry. */
+void ej_join(struct entry *e, uint64_t now, uint64_t from, const dw_join *m);
+void ej_joined(
+    struct entry *e, uint64_t now, uint64_t from, const dw_joined *m);
+
 /* --- entrystore.c: operator state, members, run time estimates --- */
 /* Start following the store. */
 void en_open(struct entry *e);
--- a/entryd.c
+++ b/entryd.c
@@ -97,6 +97,7 @@
     e->s = s;
     e->accepting = true;
     ec_open(e);
+    ej_open(e);
     co_init(&e->coord, &ec_co_ops, e, s->seed, s->conf->node.me.domain,
         s->conf->node.me.addr, s->conf->node.me.port);
     e->coord.settings = s->conf->sched;
@@ -131,6 +132,7 @@
     it_free(&e->intake);
     cl_free(&e->claims);
     tb_free(&e->tombs);
+    ej_close(e);
     rl_free(&e->relay);
     co_free(&e->coord);
     rk_free(&e->ranks);
@@ -289,6 +291,7 @@
     lg_record_probe(&e->lag, proc_now_us(), proc_now_us() - start_us,
         FL_SELECTED_MAX + co_job_count(&e->coord));
     cl_tick(&e->claims, now);
+    cu_tick(&e->catchup, now);
     en_save_estimates(e, now);
     log_load(e, now);
     log_sharing(e, now);
@@ -356,6 +359,12 @@
     else if (m->type == DW_TOMBS_ACK) {
         tb_receive_ack(&e->tombs, now, from, &m->dw_msg_u.tombs_ack);
     }
+    else if (m->type == DW_JOIN) {
+        ej_join(e, now, from, &m->dw_msg_u.join);
+    }
+    else if (m->type == DW_JOINED) {
+        ej_joined(e, now, from, &m->dw_msg_u.joined);
+    }
     else if (m->type == DW_NEWS) {
         en_operator_state(e, from, &m->dw_msg_u.news);
     }
@@ -369,6 +378,7 @@
     co_agent_dead(&e->coord, now, id);
     rl_process_dead(&e->relay, now, id);
     tb_entry_absent(&e->tombs, now, id);
+    cu_entry_dead(&e->catchup, now, id);
 }
 
 static void
--- a/entrystore.c
+++ b/entrystore.c
@@ -199,6 +199,7 @@
         cl_entry_added(&e->claims);
         if (p->id != e->s->id) {
             tb_add_entry(&e->tombs, p->id);
+            cu_add_entry(&e->catchup, p->id);
         }
         return;
     }
@@ -332,6 +333,7 @@
         members_change(e, &items[i]);
     }
     tb_set_listed(&e->tombs);
+    cu_begin(&e->catchup, proc_now());
 }
 
 static void
--- a/proto.h
+++ b/proto.h
@@ -66,6 +66,8 @@
 	DW_OPEN = 36,
 	DW_TOMBS = 37,
 	DW_TOMBS_ACK = 38,
+	DW_JOIN = 39,
+	DW_JOINED = 40,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -765,6 +767,39 @@
 };
 typedef struct dw_tombs_ack dw_tombs_ack;
 
+struct dw_join {
+	u_int nonce;
+	bool_t all;
+	dw_bytes address;
+	u_int port;
+};
+typedef struct dw_join dw_join;
+
+struct dw_heard {
+	u_quad_t entry;
+	dw_claim claim;
+	u_int silent_ms;
+};
+typedef struct dw_heard dw_heard;
+
+struct dw_joined {
+	u_int nonce;
+	u_quad_t seq;
+	struct {
+		u_int claims_len;
+		dw_claim *claims_val;
+	} claims;
+	struct {
+		u_int heard_len;
+		dw_heard *heard_val;
+	} heard;
+	struct {
+		u_int tombs_len;
+		dw_tomb *tombs_val;
+	} tombs;
+};
+typedef struct dw_joined dw_joined;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -805,6 +840,8 @@
 		dw_open open;
 		dw_tombs tombs;
 		dw_tombs_ack tombs_ack;
+		dw_join join;
+		dw_joined joined;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -897,6 +934,9 @@
 extern  bool_t xdr_dw_tomb (XDR *, dw_tomb*);
 extern  bool_t xdr_dw_tombs (XDR *, dw_tombs*);
 extern  bool_t xdr_dw_tombs_ack (XDR *, dw_tombs_ack*);
+extern  bool_t xdr_dw_join (XDR *, dw_join*);
+extern  bool_t xdr_dw_heard (XDR *, dw_heard*);
+extern  bool_t xdr_dw_joined (XDR *, dw_joined*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -972,6 +1012,9 @@
 extern bool_t xdr_dw_tomb ();
 extern bool_t xdr_dw_tombs ();
 extern bool_t xdr_dw_tombs_ack ();
+extern bool_t xdr_dw_join ();
+extern bool_t xdr_dw_heard ();
+extern bool_t xdr_dw_joined ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -54,7 +54,9 @@
     DW_MOVED = 35,
     DW_OPEN = 36,
     DW_TOMBS = 37,
-    DW_TOMBS_ACK = 38
+    DW_TOMBS_ACK = 38,
+    DW_JOIN = 39,
+    DW_JOINED = 40
 };
 
 /* State of a submission, in an answer. */
@@ -700,6 +702,31 @@
     unsigned hyper stopped<48>;
 };
 
+/* Entry that has just started to another one: send all that you know. */
+struct dw_join {
+    unsigned int nonce; /* the reply has it too */
+    bool all;           /* also what the receiver heard of others */
+    dw_bytes address;   /* of the sender, with port */
+    unsigned int port;
+};
+
+/* A claim of another entry, which may have died since. */
+struct dw_heard {
+    unsigned hyper entry;
+    dw_claim claim;
+    unsigned int silent_ms; /* since it was heard last */
+};
+
+/* Reply: the sender's claims, as in DW_CLAIMS; if all was requested, those of
+ * other entries and the jobs that are known to be cancelled or failed. */
+struct dw_joined {
+    unsigned int nonce;
+    unsigned hyper seq;
+    dw_claim claims<DW_MAX_ITEMS>;
+    dw_heard heard<DW_MAX_ITEMS>;
+    dw_tomb tombs<DW_MAX_ITEMS>;
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -738,6 +765,8 @@
 case DW_OPEN: dw_open open;
 case DW_TOMBS: dw_tombs tombs;
 case DW_TOMBS_ACK: dw_tombs_ack tombs_ack;
+case DW_JOIN: dw_join join;
+case DW_JOINED: dw_joined joined;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -2055,6 +2055,57 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_join (XDR *xdrs, dw_join *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->nonce))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->all))
+		 return FALSE;
+	 if (!xdr_dw_bytes (xdrs, &objp->address))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->port))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_heard (XDR *xdrs, dw_heard *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->entry))
+		 return FALSE;
+	 if (!xdr_dw_claim (xdrs, &objp->claim))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->silent_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_dw_joined (XDR *xdrs, dw_joined *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->nonce))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->seq))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->claims.claims_val, (u_int *) &objp->claims.claims_len, DW_MAX_ITEMS,
+		sizeof (dw_claim), (xdrproc_t) xdr_dw_claim))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->heard.heard_val, (u_int *) &objp->heard.heard_len, DW_MAX_ITEMS,
+		sizeof (dw_heard), (xdrproc_t) xdr_dw_heard))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->tombs.tombs_val, (u_int *) &objp->tombs.tombs_len, DW_MAX_ITEMS,
+		sizeof (dw_tomb), (xdrproc_t) xdr_dw_tomb))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -2211,6 +2262,14 @@
 		 if (!xdr_dw_tombs_ack (xdrs, &objp->dw_msg_u.tombs_ack))
 			 return FALSE;
 		break;
+	case DW_JOIN:
+		 if (!xdr_dw_join (xdrs, &objp->dw_msg_u.join))
+			 return FALSE;
+		break;
+	case DW_JOINED:
+		 if (!xdr_dw_joined (xdrs, &objp->dw_msg_u.joined))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/test/again-test.cc
+++ b/test/again-test.cc
@@ -258,6 +258,12 @@
     w.kill_agent(some(w, AGENTS), 50 + w.rng() % 1000);
 }
 
+void
+entry_killed(World &w)
+{
+    w.kill_entry(some(w, ENTRIES), 20 + w.rng() % 600);
+}
+
 struct AgainCase {
     const char *name;
     std::vector<void (*)(World &)> faults;
@@ -266,6 +272,7 @@
     uint64_t pause_ms = 60; /* between jobs */
     uint64_t caller_wait_ms = 3000;
     double forward_share = 0;
+    uint64_t discovery_ms = 0;
 };
 
 const AgainCase cases[] = {
@@ -298,6 +305,8 @@
         0.4},
     {"callers_leave_unseen_messages_lost",
         {callers_leave_unseen, entries_lose_messages}, 2500, 60, 9000},
+    {"callers_leave_unseen_entry_starts", {callers_leave_unseen, entry_killed},
+        2500, 60, 9000, 0, 700},
     {"all_but_refused",
         {sessions_reopen, agent_pauses_at_the_lease, entry_pauses, stops_lost,
             starts_refused, messages_doubled_and_late, callers_send_again,
@@ -350,6 +359,7 @@
 
         w.caller_wait_ms = c.caller_wait_ms;
         w.forward_share = c.forward_share;
+        w.discovery_ms = c.discovery_ms;
         for (size_t i = 0; i < ENTRIES; i++) {
             w.entries[i]->wall_offset_ms = i * 3000;
         }
--- a/test/world.cc
+++ b/test/world.cc
@@ -429,6 +429,66 @@
 const cl_ops claims_ops = {claims_broadcast, entry_send, claims_hold,
     claims_start, claims_refuse, claims_give_up, claims_note};
 
+/* --- entries that start --- */
+
+void
+catchup_ask(void *ctx, uint64_t to, uint32_t nonce, bool all)
+{
+    dw_msg m = {};
+
+    m.type = DW_JOIN;
+    m.dw_msg_u.join.nonce = nonce;
+    m.dw_msg_u.join.all = all;
+    entry_send(ctx, to, &m);
+}
+
+void
+catchup_ready(void *ctx, uint32_t, uint32_t, uint64_t)
+{
+    FakeEntry *e = static_cast<FakeEntry *>(ctx);
+
+    for (auto &request : e->held) {
+        e->w->after(0, request);
+    }
+    e->held.clear();
+}
+
+const cu_ops catchup_ops = {catchup_ask, catchup_ready};
+
+/* The newcomer gets what this entry announces from now on. */
+void
+reply_to_join(FakeEntry *e, uint64_t from, const dw_join *join)
+{
+    dw_msg m = {};
+    dw_joined *out = &m.dw_msg_u.joined;
+
+    rl_add_entry(&e->relay_state, from);
+    m.type = DW_JOINED;
+    out->nonce = join->nonce;
+    out->seq = cl_list(&e->claims_state, e->w->now, &out->claims.claims_val,
+        &out->claims.claims_len);
+    if (join->all) {
+        cl_list_heard(&e->claims_state, e->w->now, &out->heard.heard_val,
+            &out->heard.heard_len);
+    }
+    entry_send(e, from, &m);
+    free(out->claims.claims_val);
+    free(out->heard.heard_val);
+}
+
+void
+receive_joined(FakeEntry *e, uint64_t from, const dw_joined *m)
+{
+    dw_claims claims = {
+        m->seq, {m->claims.claims_len, m->claims.claims_val}, {0, nullptr}};
+
+    cl_receive_claims(&e->claims_state, e->w->now, from, &claims);
+    for (u_int i = 0; i < m->heard.heard_len; i++) {
+        cl_receive_heard(&e->claims_state, e->w->now, &m->heard.heard_val[i]);
+    }
+    cu_receive(&e->catchup_state, e->w->now, from, m->nonce);
+}
+
 const co_ops entry_ops = {entry_send, entry_answer, entry_job_failed,
     entry_note, entry_note_refusal, entry_note_run, entry_note_agent,
     entry_note_outlived};
@@ -473,6 +533,7 @@
             co_free(&e->coord_state);
             rl_free(&e->relay_state);
             cl_free(&e->claims_state);
+            cu_free(&e->catchup_state);
         }
     }
 }
@@ -613,6 +674,7 @@
     rl_tick(&e->relay_state, now);
     co_tick(&e->coord_state, now);
     cl_tick(&e->claims_state, now);
+    cu_tick(&e->catchup_state, now);
 }
 
 /* The worker reports every 1.5 s. */
@@ -646,13 +708,16 @@
     e->coord_state.settings = settings;
     rl_init(&e->relay_state, &relay_ops, e, e->id);
     cl_init(&e->claims_state, &claims_ops, e, e->id);
+    cu_init(&e->catchup_state, &catchup_ops, e, (uint32_t)e->id);
+    e->held.clear();
     for (auto &other : entries) {
         if (other->up && other->id != e->id) {
             rl_add_entry(&e->relay_state, other->id);
-            rl_add_entry(&other->relay_state, e->id);
-            cl_entry_added(&other->claims_state);
+            cu_add_entry(&e->catchup_state, other->id);
+            entry_discovered(e, other.get());
         }
     }
+    cu_begin(&e->catchup_state, now);
     for (auto &a : agents) {
         if (a->up) {
             fl_add(&e->coord_state.fleet, a->id,
@@ -664,6 +729,26 @@
     after(1, [this, e, id] { tick_entry(e, id); });
 }
 
+void
+World::entry_discovered(FakeEntry *e, FakeEntry *other)
+{
+    uint64_t id = e->id;
+    uint64_t other_id = other->id;
+    auto add = [other, id, other_id] {
+        if (other->up && other->id == other_id) {
+            rl_add_entry(&other->relay_state, id);
+            cl_entry_added(&other->claims_state);
+        }
+    };
+
+    if (discovery_ms == 0) {
+        add();
+    }
+    else {
+        after(rng() % discovery_ms, add);
+    }
+}
+
 void
 World::tick_entry(FakeEntry *e, uint64_t id)
 {
@@ -768,6 +853,16 @@
                     &p->claims_state, now, from, &copy->dw_msg_u.claims);
             });
         }
+        else if (p->up && p->id == to && copy->type == DW_JOIN) {
+            on_entry(p, [p, from, copy] {
+                reply_to_join(p, from, &copy->dw_msg_u.join);
+            });
+        }
+        else if (p->up && p->id == to && copy->type == DW_JOINED) {
+            on_entry(p, [p, from, copy] {
+                receive_joined(p, from, &copy->dw_msg_u.joined);
+            });
+        }
         else if (p->up && p->id == to && copy->type == DW_MOVED) {
             on_entry(p, [this, p, from, copy] {
                 cl_receive_moved(
@@ -933,6 +1028,7 @@
     co_free(&e->coord_state);
     rl_free(&e->relay_state);
     cl_free(&e->claims_state);
+    cu_free(&e->catchup_state);
     for (auto &c : calls) {
         Call *call = c.second.get();
         if (call->awaiting_answer && call->entry_id == id) {
@@ -1233,6 +1329,65 @@
     send_call_to(c, i);
 }
 
+void
+World::request_arrives(FakeEntry *e, Call *c, uint32_t send)
+{
+    uint64_t id = e->id;
+
+    if (now >= c->deadline) {
+        return;
+    }
+    if (!cu_is_ready(&e->catchup_state)) {
+        e->held.push_back([this, e, c, id, send] {
+            if (e->up && e->id == id) {
+                request_arrives(e, c, send);
+            }
+        });
+        return;
+    }
+    FakeWaiter *waiter = new_waiter(c, nullptr);
+    std::string path = std::to_string(c->id);
+    if (send > c->broken_sends) {
+        c->waiter = waiter;
+    }
+    else {
+        /* A request that is read after its connection has ended. */
+        after(1, [this, e, id, waiter] {
+            if (e->up && e->id == id) {
+                on_entry(e, [this, e, waiter] { caller_left(e, waiter); });
+            }
+        });
+    }
+    if (co_knows_job(&e->coord_state, c->id)) {
+        submit_at(e, c, waiter);
+        return;
+    }
+    switch (rl_forward_copy(&e->relay_state, now, waiter, STR("host"),
+        str_make(path.data(), path.size()), STR("body"),
+        (uint32_t)(c->deadline - now))) {
+    case RL_NO_COPY:
+        if (cl_may_run(&e->claims_state, c->id)) {
+            submit_at(e, c, waiter);
+            return;
+        }
+        break;
+    case RL_COPY_LOST:
+        entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
+        return;
+    case RL_COPY_SENT:
+        return;
+    }
+    if (forward_share > 0 && chance() < forward_share &&
+        rl_forward(&e->relay_state, now, waiter, STR("host"),
+            str_make(path.data(), path.size()), STR("body"),
+            (uint32_t)(c->deadline - now))) {
+        return;
+    }
+    if (!forward_by_wait(e, c, waiter)) {
+        submit_at(e, c, waiter);
+    }
+}
+
 void
 World::send_call_to(Call *c, size_t i)
 {
@@ -1253,53 +1408,7 @@
         }
         trace("entry %zu (%lu): job %lu arrives, send %u", e->index, e->id,
             c->id, c->sends);
-        on_entry(e, [this, e, c, id, send] {
-            if (now >= c->deadline) {
-                return;
-            }
-            FakeWaiter *waiter = new_waiter(c, nullptr);
-            std::string path = std::to_string(c->id);
-            if (send > c->broken_sends) {
-                c->waiter = waiter;
-            }
-            else {
-                /* A request that is read after its connection has ended. */
-                after(1, [this, e, id, waiter] {
-                    if (e->up && e->id == id) {
-                        on_entry(
-                            e, [this, e, waiter] { caller_left(e, waiter); });
-                    }
-                });
-            }
-            if (co_knows_job(&e->coord_state, c->id)) {
-                submit_at(e, c, waiter);
-                return;
-            }
-            switch (rl_forward_copy(&e->relay_state, now, waiter, STR("host"),
-                str_make(path.data(), path.size()), STR("body"),
-                (uint32_t)(c->deadline - now))) {
-            case RL_NO_COPY:
-                if (cl_may_run(&e->claims_state, c->id)) {
-                    submit_at(e, c, waiter);
-                    return;
-                }
-                break;
-            case RL_COPY_LOST:
-                entry_answer(e, waiter, CO_GAVE_UP, "taker_lost", 0);
-                return;
-            case RL_COPY_SENT:
-                return;
-            }
-            if (forward_share > 0 && chance() < forward_share &&
-                rl_forward(&e->relay_state, now, waiter, STR("host"),
-                    str_make(path.data(), path.size()), STR("body"),
-                    (uint32_t)(c->deadline - now))) {
-                return;
-            }
-            if (!forward_by_wait(e, c, waiter)) {
-                submit_at(e, c, waiter);
-            }
-        });
+        on_entry(e, [this, e, c, send] { request_arrives(e, c, send); });
     });
     /* The caller leaves at its deadline. */
     after(c->deadline - now, [this, e, c, id] {
--- a/test/world.hh
+++ b/test/world.hh
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "agent.h"
+#include "catchup.h"
 #include "claim.h"
 #include "coord.h"
 #include "relay.h"
@@ -86,6 +87,8 @@
     coord coord_state;
     relay relay_state;
     claims claims_state;
+    catchup catchup_state;
+    std::vector<std::function<void()>> held; /* requests, until it is ready */
     std::vector<std::function<void()>> unread;
     std::vector<std::function<void()>> answers;
 };
@@ -163,6 +166,8 @@
     uint64_t caller_wait_ms = 3000;
     /* Share of requests that an entry forwards to another. */
     double forward_share = 0;
+    /* The longest time until other entries learn of one that has started. */
+    uint64_t discovery_ms = 0;
     /* Share of requests that go to entry 0, beyond its equal share. */
     double extra_share = 0;
     /* Shares of the reports of waits that are lost, doubled, or late by
@@ -205,6 +210,7 @@
     };
     void start_agent(size_t i);
     void start_entry(size_t i);
+    void entry_discovered(FakeEntry *e, FakeEntry *other);
     void tick_agent(FakeAgent *a, uint64_t id);
     void worker_heartbeat(FakeAgent *a, uint64_t id);
     void tick_entry(FakeEntry *e, uint64_t id);
@@ -215,6 +221,7 @@
     void deliver(uint64_t from, uint64_t to, const dw_msg *m);
     void send_call(Call *c);
     void send_call_to(Call *c, size_t i);
+    void request_arrives(FakeEntry *e, Call *c, uint32_t send);
     void deliver_copy(
         uint64_t from, uint64_t to, std::shared_ptr<dw_msg> copy);
     void caller_left(FakeEntry *e, FakeWaiter *waiter);
