agents: start nothing while their failure domain is withdrawn

Cause: withdrawals were known to entries only, which act on what they knew last, without an end; agents, which start the tasks and reach the store, accepted any order. An age limit at entries is no cure: they must go on serving while the store is away for all.

Agents now refuse starts in a withdrawn domain (DW_END_FULL, which is true: the run has not started) and report that they do not serve; what runs goes on. They learn of it from any entry with a session: entries tell their agents the state of their domain as of a revision of the store, at once when it changes and every 1.5 s while the store confirms it, and the newest revision counts. An agent that no entry has told of a confirmation for 2.6 s reads the store itself, once a second. In normal operation agents make no further calls to the store, unlike with a watch for each agent, which would be up to 485 calls a second at 970 agents.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # Deciding modules: no I/O, no clock, no state of their own.
 DECIDE = str err act subkey contract schedconf view member sync place host job jobadmit jobhandover \
 	quota own ownmap front node route sess fleet coord coplace comove coadmit coshare cotail admit shares tail \
-	leave runner agent opstate estimate slack inflow rank qpolicy demand intake lag balance relay claim tomb catchup
+	leave runner agent opstate estimate slack inflow rank qpolicy demand intake lag balance relay claim tomb catchup withdraw
 # What carries their actions out.
 IO = log proc base64 httpc store frame link web trail backend actexec api ops metric serve \
 	entryd entrycall entrystore entryjoin agentd platform/wire platform/kv platform/follow
@@ -63,7 +63,7 @@
 	property-test fleet world serve-test again-test wire-test route-test sess-test runner-test \
 	runner-net-test agent-test \
 	coord-test leave-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
-	entry-test httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test claim-test tomb-test catchup-test
+	entry-test httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test claim-test tomb-test catchup-test withdraw-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/web.o \
 	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(B)/store.o $(B)/backend.o $(SIM_PARTS)
@@ -129,6 +129,7 @@
 	SOAK_ARGS=-x FLEET_BIN=$(B) bash test/soak.sh 6 201 202 203
 	SOAK_ARGS="-c -a 16 -e 5" FLEET_BIN=$(B) bash test/soak.sh 8 301 302 303
 	SOAK_ARGS="-c -k -a 12 -e 5" FLEET_BIN=$(B) bash test/soak.sh 8 401 402
+	SOAK_ARGS="-o -a 9 -e 3" FLEET_BIN=$(B) bash test/soak.sh 8 501 502
 
 test-regress: all
 	FLEET_BIN=$(B) bash regress/run.sh
--- a/agent.c
+++ b/agent.c
@@ -398,6 +398,25 @@
     }
 }
 
+bool
+ag_handle_withdrawn(struct agent *a, uint64_t now, const dw_withdrawn *w)
+{
+    bool changed =
+        wd_update(&a->domain, now, w->as_of, w->age_ms, w->withdrawn);
+
+    if (changed) {
+        rn_set_withdrawn(&a->runner, now, a->domain.withdrawn);
+    }
+    return changed;
+}
+
+/* Without a session nobody orders runs. */
+bool
+ag_must_read_domain(struct agent *a, uint64_t now)
+{
+    return a->open_count > 0 && wd_read_due(&a->domain, now);
+}
+
 void
 ag_entry_dead(struct agent *a, uint64_t now, uint64_t id)
 {
@@ -574,6 +593,7 @@
     *a = (struct agent){0};
     a->ops = ops;
     a->ctx = ctx;
+    wd_init(&a->domain, now);
     rn_init(&a->runner, now, &worker_ops, a);
 }
 
--- a/agent.h
+++ b/agent.h
@@ -30,6 +30,7 @@
 #include "proto.h"
 #include "runner.h"
 #include "sess.h"
+#include "withdraw.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -97,6 +98,7 @@
     struct ag_entry *entries;
     uint32_t open_count;      /* entries with an open session */
     bool leaving;             /* shutting down */
+    struct wd_state domain;   /* whether its failure domain is withdrawn */
     uint64_t demand_received; /* DW_DEMAND that counted, since the start */
     uint64_t demand_ignored;  /* DW_DEMAND that were duplicate or late */
     uint64_t supply_sent;     /* DW_SUPPLY */
@@ -112,6 +114,12 @@
 /* Handles an entry's unplaced work by urgency; only in an open session. */
 void ag_handle_demand(
     struct agent *a, uint64_t now, uint64_t from, const dw_demand *d);
+/* Handles an entry's word on this agent's failure domain, or what the store
+ * says; true if the domain was withdrawn or is back. */
+bool ag_handle_withdrawn(struct agent *a, uint64_t now, const dw_withdrawn *w);
+/* The store should be read now, as no entry has confirmed the state of the
+ * domain for long; counts as a read. */
+bool ag_must_read_domain(struct agent *a, uint64_t now);
 /* The entry's process is dead: ends its session. */
 void ag_entry_dead(struct agent *a, uint64_t now, uint64_t id);
 /* Sends what is due, ends expired sessions; call periodically. */
--- a/agentd.c
+++ b/agentd.c
@@ -36,6 +36,8 @@
     /* Response to a start while the runner decides on it; otherwise NULL. */
     const struct httpc_result *start_response;
     struct hist run_ms; /* of runs that succeeded */
+    char
+        domain_key[80]; /* exists in the store while the domain is withdrawn */
 };
 
 /* --- calls to the worker --- */
@@ -450,6 +452,37 @@
     p->port = (uint16_t)o->port;
 }
 
+/* from is 0 if the store said so. */
+static void
+update_domain(
+    struct agentd *ad, uint64_t now, uint64_t from, const dw_withdrawn *w)
+{
+    if (ag_handle_withdrawn(&ad->agent, now, w)) {
+        log_event(LOG_LEVEL_INFO, w->withdrawn ? "domain_out" : "domain_back",
+            "domain=%s rev=%" PRIu64 " age_ms=%u entry=%016" PRIx64,
+            ad->s->conf->node.me.domain, (uint64_t)w->as_of, w->age_ms, from);
+    }
+}
+
+static void
+on_domain_read(void *ctx, const struct kv_response *r)
+{
+    struct agentd *ad = ctx;
+    dw_withdrawn w = {r->rev, 0, false};
+    struct str key = str_of(ad->domain_key);
+
+    if (r->status != KV_OK) {
+        log_event(LOG_LEVEL_WARN, "domain_unknown",
+            "error=\"%s\" confirmed_ms=%" PRIu64, r->message,
+            proc_now() - ad->agent.domain.confirmed_ms);
+        return;
+    }
+    for (size_t i = 0; i < r->count; i++) {
+        w.withdrawn |= str_eq(str_of(r->items[i].key), key);
+    }
+    update_domain(ad, proc_now(), 0, &w);
+}
+
 static void
 agent_message(struct serve *s, uint64_t now, uint64_t from, const dw_msg *m)
 {
@@ -462,6 +495,9 @@
     else if (m->type == DW_DEMAND) {
         ag_handle_demand(&ad->agent, now, from, &m->dw_msg_u.demand);
     }
+    else if (m->type == DW_WITHDRAWN) {
+        update_domain(ad, now, from, &m->dw_msg_u.withdrawn);
+    }
 }
 
 static void
@@ -587,6 +623,8 @@
     ad->s = s;
     snprintf(ad->url, sizeof(ad->url), "http://%s",
         s->conf->platform.worker_endpoint);
+    snprintf(ad->domain_key, sizeof(ad->domain_key), SV_EVACUATE_PREFIX "%s",
+        s->conf->node.me.domain);
     ad->http = httpc_new(s->loop, WORKER_CONNECTIONS);
     ad->poll_http = httpc_new(s->loop, 1);
     ag_init(&ad->agent, proc_now(), &ag_ops, ad);
@@ -621,6 +659,9 @@
     struct agentd *ad = s->state;
 
     ag_tick(&ad->agent, now);
+    if (ag_must_read_domain(&ad->agent, now)) {
+        kv_range(ad->s->kv, ad->domain_key, NULL, on_domain_read, ad);
+    }
 }
 
 static void
@@ -689,6 +730,8 @@
         {"dw_demand_received", ad->agent.demand_received},
         {"dw_demand_ignored", ad->agent.demand_ignored},
         {"dw_supply_sent", ad->agent.supply_sent},
+        {"dw_domain_withdrawn", ad->agent.domain.withdrawn},
+        {"dw_domain_reads", ad->agent.domain.reads},
         {"dw_worker_reborn", st->worker_restarts},
         {"dw_worker_speed_permille", ad->agent.runner.speed_permille},
         {"dw_worker_copies",
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -107,6 +107,8 @@
 void en_operator_state(struct entry *e, uint64_t from, const dw_news *msg);
 /* Request operator state from a few other entries. */
 void en_query_peers(struct entry *e);
+/* Tell agents, if due, whether their failure domains are withdrawn. */
+void en_tell_agents(struct entry *e, uint64_t now);
 /* Save the run time estimates to the store, if due, for entries that start
  * later. */
 void en_save_estimates(struct entry *e, uint64_t now);
--- a/entryd.c
+++ b/entryd.c
@@ -292,6 +292,7 @@
         FL_SELECTED_MAX + co_job_count(&e->coord));
     cl_tick(&e->claims, now);
     cu_tick(&e->catchup, now);
+    en_tell_agents(e, now);
     en_save_estimates(e, now);
     log_load(e, now);
     log_sharing(e, now);
--- a/entrystore.c
+++ b/entrystore.c
@@ -7,6 +7,7 @@
 
 #include "entryd-int.h"
 #include "log.h"
+#include "num.h"
 #include "platform/wire.h"
 #include "proc.h"
 
@@ -20,7 +21,6 @@
 /* --- operator state --- */
 
 #define CONFIG_KEY "op/config"
-#define EVACUATE_PREFIX "op/evacuate/"
 
 /* The name is cut off after SH_NAME_MAX - 1 bytes. */
 static bool
@@ -70,14 +70,14 @@
 static void
 operators_item(struct entry *e, const struct kv_item *it)
 {
-    const char *domain = it->key + sizeof(EVACUATE_PREFIX) - 1;
+    const char *domain = it->key + sizeof(SV_EVACUATE_PREFIX) - 1;
 
     if (strcmp(it->key, CONFIG_KEY) == 0 && !it->deleted) {
         ost_set_config(&e->opstate, it->value, it->rev);
         apply_config(e, it->value);
     }
-    else if (strncmp(it->key, EVACUATE_PREFIX, sizeof(EVACUATE_PREFIX) - 1) ==
-             0) {
+    else if (strncmp(it->key, SV_EVACUATE_PREFIX,
+                 sizeof(SV_EVACUATE_PREFIX) - 1) == 0) {
         ost_set_domain(&e->opstate, domain, !it->deleted, it->rev);
         log_event(LOG_LEVEL_INFO, it->deleted ? "domain_back" : "domain_out",
             "domain=%s rev=%" PRIu64, domain, it->rev);
@@ -116,6 +116,15 @@
         message);
 }
 
+static void
+operators_confirmed(void *ctx)
+{
+    struct entry *e = ctx;
+
+    e->opstate.confirmed_ms = proc_now();
+    ost_set_known_rev(&e->opstate, follow_rev(e->operators));
+}
+
 static void
 operators_availability(void *ctx, bool available, const char *message)
 {
@@ -168,8 +177,40 @@
     }
 }
 
-static const struct follow_events operators_events = {
-    operators_snapshot, operators_change, operators_availability};
+static const struct follow_events operators_events = {operators_snapshot,
+    operators_change, operators_confirmed, operators_availability};
+
+/* --- withdrawn domains, for agents --- */
+
+static void
+tell_agent(struct entry *e, uint64_t now, const struct fl_agent *a)
+{
+    dw_msg m;
+
+    memset(&m, 0, sizeof(m));
+    m.type = DW_WITHDRAWN;
+    m.dw_msg_u.withdrawn.as_of = e->opstate.known_rev;
+    m.dw_msg_u.withdrawn.age_ms =
+        (u_int)num_min(now - e->opstate.confirmed_ms, UINT32_MAX);
+    m.dw_msg_u.withdrawn.withdrawn = a->withdrawn;
+    link_send(e->s->link, a->id, &m);
+}
+
+void
+en_tell_agents(struct entry *e, uint64_t now)
+{
+    struct fl_agent *a;
+
+    if (e->opstate.confirmed_ms == 0) {
+        return;
+    }
+    for (a = e->coord.fleet.agents; a != NULL; a = a->hh.next) {
+        if (a->session_open && wd_tell_due(&a->told, now, a->sess.number,
+                                   a->withdrawn, e->opstate.confirmed_ms)) {
+            tell_agent(e, now, a);
+        }
+    }
+}
 
 /* --- members --- */
 
@@ -344,7 +385,7 @@
 }
 
 static const struct follow_events members_events = {
-    members_snapshot, members_change, members_availability};
+    members_snapshot, members_change, NULL, members_availability};
 
 void
 en_open(struct entry *e)
--- a/fleet.h
+++ b/fleet.h
@@ -16,6 +16,7 @@
 #include "proto.h"
 #include "sess.h"
 #include "tail.h"
+#include "withdraw.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -71,7 +72,8 @@
     bool leftover;  /* in its last report: runs of an earlier session may be
                      * left there */
     bool withdrawn; /* its failure domain is */
-    bool selected;  /* this entry keeps a session with it */
+    struct wd_told told;  /* of that */
+    bool selected;        /* this entry keeps a session with it */
     uint64_t selected_ms; /* when selected, or last seen with an open session;
                            * kept while an agent that did not reply waits to be
                            * retried; 0: not selected */
--- a/frame.c
+++ b/frame.c
@@ -12,7 +12,7 @@
     return type == DW_PING || type == DW_PING_ACK || type == DW_PING_REQ ||
            type == DW_PULL || type == DW_STATE || type == DW_DEMAND ||
            type == DW_SUPPLY || type == DW_CLAIMS || type == DW_MOVED ||
-           type == DW_TOMBS || type == DW_TOMBS_ACK;
+           type == DW_TOMBS || type == DW_TOMBS_ACK || type == DW_WITHDRAWN;
 }
 
 static bool
--- a/opstate.h
+++ b/opstate.h
@@ -34,6 +34,7 @@
     size_t withdrawn_count;
     bool store_up;          /* the store answers this entry */
     uint64_t store_lost_ms; /* when it stopped answering */
+    uint64_t confirmed_ms;  /* when it answered last; 0: never */
     uint64_t requested_ms;  /* last request to other entries */
 };
 
--- a/proto.h
+++ b/proto.h
@@ -68,6 +68,7 @@
 	DW_TOMBS_ACK = 38,
 	DW_JOIN = 39,
 	DW_JOINED = 40,
+	DW_WITHDRAWN = 41,
 };
 typedef enum dw_mtype dw_mtype;
 
@@ -800,6 +801,13 @@
 };
 typedef struct dw_joined dw_joined;
 
+struct dw_withdrawn {
+	u_quad_t as_of;
+	u_int age_ms;
+	bool_t withdrawn;
+};
+typedef struct dw_withdrawn dw_withdrawn;
+
 struct dw_msg {
 	dw_mtype type;
 	union {
@@ -842,6 +850,7 @@
 		dw_tombs_ack tombs_ack;
 		dw_join join;
 		dw_joined joined;
+		dw_withdrawn withdrawn;
 	} dw_msg_u;
 };
 typedef struct dw_msg dw_msg;
@@ -937,6 +946,7 @@
 extern  bool_t xdr_dw_join (XDR *, dw_join*);
 extern  bool_t xdr_dw_heard (XDR *, dw_heard*);
 extern  bool_t xdr_dw_joined (XDR *, dw_joined*);
+extern  bool_t xdr_dw_withdrawn (XDR *, dw_withdrawn*);
 extern  bool_t xdr_dw_msg (XDR *, dw_msg*);
 extern  bool_t xdr_dw_envelope (XDR *, dw_envelope*);
 extern  bool_t xdr_dw_hello (XDR *, dw_hello*);
@@ -1015,6 +1025,7 @@
 extern bool_t xdr_dw_join ();
 extern bool_t xdr_dw_heard ();
 extern bool_t xdr_dw_joined ();
+extern bool_t xdr_dw_withdrawn ();
 extern bool_t xdr_dw_msg ();
 extern bool_t xdr_dw_envelope ();
 extern bool_t xdr_dw_hello ();
--- a/proto.x
+++ b/proto.x
@@ -56,7 +56,8 @@
     DW_TOMBS = 37,
     DW_TOMBS_ACK = 38,
     DW_JOIN = 39,
-    DW_JOINED = 40
+    DW_JOINED = 40,
+    DW_WITHDRAWN = 41
 };
 
 /* State of a submission, in an answer. */
@@ -727,6 +728,17 @@
     dw_tomb tombs<DW_MAX_ITEMS>;
 };
 
+/*
+ * Entry to an agent of one of its sessions: whether the operators have
+ * withdrawn the agent's failure domain, as of a revision of the platform's
+ * store.
+ */
+struct dw_withdrawn {
+    unsigned hyper as_of;
+    unsigned int age_ms; /* since the store confirmed it to the sender */
+    bool withdrawn;
+};
+
 union dw_msg switch (dw_mtype type) {
 case DW_SUBMIT: dw_submit submit;
 case DW_ANSWER: dw_answer answer;
@@ -767,6 +779,7 @@
 case DW_TOMBS_ACK: dw_tombs_ack tombs_ack;
 case DW_JOIN: dw_join join;
 case DW_JOINED: dw_joined joined;
+case DW_WITHDRAWN: dw_withdrawn withdrawn;
 default: void;
 };
 
--- a/proto_xdr.c
+++ b/proto_xdr.c
@@ -2106,6 +2106,20 @@
 	return TRUE;
 }
 
+bool_t
+xdr_dw_withdrawn (XDR *xdrs, dw_withdrawn *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->as_of))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->withdrawn))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_dw_msg (XDR *xdrs, dw_msg *objp)
 {
@@ -2270,6 +2284,10 @@
 		 if (!xdr_dw_joined (xdrs, &objp->dw_msg_u.joined))
 			 return FALSE;
 		break;
+	case DW_WITHDRAWN:
+		 if (!xdr_dw_withdrawn (xdrs, &objp->dw_msg_u.withdrawn))
+			 return FALSE;
+		break;
 	default:
 		break;
 	}
--- a/runner.c
+++ b/runner.c
@@ -724,6 +724,14 @@
     start_queued(r, now);
 }
 
+void
+rn_set_withdrawn(struct runner *r, uint64_t now, bool withdrawn)
+{
+    r->withdrawn = withdrawn;
+    r->capacity_changed_ms = now;
+    start_queued(r, now);
+}
+
 void
 rn_leave(struct runner *r, uint64_t now)
 {
@@ -999,7 +1007,8 @@
 static void
 resolve_unsure(struct runner *r, uint64_t now, struct rn_run *run)
 {
-    if (run->unwanted || r->draining || !has_open_start(r, now, run)) {
+    if (run->unwanted || r->draining || r->withdrawn ||
+        !has_open_start(r, now, run)) {
         /* After a stop a late start is refused. */
         stop_run(r, now, run);
     }
@@ -1186,7 +1195,8 @@
 rn_serving(const struct runner *r)
 {
     return r->capacity_known && r->polled && r->unknown_lease_until_ms == 0 &&
-           !r->silent && r->orphans == 0 && !r->draining && !r->leaving;
+           !r->silent && r->orphans == 0 && !r->draining && !r->withdrawn &&
+           !r->leaving;
 }
 
 bool
--- a/runner.h
+++ b/runner.h
@@ -309,6 +309,7 @@
     uint64_t started_ms; /* when rn_init() was called */
     bool capacity_known; /* reported by the worker's present incarnation */
     bool draining;
+    bool withdrawn;          /* its failure domain: gets no starts */
     uint64_t worker_exit_ms; /* the worker may exit from then on; 0: stays */
     uint32_t millicores;     /* total, as are the next two */
     uint32_t memory_mb;
@@ -380,6 +381,8 @@
  * has a new one or keeps it.  To be called before rn_set_capacity(). */
 void rn_set_worker_id(
     struct runner *r, uint64_t now, uint64_t incarnation, struct str id);
+/* A worker in a withdrawn failure domain gets no starts; what runs goes on. */
+void rn_set_withdrawn(struct runner *r, uint64_t now, bool withdrawn);
 /* A draining worker gets no starts; if it also leaves, it exits in left_ms. */
 void rn_set_draining(struct runner *r, uint64_t now, bool draining,
     bool leaves, uint64_t left_ms);
--- a/serve.h
+++ b/serve.h
@@ -26,6 +26,8 @@
 
 /* Prefix of the project's keys in the platform's store. */
 #define SV_KEY_PREFIX "dunlinweir/"
+/* Prefix of the operators' keys for withdrawn failure domains. */
+#define SV_EVACUATE_PREFIX "op/evacuate/"
 #define SV_NAME_MAX 64 /* bytes, including the terminating NUL */
 
 /* Another process, as registered in the store or as reported by itself. */
--- a/test/agent-test.cc
+++ b/test/agent-test.cc
@@ -11,11 +11,6 @@
 
 namespace {
 
-void
-no_start(void *, const rn_run *, const rn_terms *)
-{
-}
-
 void
 no_stop(void *, const rn_key *, const rn_terms *)
 {
@@ -24,6 +19,8 @@
 /* Reports sent, and the free capacity last reported to each entry. */
 struct Recorder {
     size_t sent = 0;
+    std::vector<uint64_t> started;                  /* jobs */
+    std::vector<std::pair<uint64_t, dw_end>> ended; /* jobs */
     std::map<uint64_t, int> free_millicores;
     /* Held, entries, waiting and the first row's millicores of the last
      * DW_SUPPLY. */
@@ -32,6 +29,12 @@
     std::map<uint64_t, bool> clean; /* as last reported to each entry */
 };
 
+void
+record_start(void *ctx, const rn_run *run, const rn_terms *)
+{
+    static_cast<Recorder *>(ctx)->started.push_back(run->key.job);
+}
+
 void
 record_poll(void *ctx, const rn_poll_request *, const rn_terms *t)
 {
@@ -63,8 +66,9 @@
 }
 
 void
-no_run_ended(void *, const rn_run *, dw_end, uint32_t)
+record_run_ended(void *ctx, const rn_run *run, dw_end outcome, uint32_t)
 {
+    static_cast<Recorder *>(ctx)->ended.push_back({run->key.job, outcome});
 }
 
 void
@@ -78,8 +82,8 @@
 }
 
 const ag_ops ops = {
-    {no_start, no_stop, record_poll, nullptr, no_event, nullptr}, record_sent,
-    no_reconnect, no_run_ended, no_session_event};
+    {record_start, no_stop, record_poll, nullptr, no_event, nullptr},
+    record_sent, no_reconnect, record_run_ended, no_session_event};
 
 struct Sessions {
     agent a;
@@ -155,6 +159,14 @@
         o.groups.groups_val = &group;
         ag_handle_orders(&a, now, entry, &o);
     }
+    /* An entry, or the store, says whether the domain is withdrawn. */
+    void
+    tell_domain(uint64_t rev, bool withdrawn, u_int age_ms = 0)
+    {
+        dw_withdrawn w = {rev, age_ms, withdrawn};
+
+        ag_handle_withdrawn(&a, now, &w);
+    }
     /* The worker, whose clock is the agent's, shows the job's task running. */
     void
     poll_shows(uint64_t job)
@@ -468,3 +480,52 @@
     ag_tick(&s.a, s.now);
     EXPECT_TRUE(s.recorded.clean[1]);
 }
+
+/* Guards against starts in a withdrawn domain by an entry that is cut off from
+ * the store and from other entries, and does not know. */
+TEST(Agent, WithdrawnDomainGetsNoStarts)
+{
+    Sessions s;
+
+    s.set_free(10000);
+    s.tell_domain(100, false);
+    s.order(1, 71);
+    EXPECT_EQ(s.recorded.started, std::vector<uint64_t>{71});
+    s.tell_domain(110, true); /* another entry knows */
+    s.order(2, 72);
+    EXPECT_EQ(s.recorded.started, std::vector<uint64_t>{71});
+    ASSERT_EQ(s.recorded.ended.size(), 1U);
+    EXPECT_EQ(s.recorded.ended[0].first, 72U);
+    EXPECT_EQ(s.recorded.ended[0].second, DW_END_FULL); /* it has not run */
+    EXPECT_FALSE(rn_serving(&s.a.runner));
+    EXPECT_EQ(rn_active_count(&s.a.runner), 1U); /* the first goes on */
+    s.tell_domain(105, false);                   /* late */
+    EXPECT_FALSE(rn_serving(&s.a.runner));
+    s.tell_domain(120, false);
+    s.order(3, 73);
+    EXPECT_EQ(s.recorded.started, (std::vector<uint64_t>{71, 73}));
+}
+
+/* Guards against the same where no entry knows, and against reads by agents
+ * that have been told, or that no entry has a session with. */
+TEST(Agent, DomainIsReadIfNoEntryConfirmsIt)
+{
+    Sessions s;
+
+    s.now += 10 * WD_STALE_MS;
+    EXPECT_FALSE(ag_must_read_domain(&s.a, s.now));
+    s.heartbeat(1);
+    s.tell_domain(100, false);
+    s.now += WD_STALE_MS - 1;
+    s.heartbeat(1);
+    EXPECT_FALSE(ag_must_read_domain(&s.a, s.now));
+    s.now++;
+    EXPECT_TRUE(ag_must_read_domain(&s.a, s.now));
+    EXPECT_FALSE(ag_must_read_domain(&s.a, s.now));
+    s.now += WD_READ_MS; /* the read failed */
+    EXPECT_TRUE(ag_must_read_domain(&s.a, s.now));
+    s.tell_domain(110, true);
+    s.now += WD_READ_MS;
+    s.tell_domain(110, true, 5000); /* an entry with old knowledge */
+    EXPECT_FALSE(ag_must_read_domain(&s.a, s.now));
+}
--- a/test/soak.c
+++ b/test/soak.c
@@ -261,8 +261,9 @@
     bool stop_mode;    /* the faults are planned stops while no agent serves */
     bool callers_mode; /* most faults are on callers and entries */
     bool seen_only;    /* no unseen faults of callers */
-    bool cancel_mode;  /* some calls are cancelled */
-    uint64_t cancels;  /* acknowledged */
+    bool withdraw_mode; /* the faults are withdrawals that no entry hears of */
+    bool cancel_mode;   /* some calls are cancelled */
+    uint64_t cancels;   /* acknowledged */
     uint32_t call_timeout_ms;
     ev_timer tick;
 };
@@ -1820,9 +1821,31 @@
     store_cut, start_without_store, worker_crash, worker_lossy, worker_slow,
     worker_unhealthy, worker_unhealthy, worker_reset, worker_cut};
 
+/* A domain is withdrawn while no entry reaches the store; the agents do. */
+static void
+withdraw_unheard(struct soak *s)
+{
+    uint64_t ms = 4000 + soak_random(s, 3000);
+
+    for (int i = 0; i < s->entries; i++) {
+        struct daemon_proc *p = &s->procs[s->agents + i];
+
+        note_fault(p, ms);
+        px_set_mode(s->store_proxies[p->index], PROXY_SILENT);
+        px_reset(s->store_proxies[p->index]);
+        undo_later(s, ms, undo_store_proxy, p->index);
+    }
+    withdraw_domain(s);
+    s->next_fault_ms = s->now + ms + CONTACT_MS;
+}
+
 static void
 inject_fault(struct soak *s)
 {
+    if (s->withdraw_mode) {
+        withdraw_unheard(s);
+        return;
+    }
     if (s->stop_mode) {
         stop_without_agents(s);
         return;
@@ -2029,6 +2052,7 @@
     int callers_mode = 0;
     int seen_only = 0;
     int cancel_mode = 0;
+    int withdraw_mode = 0;
     int verbose = 0;
     char *dir = NULL;
     char *bin = NULL;
@@ -2053,6 +2077,8 @@
             "with -c: entries see each close of a caller", NULL},
         {"cancels", 'k', POPT_ARG_NONE, &cancel_mode, 0,
             "cancel some calls, at any entry", NULL},
+        {"withdrawals", 'o', POPT_ARG_NONE, &withdraw_mode, 0,
+            "withdraw domains while no entry reaches the store", NULL},
         {"verbose", 'v', POPT_ARG_NONE, &verbose, 0, "print the faults", NULL},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext ctx =
@@ -2078,6 +2104,7 @@
     s->callers_mode = callers_mode != 0;
     s->seen_only = seen_only != 0;
     s->cancel_mode = cancel_mode != 0;
+    s->withdraw_mode = withdraw_mode != 0;
     s->fault_rate = s->worker_mode ? 4 : s->callers_mode ? 2 : 1;
     s->call_timeout_ms =
         s->callers_mode ? LONG_CALL_TIMEOUT_MS : CALL_TIMEOUT_MS;
