entries: one that was cut off hears the others before it places tasks

Callers saw: a task ran twice at a time.

Cause: sessions with agents are back a few ms after a cut, claims only with the next announcement, up to 400 ms later; and an entry with the newer request did not say so until its claim was 400 ms old.

An entry of which no worker was usable now places nothing until one has been for 60 ms, and announces all its claims at the start of that time. An entry that hears a claim of a job that it has itself, with a newer request, answers with its own at its next tick; it looks at the jobs that it has when claims arrive, not as of its last round.

Coord RunOfASilentAgentIsRetriedOnlyAfterItEnded expects the run after the 60 ms and not before.

--- a/claim.c
+++ b/claim.c
@@ -288,14 +288,30 @@
         c->ops->note(c->ctx, "claim_conflict", k->job, p->id,
             num_sub_sat(now, o->since_ms));
     }
-    if (k->kind != DW_CLAIM_ENDS &&
-        gives_way(c, o->since_ms, p->id, k->since_ms)) {
+    if (k->kind == DW_CLAIM_ENDS) {
+        return;
+    }
+    if (gives_way(c, o->since_ms, p->id, k->since_ms)) {
         give_way(c, now, o, p->id, both ? "claim_conflict" : "caller_moved");
     }
+    else if (both) {
+        o->due = true; /* the other one gives way when it hears of this */
+    }
 }
 
 /* --- claims of other entries --- */
 
+static void
+hold_all(struct claims *c)
+{
+    const struct cl_waiting *w;
+
+    DL_FOREACH (c->waiting, w) {
+        cl_hold(c, w->job, w->since_ms, DW_CLAIM_WAITS);
+    }
+    c->ops->hold(c->ctx, c);
+}
+
 static struct cl_peer *
 get_peer(struct claims *c, uint64_t id)
 {
@@ -335,6 +351,9 @@
     }
     p->seq = m->seq;
     p->heard_ms = now;
+    if (m->claims.claims_len > 0) {
+        hold_all(c); /* also jobs that came since the last round */
+    }
     for (u_int i = 0; i < m->over.over_len; i++) {
         struct cl_known *k = find_known(p, m->over.over_val[i]);
 
@@ -551,16 +570,6 @@
     c->over_count = 0;
 }
 
-static void
-hold_waiting(struct claims *c)
-{
-    const struct cl_waiting *w;
-
-    DL_FOREACH (c->waiting, w) {
-        cl_hold(c, w->job, w->since_ms, DW_CLAIM_WAITS);
-    }
-}
-
 /* Looks for new and ended jobs. */
 static void
 run_round(struct claims *c, uint64_t now)
@@ -571,8 +580,7 @@
 
     c->round_ms = now;
     c->round++;
-    hold_waiting(c);
-    c->ops->hold(c->ctx, c);
+    hold_all(c);
     HASH_ITER (hh, c->own, o, tmp) {
         if (o->round == c->round) {
             ending |= o->kind == DW_CLAIM_ENDS && o->announced;
@@ -624,6 +632,15 @@
     c->announced_ms = 0;
 }
 
+void
+cl_regained(struct claims *c, uint64_t regained_ms)
+{
+    if (regained_ms != 0 && regained_ms != c->regained_ms) {
+        c->regained_ms = regained_ms;
+        c->announced_ms = 0;
+    }
+}
+
 /* --- both --- */
 
 void
--- a/claim.h
+++ b/claim.h
@@ -97,7 +97,8 @@
     uint64_t round_ms;     /* of the last round */
     uint64_t announced_ms; /* last announcement of all */
     uint64_t last_tick_ms;
-    bool wanted; /* another entry waits for a claim of this one */
+    uint64_t regained_ms; /* see cl_regained() */
+    bool wanted;          /* another entry waits for a claim of this one */
     struct cl_stats stats;
 };
 
@@ -118,6 +119,9 @@
     const struct claims *c, uint64_t now, dw_heard **rows, u_int *count);
 /* A claim that a third entry has heard. */
 void cl_receive_heard(struct claims *c, uint64_t now, const dw_heard *m);
+/* This entry may have been cut off until regained_ms (0: it has not): all
+ * claims are announced at the next tick, once for each such time. */
+void cl_regained(struct claims *c, uint64_t regained_ms);
 /* This entry has a job; since_ms: when its request was read, or when the job
  * was given up.  To be called by ops->hold(). */
 void cl_hold(struct claims *c, uint64_t job, uint64_t since_ms,
--- a/coord.c
+++ b/coord.c
@@ -940,6 +940,26 @@
     }
 }
 
+static void
+note_capacity(struct coord *c, uint64_t now, bool usable)
+{
+    if (c->last_capacity_ms == 0 || usable) {
+        c->last_capacity_ms = now;
+    }
+    if (!usable) {
+        c->cut_off = c->had_capacity;
+        c->regained_ms = 0;
+        return;
+    }
+    c->had_capacity = true;
+    if (c->cut_off && c->regained_ms == 0) {
+        c->regained_ms = now;
+    }
+    if (now - c->regained_ms >= CO_REGAIN_HOLD_MS) {
+        c->cut_off = false;
+    }
+}
+
 void
 co_tick(struct coord *c, uint64_t now)
 {
@@ -962,9 +982,7 @@
     sum = fl_total(&c->fleet, now, NULL, 1);
     co_set_move_budget(c, &sum);
     co_tail_judge(c, now);
-    if (c->last_capacity_ms == 0 || sum.capacity > 0) {
-        c->last_capacity_ms = now;
-    }
+    note_capacity(c, now, sum.capacity > 0);
     HASH_ITER (hh, c->fleet.agents, a, a_tmp) {
         tick_session(c, now, a);
         sess_resend(&a->sess, now, a->id, c->ops->send, c->ctx);
@@ -1064,6 +1082,12 @@
     }
 }
 
+uint64_t
+co_regained_ms(const struct coord *c)
+{
+    return c->cut_off ? c->regained_ms : 0;
+}
+
 size_t
 co_job_count(const struct coord *c)
 {
--- a/coord.h
+++ b/coord.h
@@ -39,6 +39,11 @@
  * ended their sessions by then and stop its runs. */
 #define CO_MAX_PAUSE_MS SESS_LEASE_MS
 
+/* ms for which nothing is placed once workers are usable again after none was:
+ * this entry may have been cut off, and hears first which of its jobs others
+ * have meanwhile.  An exchange of claims takes a tick at each end. */
+#define CO_REGAIN_HOLD_MS 60U
+
 enum co_outcome {
     CO_COMPLETED, /* every task succeeded */
     CO_FAILED,    /* a task failed max_attempts times, or cancelled */
@@ -247,6 +252,9 @@
     uint64_t last_tick_ms;
     uint64_t last_capacity_ms; /* when a worker was last usable; at first, the
                                 * start */
+    bool had_capacity;         /* a worker has been usable since the start */
+    bool cut_off;              /* none is, or not for CO_REGAIN_HOLD_MS yet */
+    uint64_t regained_ms;      /* since when one is; 0: none is */
     char address[64];          /* at which agents reach this entry */
     uint16_t port;
     struct co_stats stats;
@@ -308,6 +316,8 @@
 /* The jobs that are known to be cancelled or failed: allocates *rows. */
 void co_list_failed(
     const struct coord *c, uint64_t now, dw_tomb **rows, u_int *count);
+/* Since when workers are usable again after none was; 0: that is not so. */
+uint64_t co_regained_ms(const struct coord *c);
 /* Jobs in progress here. */
 size_t co_job_count(const struct coord *c);
 /* Jobs with waiting tasks of which no run has been ordered. */
--- a/coplace.c
+++ b/coplace.c
@@ -198,7 +198,7 @@
         c->has_new_jobs = false;
         co_shed(c, now);
     }
-    if (c->queue != NULL) {
+    if (c->queue != NULL && !c->cut_off) {
         place_all(c, now);
     }
     dm_flush(c, now);
--- a/entryd.c
+++ b/entryd.c
@@ -290,6 +290,7 @@
     co_tick(&e->coord, now);
     lg_record_probe(&e->lag, proc_now_us(), proc_now_us() - start_us,
         FL_SELECTED_MAX + co_job_count(&e->coord));
+    cl_regained(&e->claims, co_regained_ms(&e->coord));
     cl_tick(&e->claims, now);
     cu_tick(&e->catchup, now);
     en_tell_agents(e, now);
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -335,6 +335,10 @@
         e.report({}, true);
         co_tick(&e.c, e.now);
         co_flush(&e.c, e.now);
+        EXPECT_EQ(e.run_of(5), first) << "no agent was heard until now";
+        e.now += CO_REGAIN_HOLD_MS;
+        co_tick(&e.c, e.now);
+        e.report({}, true);
         EXPECT_EQ(e.c.stats.lost, 1u);
         EXPECT_GT(e.run_of(5), first);
         ASSERT_EQ(e.callers.again.size(), 1u);
--- a/test/world.cc
+++ b/test/world.cc
@@ -673,6 +673,7 @@
     }
     rl_tick(&e->relay_state, now);
     co_tick(&e->coord_state, now);
+    cl_regained(&e->claims_state, co_regained_ms(&e->coord_state));
     cl_tick(&e->claims_state, now);
     cu_tick(&e->catchup_state, now);
 }
