entries: close connections once out of the balancer's rotation

Cause: only an overloaded entry closed connections after two failed readiness checks; one that fails them for another reason kept them.

Connections are now closed after their next answer whenever two readiness checks in a row have failed, and callers reach another entry.

--- a/entryd-int.h
+++ b/entryd-int.h
@@ -60,7 +60,7 @@
     struct intake intake;
     struct lag lag;
     bool logged_overloaded; /* the state that was logged last */
-    uint32_t failed_checks; /* readiness checks failed since overloaded */
+    uint32_t failed_checks; /* readiness checks, in a row */
     uint64_t shed_requests; /* refused because of overload */
     ev_check pass_check;    /* at the start of each pass of the loop */
     ev_timer resume_timer;  /* active while requests wait for the next pass */
--- a/entryd.c
+++ b/entryd.c
@@ -43,14 +43,18 @@
 on_ready_check(void *ctx, struct web_req *r)
 {
     struct entry *e = ctx;
+    bool ready = is_ready(e);
 
     /* Connections are not closed earlier, as callers that reconnect would be
      * sent here again. */
-    if (lg_is_out_of_rotation(&e->lag) &&
-        ++e->failed_checks == CHECKS_TO_DEREGISTER) {
+    if (!ready && ++e->failed_checks == CHECKS_TO_DEREGISTER) {
         web_set_close_after_reply(e->callers, true);
     }
-    ec_reply(r, is_ready(e) ? 200 : 503, "{}");
+    if (ready && e->failed_checks > 0) {
+        e->failed_checks = 0;
+        web_set_close_after_reply(e->callers, false);
+    }
+    ec_reply(r, ready ? 200 : 503, "{}");
 }
 
 static void
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -22,6 +22,7 @@
     pid_t pid = 0;
     uint16_t callers = free_port();
     uint16_t metrics = free_port();
+    uint16_t readiness = free_port();
     std::string settings;
     std::string log;
 
@@ -37,7 +38,7 @@
             << free_port() << "\n[platform]\n"
             << "store = \"http://127.0.0.1:" << free_port()
             << "\"\ncallers = \"127.0.0.1:" << callers
-            << "\"\nreadiness = \"127.0.0.1:" << free_port()
+            << "\"\nreadiness = \"127.0.0.1:" << readiness
             << "\"\nmetrics = \"127.0.0.1:" << metrics << "\"\n";
     }
     void
@@ -243,3 +244,23 @@
     close(served);
     close(listener);
 }
+
+/* Guards against callers that stay with an entry that cannot serve them, while
+ * the load balancer has taken it out of rotation. */
+TEST_F(Entry, ConnectionsAreClosedWhenItIsOutOfRotation)
+{
+    start();
+    for (int checks = 0; checks < 3; checks++) {
+        int fd = submit(checks);
+
+        EXPECT_EQ(
+            read_until(fd, "}").find("Connection: close") != std::string::npos,
+            checks == 2);
+        close(fd);
+        fd = connect_to(readiness);
+        const char *check = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+        EXPECT_EQ(write(fd, check, strlen(check)), (ssize_t)strlen(check));
+        EXPECT_NE(read_until(fd, "}").find(" 503 "), std::string::npos);
+        close(fd);
+    }
+}
