entries: one that starts answers 504 for what it cannot place yet

A request that an entry refuses before the others have told it their jobs may be a copy of one that runs there, so that "not run" would be untrue; that was so for requests that the intake has no time for.

--- a/agentd.c
+++ b/agentd.c
@@ -36,8 +36,8 @@
     /* Response to a start while the runner decides on it; otherwise NULL. */
     const struct httpc_result *start_response;
     struct hist run_ms; /* of runs that succeeded */
-    char
-        domain_key[80]; /* exists in the store while the domain is withdrawn */
+    /* Key of the store that exists while the failure domain is withdrawn. */
+    char domain_key[CT_NAME_MAX + sizeof(SV_EVACUATE_PREFIX)];
 };
 
 /* --- calls to the worker --- */
--- a/entrycall.c
+++ b/entrycall.c
@@ -201,6 +201,13 @@
     return wire_job_id(job_id_text(path), &id) && cl_may_run(&e->claims, id);
 }
 
+/* This entry has just started and does not know which jobs others have. */
+static bool
+knows_no_claims(const struct entry *e)
+{
+    return e->routes.version != 0 && !cu_is_ready(&e->catchup);
+}
+
 /* A request that is not in the intake.  It is not answered as not run if a
  * copy of it may run. */
 static void
@@ -211,8 +218,8 @@
     struct caller *c = handle;
 
     if (outcome == CO_NOT_RUN &&
-        (c->waits_since_ms != 0 || is_queued(e, path_of(c)) ||
-            is_claimed(e, path_of(c)) ||
+        (c->waits_since_ms != 0 || knows_no_claims(e) ||
+            is_queued(e, path_of(c)) || is_claimed(e, path_of(c)) ||
             rl_may_run_elsewhere(&e->relay, proc_now(), path_of(c)))) {
         outcome = CO_GAVE_UP;
     }
@@ -922,14 +929,6 @@
     return true;
 }
 
-/* Another entry may run the job, so that it is not answered as not run. */
-static void
-refuse_while_starting(struct entry *e, struct caller *c)
-{
-    log_request_refused(e, path_of(c), "starting");
-    answer(e, c, CO_GAVE_UP, "starting", 0);
-}
-
 /* After startup, callers connect some ms before the configuration is loaded
  * and the other entries have told what they know.  Their requests stay queued
  * until then and are refused only when they have waited too long. */
@@ -948,7 +947,7 @@
             start_request(e, now, c);
         }
         else {
-            refuse_while_starting(e, c);
+            refuse(e, c, "starting", "starting", OVERLOAD_RETRY_MS);
         }
     }
     for (;;) {
