tomb: an entry that once refused a connection is told again

An entry whose port refused a connection while it lived (a packet filter, a full backlog) was forgotten after 20 s and never told of a cancellation again while its registration stayed the same. It is now only not waited for until it is heard. Tomb.EntryThatRefusedAConnectionIsToldAndWaitedForAgain failed before: the second cancellation found the job nowhere.

--- a/entryd.c
+++ b/entryd.c
@@ -383,7 +383,7 @@
 
     co_agent_dead(&e->coord, now, id);
     rl_process_dead(&e->relay, now, id);
-    tb_entry_absent(&e->tombs, now, id);
+    tb_entry_dead(&e->tombs, id);
     cu_entry_dead(&e->catchup, now, id);
 }
 
--- a/test/tomb-test.cc
+++ b/test/tomb-test.cc
@@ -191,6 +191,27 @@
     EXPECT_EQ(net.at(3).ended.count(JOB), 1U);
 }
 
+/* Guards against an entry that is never told again, as a connection to it was
+ * refused while it lived. */
+TEST(Tomb, EntryThatRefusedAConnectionIsToldAndWaitedForAgain)
+{
+    Net net(2);
+
+    net.cut = {2};
+    tb_entry_dead(net.at(1).t.get(), 2);
+    net.cancel(1);
+    net.run(20);
+    ASSERT_EQ(net.at(1).answers.size(), 1U);
+    EXPECT_EQ(net.at(1).answers[0].second, TB_ABSENT);
+    net.cut.clear();
+    net.run(2 * TB_KEEP_MS);
+    net.at(2).running.insert(2 * JOB);
+    net.cancel(1, 2 * JOB);
+    net.run(20);
+    ASSERT_EQ(net.at(1).answers.size(), 2U);
+    EXPECT_EQ(net.at(1).answers[1].second, TB_STOPPED);
+}
+
 /* Guards against an entry that answers for others before it knows which there
  * are. */
 TEST(Tomb, NothingIsSettledBeforeTheEntriesAreListed)
--- a/tomb.c
+++ b/tomb.c
@@ -17,7 +17,8 @@
     uint64_t sent_ms;   /* when */
     uint64_t resend_ms; /* until it is sent again */
     uint64_t received;  /* the last number of the peer's own that came */
-    uint64_t absent_ms; /* 0: is present */
+    bool dead;          /* its port refused a connection since it was heard */
+    uint64_t absent_ms; /* not registered since; 0: is registered */
     UT_hash_handle hh;
 };
 
@@ -63,6 +64,16 @@
     get_peer(t, id)->absent_ms = 0;
 }
 
+void
+tb_entry_dead(struct tombs *t, uint64_t id)
+{
+    struct tb_peer *p = find_peer(t, id);
+
+    if (p != NULL) {
+        p->dead = true;
+    }
+}
+
 void
 tb_entry_absent(struct tombs *t, uint64_t now, uint64_t id)
 {
@@ -105,7 +116,7 @@
         return false;
     }
     for (p = t->peers; p != NULL; p = p->hh.next) {
-        if (p->absent_ms == 0 && p->acked < number) {
+        if (p->absent_ms == 0 && !p->dead && p->acked < number) {
             return false;
         }
     }
@@ -325,6 +336,7 @@
     for (u_int i = 0; i < m->stopped.stopped_len; i++) {
         mark_stopped(t, m->stopped.stopped_val[i]);
     }
+    p->dead = false;
     if (m->last > p->acked) {
         p->acked = m->last;
         p->resend_ms = TB_RESEND_MS;
--- a/tomb.h
+++ b/tomb.h
@@ -98,11 +98,13 @@
 
 void tb_init(struct tombs *t, const struct tb_ops *ops, void *ctx);
 void tb_free(struct tombs *t);
-/* An entry that is to be told, or that need not be waited for any more: its
- * process has ended or its registration has vanished.  It is still told for
- * TB_KEEP_MS. */
+/* An entry is registered and has to be told. */
 void tb_add_entry(struct tombs *t, uint64_t id);
+/* Its registration has vanished: it is not waited for, and told for TB_KEEP_MS
+ * more. */
 void tb_entry_absent(struct tombs *t, uint64_t now, uint64_t id);
+/* Its port refuses connections: it is not waited for until it is heard. */
+void tb_entry_dead(struct tombs *t, uint64_t id);
 /* The store has listed the entries: before that, no request is answered. */
 void tb_set_listed(struct tombs *t);
 /* A job was cancelled or has failed here; told at the next tb_flush(). */
