--- a/coord.h
+++ b/coord.h
@@ -253,9 +253,10 @@
     uint64_t last_capacity_ms; /* when a worker was last usable; at first, the
                                 * start */
     bool had_capacity;         /* a worker has been usable since the start */
-    bool cut_off;              /* none is, or not for CO_REGAIN_HOLD_MS yet */
-    uint64_t regained_ms;      /* since when one is; 0: none is */
-    char address[64];          /* at which agents reach this entry */
+    bool cut_off; /* had_capacity, and no worker is usable or has been for
+                   * CO_REGAIN_HOLD_MS: nothing is placed */
+    uint64_t regained_ms; /* since when one is again; 0: none is */
+    char address[64];     /* at which agents reach this entry */
     uint16_t port;
     struct co_stats stats;
 };
--- a/fleet.h
+++ b/fleet.h
@@ -72,7 +72,7 @@
     bool leftover;  /* in its last report: runs of an earlier session may be
                      * left there */
     bool withdrawn; /* its failure domain is */
-    struct wd_told told;  /* of that */
+    struct wd_told told;  /* what it was told of that */
     bool selected;        /* this entry keeps a session with it */
     uint64_t selected_ms; /* when selected, or last seen with an open session;
                            * kept while an agent that did not reply waits to be
