tomb: the time of a pass may be before that of a request

Cause: a DELETE that is read in the first read of a pass has a later time than the pass if a millisecond ends in between. The age of its tombstone wrapped around, the tombstone counted as older than 20 s and was dropped before anybody was told, and an entry that has nobody to tell answers at once.

Ages are now at least 0. Tomb.TimeOfAPassMayBeBeforeThatOfARequest failed before (TB_ABSENT).

--- a/coord.c
+++ b/coord.c
@@ -1077,7 +1077,8 @@
     *count = 0;
     for (e = c->ended; e != NULL; e = e->hh.next) {
         if (e->outcome == CO_FAILED) {
-            (*rows)[(*count)++] = (dw_tomb){e->id, (u_int)(now - e->ended_ms)};
+            (*rows)[(*count)++] =
+                (dw_tomb){e->id, (u_int)num_sub_sat(now, e->ended_ms)};
         }
     }
 }
--- a/test/tomb-test.cc
+++ b/test/tomb-test.cc
@@ -212,6 +212,23 @@
     EXPECT_EQ(net.at(1).answers[1].second, TB_STOPPED);
 }
 
+/* Guards against a tombstone that is dropped at once and told to nobody: its
+ * request was read after the time of this pass of the loop was taken. */
+TEST(Tomb, TimeOfAPassMayBeBeforeThatOfARequest)
+{
+    Net net(2);
+    tombs *t = net.at(1).t.get();
+
+    net.at(2).running.insert(JOB);
+    net.now++;
+    net.cancel(1);
+    tb_entry_absent(t, net.now, 2);
+    tb_flush(t, net.now - 1);
+    net.run(20);
+    ASSERT_EQ(net.at(1).answers.size(), 1U);
+    EXPECT_EQ(net.at(1).answers[0].second, TB_STOPPED);
+}
+
 /* Guards against an entry that answers for others before it knows which there
  * are. */
 TEST(Tomb, NothingIsSettledBeforeTheEntriesAreListed)
--- a/tomb.c
+++ b/tomb.c
@@ -97,7 +97,8 @@
     struct tb_peer *tmp;
 
     HASH_ITER (hh, t->peers, p, tmp) {
-        if (p->absent_ms != 0 && now - p->absent_ms >= TB_KEEP_MS) {
+        if (p->absent_ms != 0 &&
+            num_sub_sat(now, p->absent_ms) >= TB_KEEP_MS) {
             HASH_DEL(t->peers, p);
             free(p);
         }
@@ -214,7 +215,7 @@
 drop_old(struct tombs *t, uint64_t now)
 {
     while (t->first < t->next &&
-           now - stone(t, t->first)->ended_ms >= TB_KEEP_MS) {
+           num_sub_sat(now, stone(t, t->first)->ended_ms) >= TB_KEEP_MS) {
         t->first++;
     }
 }
@@ -235,7 +236,7 @@
         const struct tb_stone *s = stone(t, number++);
 
         rows[out->tombs.tombs_len++] =
-            (dw_tomb){s->job, (u_int)(now - s->ended_ms)};
+            (dw_tomb){s->job, (u_int)num_sub_sat(now, s->ended_ms)};
     }
     p->sent = num_max(p->sent, number - 1);
     t->ops->send(t->ctx, p->id, &m);
@@ -249,7 +250,7 @@
 
     p->acked = num_max(p->acked, t->first - 1);
     p->sent = num_max(p->sent, p->acked);
-    if (p->sent > p->acked && now - p->sent_ms >= p->resend_ms) {
+    if (p->sent > p->acked && num_sub_sat(now, p->sent_ms) >= p->resend_ms) {
         p->sent = p->acked;
         p->resend_ms = num_min(2 * p->resend_ms, TB_RESEND_MAX_MS);
     }
--- a/tomb.h
+++ b/tomb.h
@@ -15,7 +15,8 @@
  * allowed, and a message a job would exceed what control may use.
  * See docs/design/tombstones.md.
  *
- * Times are ms of one steady clock.
+ * Times are ms of one steady clock; that of tb_flush() may be some ms before
+ * those of calls that came first.
  */
 #ifndef TOMB_H
 #define TOMB_H
