--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -75,7 +75,7 @@
             _exit(127);
         }
         for (int i = 0; i < 500; i++) {
-            int fd = connect_to(metrics);
+            int fd = connect_to(readiness); /* it is opened last */
 
             if (fd >= 0) {
                 close(fd);
