claim, coord, serve: one piece of code for what stood twice

No change of behaviour. The claims in the reply to an entry that starts were put together and taken apart in entryjoin.c and again in the test cluster: cl_fill_joined() and cl_receive_joined() do it, and three functions of claim.h become static. coord.c looked an ended job up in four places; find_ended(). Agents and entries set the address that a process told of itself in the same two lines; sv_set_address(). tb_pending_count() had no caller.

--- a/agentd.c
+++ b/agentd.c
@@ -442,14 +442,9 @@
 static void
 update_peer_address(struct agentd *ad, uint64_t from, const dw_orders *o)
 {
-    struct sv_peer *p;
-
-    if (o->address.dw_bytes_len == 0) {
-        return;
+    if (o->address.dw_bytes_len > 0) {
+        sv_set_address(sv_peer(ad->s, from, true), &o->address, o->port);
     }
-    p = sv_peer(ad->s, from, true);
-    str_copy(p->addr, sizeof(p->addr), str_bytes(&o->address));
-    p->port = (uint16_t)o->port;
 }
 
 /* from is 0 if the store said so. */
--- a/claim.c
+++ b/claim.c
@@ -375,8 +375,8 @@
     }
 }
 
-void
-cl_receive_heard(struct claims *c, uint64_t now, const dw_heard *m)
+static void
+receive_heard(struct claims *c, uint64_t now, const dw_heard *m)
 {
     uint64_t heard_ms = num_sub_sat(now, m->silent_ms);
     struct cl_peer *p;
@@ -396,6 +396,19 @@
     k->kind = m->claim.kind;
 }
 
+void
+cl_receive_joined(
+    struct claims *c, uint64_t now, uint64_t from, const dw_joined *m)
+{
+    dw_claims claims = {
+        m->seq, {m->claims.claims_len, m->claims.claims_val}, {0, NULL}};
+
+    cl_receive_claims(c, now, from, &claims);
+    for (u_int i = 0; i < m->heard.heard_len; i++) {
+        receive_heard(c, now, &m->heard.heard_val[i]);
+    }
+}
+
 static void
 expire_known(struct claims *c, uint64_t now, uint64_t deaf_ms)
 {
@@ -594,38 +607,46 @@
     c->wanted &= ending;
 }
 
-uint64_t
-cl_list(struct claims *c, uint64_t now, dw_claim **rows, u_int *count)
+static void
+list_own(struct claims *c, uint64_t now, dw_joined *out)
 {
     struct cl_own *o;
 
-    run_round(c, now);
-    *rows = dw_zero(HASH_COUNT(c->own), sizeof(**rows));
-    *count = 0;
+    out->claims.claims_val =
+        dw_zero(HASH_COUNT(c->own), sizeof(*out->claims.claims_val));
     for (o = c->own; o != NULL; o = o->hh.next) {
-        (*rows)[(*count)++] = make_claim(now, o);
+        out->claims.claims_val[out->claims.claims_len++] = make_claim(now, o);
     }
-    return ++c->seq;
 }
 
-void
-cl_list_heard(
-    const struct claims *c, uint64_t now, dw_heard **rows, u_int *count)
+static void
+list_heard(const struct claims *c, uint64_t now, dw_joined *out)
 {
     const struct cl_peer *p;
     const struct cl_known *k;
 
-    *rows = dw_zero(cl_known_count(c), sizeof(**rows));
-    *count = 0;
+    out->heard.heard_val =
+        dw_zero(cl_known_count(c), sizeof(*out->heard.heard_val));
     for (p = c->peers; p != NULL; p = p->hh.next) {
         for (k = p->claims; k != NULL; k = k->hh.next) {
-            (*rows)[(*count)++] = (dw_heard){p->id,
+            out->heard.heard_val[out->heard.heard_len++] = (dw_heard){p->id,
                 {k->job, (u_int)num_sub_sat(now, k->since_ms), k->kind},
                 (u_int)(now - k->heard_ms)};
         }
     }
 }
 
+void
+cl_fill_joined(struct claims *c, uint64_t now, bool all, dw_joined *out)
+{
+    run_round(c, now);
+    out->seq = ++c->seq;
+    list_own(c, now, out);
+    if (all) {
+        list_heard(c, now, out);
+    }
+}
+
 void
 cl_entry_added(struct claims *c)
 {
--- a/claim.h
+++ b/claim.h
@@ -109,16 +109,13 @@
 /* An entry was added to those that are known: all claims are announced at the
  * next tick. */
 void cl_entry_added(struct claims *c);
-/* The claims of this entry, for one that has just started: allocates *rows.
- * From then on that entry has to get all announcements.  Returns the number of
- * the announcement. */
-uint64_t cl_list(
-    struct claims *c, uint64_t now, dw_claim **rows, u_int *count);
-/* The claims of other entries, for the same: allocates *rows. */
-void cl_list_heard(
-    const struct claims *c, uint64_t now, dw_heard **rows, u_int *count);
-/* A claim that a third entry has heard. */
-void cl_receive_heard(struct claims *c, uint64_t now, const dw_heard *m);
+/* Adds the claims of this entry to the reply to one that has just started, if
+ * all those of other entries as well.  From then on that entry has to get all
+ * announcements. */
+void cl_fill_joined(struct claims *c, uint64_t now, bool all, dw_joined *out);
+/* Handles the claims in such a reply of the entry from. */
+void cl_receive_joined(
+    struct claims *c, uint64_t now, uint64_t from, const dw_joined *m);
 /* This entry may have been cut off until regained_ms (0: it has not): all
  * claims are announced at the next tick, once for each such time. */
 void cl_regained(struct claims *c, uint64_t regained_ms);
--- a/coord.c
+++ b/coord.c
@@ -192,13 +192,21 @@
     }
 }
 
+static struct co_ended *
+find_ended(const struct coord *c, uint64_t id)
+{
+    struct co_ended *e;
+
+    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
+    return e;
+}
+
 static void
 record_ended(
     struct coord *c, uint64_t now, uint64_t id, enum co_outcome outcome)
 {
-    struct co_ended *e = NULL;
+    struct co_ended *e = find_ended(c, id);
 
-    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
     if (e == NULL) {
         e = dw_zero(1, sizeof(*e));
         e->id = id;
@@ -387,9 +395,8 @@
 join_job(struct coord *c, uint64_t id, void *handle)
 {
     struct co_job *j = co_find_job(c, id);
-    struct co_ended *e = NULL;
+    const struct co_ended *e = find_ended(c, id);
 
-    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
     if (j != NULL) {
         attach(j, handle);
     }
@@ -528,9 +535,8 @@
 void
 co_record_cancelled(struct coord *c, uint64_t now, uint64_t id)
 {
-    struct co_ended *e;
+    const struct co_ended *e = find_ended(c, id);
 
-    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
     record_ended(c, now, id, e != NULL ? e->outcome : CO_FAILED);
 }
 
@@ -1054,10 +1060,7 @@
 bool
 co_has_ended(const struct coord *c, uint64_t id)
 {
-    struct co_ended *e;
-
-    HASH_FIND(hh, c->ended, &id, sizeof(id), e);
-    return e != NULL;
+    return find_ended(c, id) != NULL;
 }
 
 bool
--- a/entryjoin.c
+++ b/entryjoin.c
@@ -39,13 +39,7 @@
 void
 ej_joined(struct entry *e, uint64_t now, uint64_t from, const dw_joined *m)
 {
-    dw_claims claims = {
-        m->seq, {m->claims.claims_len, m->claims.claims_val}, {0, NULL}};
-
-    cl_receive_claims(&e->claims, now, from, &claims);
-    for (u_int i = 0; i < m->heard.heard_len; i++) {
-        cl_receive_heard(&e->claims, now, &m->heard.heard_val[i]);
-    }
+    cl_receive_joined(&e->claims, now, from, m);
     for (u_int i = 0; i < m->tombs.tombs_len; i++) {
         const dw_tomb *tomb = &m->tombs.tombs_val[i];
 
@@ -64,8 +58,7 @@
 
     if (!p->registered) {
         p->absent_ms = now;
-        str_copy(p->addr, sizeof(p->addr), str_bytes(&m->address));
-        p->port = (uint16_t)m->port;
+        sv_set_address(p, &m->address, m->port);
     }
 }
 
@@ -79,11 +72,8 @@
     memset(&reply, 0, sizeof(reply));
     reply.type = DW_JOINED;
     out->nonce = m->nonce;
-    out->seq = cl_list(
-        &e->claims, now, &out->claims.claims_val, &out->claims.claims_len);
+    cl_fill_joined(&e->claims, now, m->all, out);
     if (m->all) {
-        cl_list_heard(
-            &e->claims, now, &out->heard.heard_val, &out->heard.heard_len);
         co_list_failed(
             &e->coord, now, &out->tombs.tombs_val, &out->tombs.tombs_len);
     }
--- a/serve.c
+++ b/serve.c
@@ -78,6 +78,13 @@
         me->domain, s->role->name, service[0] != '\0' ? service : "-");
 }
 
+void
+sv_set_address(struct sv_peer *p, const dw_bytes *address, uint32_t port)
+{
+    str_copy(p->addr, sizeof(p->addr), str_bytes(address));
+    p->port = (uint16_t)port;
+}
+
 bool
 sv_read_peer(struct sv_peer *out, const char *key, struct str value)
 {
--- a/serve.h
+++ b/serve.h
@@ -119,6 +119,8 @@
 void sv_add_metrics(struct buf *b, const struct sv_metric *rows, size_t n);
 /* The peer of this id; if there is none, it is added (add), or NULL. */
 struct sv_peer *sv_peer(struct serve *s, uint64_t id, bool add);
+/* Set where the peer listens, as it said itself. */
+void sv_set_address(struct sv_peer *p, const dw_bytes *address, uint32_t port);
 /* Decode a registration; false if it is malformed or not a registration. */
 bool sv_read_peer(struct sv_peer *out, const char *key, struct str value);
 
--- a/test/world.cc
+++ b/test/world.cc
@@ -465,12 +465,7 @@
     rl_add_entry(&e->relay_state, from);
     m.type = DW_JOINED;
     out->nonce = join->nonce;
-    out->seq = cl_list(&e->claims_state, e->w->now, &out->claims.claims_val,
-        &out->claims.claims_len);
-    if (join->all) {
-        cl_list_heard(&e->claims_state, e->w->now, &out->heard.heard_val,
-            &out->heard.heard_len);
-    }
+    cl_fill_joined(&e->claims_state, e->w->now, join->all, out);
     entry_send(e, from, &m);
     free(out->claims.claims_val);
     free(out->heard.heard_val);
@@ -479,13 +474,7 @@
 void
 receive_joined(FakeEntry *e, uint64_t from, const dw_joined *m)
 {
-    dw_claims claims = {
-        m->seq, {m->claims.claims_len, m->claims.claims_val}, {0, nullptr}};
-
-    cl_receive_claims(&e->claims_state, e->w->now, from, &claims);
-    for (u_int i = 0; i < m->heard.heard_len; i++) {
-        cl_receive_heard(&e->claims_state, e->w->now, &m->heard.heard_val[i]);
-    }
+    cl_receive_joined(&e->claims_state, e->w->now, from, m);
     cu_receive(&e->catchup_state, e->w->now, from, m->nonce);
 }
 
--- a/tomb.c
+++ b/tomb.c
@@ -388,13 +388,3 @@
     }
     answer_pending(t, now);
 }
-
-size_t
-tb_pending_count(const struct tombs *t)
-{
-    const struct tb_pending *w;
-    size_t n;
-
-    DL_COUNT(t->pending, w, n);
-    return n;
-}
--- a/tomb.h
+++ b/tomb.h
@@ -125,10 +125,6 @@
  * is over; to be called in each pass of the loop. */
 void tb_flush(struct tombs *t, uint64_t now);
 
-/* Queries. */
-/* Requests to cancel that wait. */
-size_t tb_pending_count(const struct tombs *t);
-
 #ifdef __cplusplus
 }
 #endif
