--- a/Makefile
+++ b/Makefile
@@ -70,6 +70,13 @@
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS) -lgsl -lgslcblas -lrapidcheck -lgtest -lgtest_main \
 		-lpthread
 
+# Crowds of clients against the daemon; needs the machine for itself.
+$(B)/crowd-tests: $(B)/test/crowd-test.o
+	$(CXX) $(LDFLAGS) -o $@ $^ -lgtest -lgtest_main -lpthread
+
+test-crowd: $(B)/crowd-tests $(B)/dunlinweird
+	SHARDS=1 bash test/shards.sh $(B)/crowd-tests
+
 $(B)/capacity: $(B)/test/capacity.o $(B)/test/fleet.o $(COMMON_O)
 	$(CXX) $(LDFLAGS) -o $@ $^ $(LIBS)
 
@@ -112,7 +119,13 @@
 	clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) 2>/dev/null
 	@touch $@
 
-test: all test-unit test-regress test-path test-soak
+# One after the other: -j must not mix tests that need the machine for
+# themselves with others.
+test: all
+	$(MAKE) -s test-unit
+	$(MAKE) -s test-crowd
+	$(MAKE) -s test-regress test-path
+	$(MAKE) -s test-soak
 
 test-unit: $(B)/tests $(B)/dunlinweird
 	bash test/shards.sh $(B)/tests
@@ -161,4 +174,4 @@
 -include $(wildcard $(B)/*.d $(B)/platform/*.d $(B)/test/*.d)
 
 .PHONY: all proto clean format format-check lint test test-unit test-path test-regress \
-	test-asan test-soak demo capacity
+	test-asan test-soak test-crowd demo capacity
--- a/test/entry-test.cc
+++ b/test/entry-test.cc
@@ -3,102 +3,37 @@
  * refused as "no_configuration". */
 #include <gtest/gtest.h>
 
-#include <csignal>
-#include <cstring>
-#include <fcntl.h>
-#include <fstream>
-#include <poll.h>
-#include <string>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <vector>
 
-#include "ports.hh"
+#include "process.hh"
+
+using process::connect_to;
+using process::read_until;
 
 namespace {
 
 class Entry : public testing::Test {
   protected:
-    pid_t pid = 0;
     uint16_t callers = free_port();
     uint16_t metrics = free_port();
     uint16_t readiness = free_port();
-    std::string settings;
-    std::string log;
+    process::Daemon daemon;
 
-    void
-    SetUp() override
-    {
-        settings = testing::TempDir() + "entry-test-" +
-                   std::to_string(getpid()) + ".toml";
-        log = settings + ".log";
-        std::ofstream(settings)
-            << "[process]\nrole = \"entry\"\nname = \"e1\"\n"
-               "domain = \"kolding\"\naddress = \"127.0.0.1\"\nport = "
-            << free_port() << "\n[platform]\n"
-            << "store = \"http://127.0.0.1:" << free_port()
-            << "\"\ncallers = \"127.0.0.1:" << callers
-            << "\"\nreadiness = \"127.0.0.1:" << readiness
-            << "\"\nmetrics = \"127.0.0.1:" << metrics << "\"\n";
-    }
-    void
-    TearDown() override
-    {
-        if (pid > 0) {
-            kill(pid, SIGKILL);
-            waitpid(pid, nullptr, 0);
-        }
-        unlink(settings.c_str());
-        unlink(log.c_str());
-    }
-    /* The daemon that was built beside this program. */
-    static std::string
-    daemon_path()
-    {
-        char self[512] = "";
-
-        EXPECT_GT(readlink("/proc/self/exe", self, sizeof(self) - 1), 0);
-        return std::string(self).substr(0, strrchr(self, '/') - self) +
-               "/dunlinweird";
-    }
     void
     start()
     {
-        std::string path = daemon_path();
-
-        pid = fork();
-        ASSERT_GE(pid, 0);
-        if (pid == 0) {
-            prctl(PR_SET_PDEATHSIG, SIGKILL);
-            dup2(open(log.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600), 2);
-            execl(path.c_str(), path.c_str(), "-f", settings.c_str(), nullptr);
-            _exit(127);
-        }
-        for (int i = 0; i < 500; i++) {
-            int fd = connect_to(readiness); /* it is opened last */
-
-            if (fd >= 0) {
-                close(fd);
-                return;
-            }
-            usleep(10000);
-        }
-        FAIL() << "the daemon does not start";
-    }
-    static int
-    connect_to(uint16_t port)
-    {
-        sockaddr_in sa = {};
-        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-        sa.sin_family = AF_INET;
-        sa.sin_port = htons(port);
-        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        if (connect(fd, (sockaddr *)&sa, sizeof(sa)) != 0) {
-            close(fd);
-            return -1;
-        }
-        return fd;
+        daemon.start(
+            "[process]\nrole = \"entry\"\nname = \"e1\"\n"
+            "domain = \"kolding\"\naddress = \"127.0.0.1\"\n"
+            "port = " +
+                std::to_string(free_port()) +
+                "\n[platform]\nstore = \"http://127.0.0.1:" +
+                std::to_string(free_port()) +
+                "\"\ncallers = \"127.0.0.1:" + std::to_string(callers) +
+                "\"\nreadiness = \"127.0.0.1:" + std::to_string(readiness) +
+                "\"\nmetrics = \"127.0.0.1:" + std::to_string(metrics) +
+                "\"\n",
+            readiness);
     }
     /* A connection on which a job has been submitted. */
     int
@@ -114,53 +49,6 @@
         EXPECT_EQ(write(fd, text, (size_t)n), n);
         return fd;
     }
-    /* What arrives until word, the end of the connection or some seconds. */
-    static std::string
-    read_until(int fd, const char *word)
-    {
-        std::string all;
-        pollfd p = {fd, POLLIN, 0};
-
-        while (all.find(word) == std::string::npos && poll(&p, 1, 5000) > 0) {
-            char text[4096];
-            ssize_t n = recv(fd, text, sizeof(text), 0);
-
-            if (n <= 0) {
-                break;
-            }
-            all.append(text, (size_t)n);
-        }
-        return all;
-    }
-    /* Lines of the daemon's log that contain text. */
-    size_t
-    lines_with(const char *text) const
-    {
-        std::ifstream in(log);
-        std::string line;
-        size_t n = 0;
-
-        while (std::getline(in, line)) {
-            n += line.find(text) != std::string::npos;
-        }
-        return n;
-    }
-    uint64_t
-    metric(const char *name)
-    {
-        int fd = connect_to(metrics);
-        const char *text =
-            "GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-
-        EXPECT_EQ(write(fd, text, strlen(text)), (ssize_t)strlen(text));
-        std::string all = read_until(fd, "no such text");
-        size_t at = all.find(std::string("\n") + name + " ");
-
-        close(fd);
-        return at == std::string::npos
-                   ? 0
-                   : strtoull(&all[at + strlen(name) + 2], nullptr, 10);
-    }
 };
 
 } // namespace
@@ -170,7 +58,7 @@
 TEST_F(Entry, RequestsOfCallersThatHaveLeftAreDropped)
 {
     start();
-    kill(pid, SIGSTOP);
+    kill(daemon.pid, SIGSTOP);
     for (int i = 0; i < 20; i++) {
         int fd = submit(i);
         linger reset = {1, 0};
@@ -181,12 +69,12 @@
         close(fd);
     }
     int fd = submit(20);
-    kill(pid, SIGCONT);
+    kill(daemon.pid, SIGCONT);
     EXPECT_NE(read_until(fd, "}").find(" 503 "), std::string::npos);
     close(fd);
-    EXPECT_GE(metric("dw_requests_read_after_close"), 10U);
+    EXPECT_GE(process::metric(metrics, "dw_requests_read_after_close"), 10U);
     /* One that was taken on is given up when the close is noticed. */
-    EXPECT_EQ(lines_with("event=caller_left"), 0U);
+    EXPECT_EQ(daemon.lines_with("event=caller_left"), 0U);
 }
 
 /* Guards against jobs that start at two entries: a request waited unread while
@@ -198,12 +86,12 @@
     std::vector<int> fds;
 
     start();
-    kill(pid, SIGSTOP);
+    kill(daemon.pid, SIGSTOP);
     for (int i = 0; i < count; i++) {
         fds.push_back(submit(i));
     }
     usleep(700000);
-    kill(pid, SIGCONT);
+    kill(daemon.pid, SIGCONT);
     int paused = 0;
     for (int fd : fds) {
         std::string reply = read_until(fd, "}");
@@ -240,7 +128,7 @@
     char byte;
     ASSERT_EQ(poll(&p, 1, 5000), 1);
     EXPECT_EQ(recv(served, &byte, 1, 0), 0);
-    EXPECT_EQ(kill(pid, 0), 0);
+    EXPECT_EQ(kill(daemon.pid, 0), 0);
     close(served);
     close(listener);
 }
--- a/test/shards.sh
+++ b/test/shards.sh
@@ -1,10 +1,11 @@
 #!/usr/bin/env bash
-# Runs a GoogleTest program in as many parallel shards as there are processors
-# and prints the totals.  RapidCheck's seed is fixed for reproducible results.
+# Runs a GoogleTest program in SHARDS parallel shards, by default as many as
+# there are processors, and prints the totals.  RapidCheck's seed is fixed for
+# reproducible results.
 set -u
 . "$(dirname "$0")/known-red.sh"
 program=$1
-shards=$(nproc)
+shards=${SHARDS:-$(nproc)}
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 export RC_PARAMS="${RC_PARAMS:-seed=20261203}"
