web: reject a body over the limit before it is read

300 clients that announced 16 GiB, or sent chunks without end, took an entry to 347 and 349 MB of the 160 of its machine: a body that had grown too large was kept until its request ended, and the request was read on to that end, 1 MiB a connection for as long as the client liked.

An announced length is known with the header: it gets status 413 at once, and the library closes the connection. In chunks the length is not known before: the body is freed and the connection closed, as a reply cannot be sent in the middle of a request.

--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -411,3 +411,60 @@
     EXPECT_EQ(end, WEB_END_TIMED_OUT);
     close(fd);
 }
+
+/* Guards against a body far over the limit that is read to its end, or kept
+ * for as long as its client likes. */
+TEST_F(Web, ABodyOverTheLimitIsRejectedBeforeItsEnd)
+{
+    static const struct {
+        const char *name;
+        std::string text;  /* the body is not complete */
+        const char *reply; /* NULL: the connection is closed */
+        uint64_t too_large;
+    } cases[] = {
+        {"announced",
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1001\r\n\r\n",
+            " 413 ", 1},
+        {"announced, more than a number holds",
+            "POST / HTTP/1.1\r\nHost: x\r\n"
+            "Content-Length: 18446744073709551000\r\n\r\n",
+            " 413 ", 1},
+        {"in chunks",
+            "POST / HTTP/1.1\r\nHost: x\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+                std::string(1001, 'a') + "\r\n",
+            nullptr, 1},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        uint64_t before = web_stats(w)->too_large;
+        int fd = connect_server();
+
+        EXPECT_EQ(
+            write(fd, c.text.data(), c.text.size()), (ssize_t)c.text.size());
+        std::string reply = read_until(fd, "no such text");
+        EXPECT_EQ(reply.find(c.reply != nullptr ? c.reply : "HTTP") !=
+                      std::string::npos,
+            c.reply != nullptr)
+            << reply;
+        EXPECT_EQ(web_stats(w)->too_large, before + c.too_large);
+        EXPECT_EQ(web_open_requests(w), 0U);
+        close(fd);
+    }
+    EXPECT_EQ(handled, 0);
+}
+
+/* Guards against a limit that clients inside it meet. */
+TEST_F(Web, ABodyOfExactlyTheLimitIsServed)
+{
+    int fd = connect_server();
+    std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
+                       "Content-Length: 1000\r\n\r\n" +
+                       std::string(1000, 'a');
+
+    EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+    EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+    EXPECT_EQ(web_stats(w)->too_large, 0U);
+    close(fd);
+}
--- a/web.c
+++ b/web.c
@@ -41,8 +41,7 @@
     const char *method;
     char *path;
     struct buf body;
-    bool too_large; /* the body exceeds cfg.body_max */
-    bool handled;   /* passed to the handler, or rejected */
+    bool handled; /* passed to the handler, or rejected */
     bool replied;
     bool disconnected;   /* by the caller, before the reply */
     enum web_end end;    /* how it disconnected */
@@ -69,6 +68,7 @@
     web_disconnect_fn disconnected;
     void *ctx;
     size_t open; /* requests */
+    struct web_stats stats;
     bool draining;
     struct web_conn *conns;
     struct web_req *suspended;
@@ -355,13 +355,7 @@
         return MHD_YES;
     }
     r->handled = true;
-    if (r->too_large) {
-        web_problem(r, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large",
-            "the request body exceeds this server's limit", 0);
-    }
-    else {
-        r->w->handle(r->w->ctx, r);
-    }
+    r->w->handle(r->w->ctx, r);
     if (r->disconnected) {
         return MHD_NO;
     }
@@ -375,6 +369,48 @@
     return MHD_YES;
 }
 
+/* The length of the body that the header of r announces; 0 if it has none. */
+static unsigned long long
+announced_length(const struct web_req *r)
+{
+    const char *text = web_header(r, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+    return text != NULL ? strtoull(text, NULL, 10) : 0;
+}
+
+/* The library closes the connection after a reply that is sent before the
+ * body. */
+static enum MHD_Result
+reject_too_large(struct web_req *r)
+{
+    r->w->stats.too_large++;
+    r->handled = true;
+    web_problem(r, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large",
+        "the request body exceeds this server's limit", 0);
+    return queue_reply(r);
+}
+
+static enum MHD_Result
+on_header(struct web_req *r)
+{
+    return announced_length(r) > r->w->cfg.body_max ? reject_too_large(r)
+                                                    : MHD_YES;
+}
+
+/* MHD_NO, which closes the connection, if the body is too large: in chunks it
+ * does not announce its length, and a reply can't be sent before its end. */
+static enum MHD_Result
+add_to_body(struct web_req *r, struct str piece)
+{
+    if (r->body.n + piece.n > r->w->cfg.body_max) {
+        r->w->stats.too_large++;
+        buf_free(&r->body);
+        return MHD_NO;
+    }
+    buf_add(&r->body, piece);
+    return MHD_YES;
+}
+
 static enum MHD_Result
 on_access(void *ctx, struct MHD_Connection *conn, const char *url,
     const char *method, const char *version, const char *data, size_t *size,
@@ -388,17 +424,13 @@
     (void)version;
     if (r->method == NULL) {
         r->method = method;
-        return MHD_YES;
+        return on_header(r);
     }
     if (*size > 0) {
-        if (r->body.n + *size > r->w->cfg.body_max) {
-            r->too_large = true;
-        }
-        else {
-            buf_add(&r->body, str_make(data, *size));
-        }
+        struct str piece = str_make(data, *size);
+
         *size = 0;
-        return MHD_YES;
+        return add_to_body(r, piece);
     }
     return handle_complete(r);
 }
@@ -545,6 +577,12 @@
     return w->open;
 }
 
+const struct web_stats *
+web_stats(const struct web *w)
+{
+    return &w->stats;
+}
+
 void
 web_close(struct web *w)
 {
--- a/web.h
+++ b/web.h
@@ -28,12 +28,18 @@
     const char *addr; /* numeric IPv4 address to listen on */
     uint16_t port;
     uint32_t connections_max;
-    uint32_t body_max; /* bytes; larger requests get status 413 */
+    uint32_t body_max; /* bytes; a larger body gets status 413 if its header
+                          announces it, else its connection is closed */
     uint32_t idle_s;   /* connections idle for longer are closed */
 };
 
 enum web_status { WEB_OK, WEB_NO_SOCKET };
 
+/* Counters since web_open(). */
+struct web_stats {
+    uint64_t too_large; /* requests whose body exceeds cfg.body_max */
+};
+
 /* How a caller disconnected before its reply. */
 enum web_end {
     WEB_END_NONE,      /* it has not */
@@ -70,6 +76,7 @@
 void web_set_close_after_reply(struct web *w, bool on);
 /* Requests being received, handled or replied to. */
 size_t web_open_requests(const struct web *w);
+const struct web_stats *web_stats(const struct web *w);
 /* Send pending replies and stop the server. */
 void web_close(struct web *w);
 
