shed, web: connections that send nothing make room for others

3,200 connections that sent nothing, or a part of a request, took all 3,000 of an entry; nobody else got an answer for the 30 s until they were closed, and a byte every 29 s kept them for good. The ports for readiness (as many), metrics (16) and announcements (64) and the product's own API could be locked in the same way: an entry that does not answer readiness checks is taken out of rotation, a worker that cannot announce itself is lost.

shed.c decides, without sockets and with the time as argument, which connection is closed for the sake of others: first what has made no progress for a second, then replies that are not read, idle connections and what has just begun, the oldest first. An ordinary request is received within milliseconds, so it is not among the oldest. A request that is being handled is never closed. A request line, header, body and reply also have a total time, whatever trickles in (callers.header_s, callers.request_s).

The limits are settings now, also for an entry on the platform, which ignored callers.connections; the ports beside it have ports.connections. What is closed is counted by port, and logged at most once a second.

--- a/Makefile
+++ b/Makefile
@@ -14,9 +14,9 @@
 # Deciding modules: no I/O, no clock, no state of their own.
 DECIDE = str err act subkey contract schedconf view member sync place host job jobadmit jobhandover \
 	quota own ownmap front node route sess fleet coord coplace comove coadmit coshare cotail admit shares tail \
-	leave runner agent opstate estimate slack inflow rank qpolicy demand intake lag balance relay claim tomb catchup withdraw
+	leave shed runner agent opstate estimate slack inflow rank qpolicy demand intake lag balance relay claim tomb catchup withdraw
 # What carries their actions out.
-IO = log proc base64 httpc store frame link web trail backend actexec api ops metric serve \
+IO = log proc base64 httpc store frame link web weblog trail backend actexec api ops metric serve \
 	entryd entrycall entrystore entryjoin agentd platform/wire platform/kv platform/follow
 COMMON = $(DECIDE) conf proto_xdr hist
 LIBS = -ltirpc -lev -lmicrohttpd -lcurl -lpopt -llog4c -ljansson -lxxhash \
@@ -51,11 +51,11 @@
 		-lpthread
 
 $(B)/fake-backend: $(B)/test/fake-backend.o $(B)/str.o $(B)/err.o $(B)/httpc.o \
-	$(B)/web.o
+	$(B)/web.o $(B)/shed.o
 	$(CC) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd -lcurl -ljansson -lxxhash
 
 $(B)/soak: $(B)/test/soak.o $(B)/test/soak-store.o $(B)/test/soak-worker.o \
-	$(B)/test/soak-proxy.o $(B)/web.o $(B)/httpc.o $(B)/str.o $(B)/err.o
+	$(B)/test/soak-proxy.o $(B)/web.o $(B)/shed.o $(B)/httpc.o $(B)/str.o $(B)/err.o
 	$(CC) $(LDFLAGS) -o $@ $^ -lev -lmicrohttpd -lcurl -ljansson -lxxhash \
 		-lpopt -lnettle
 
@@ -63,7 +63,7 @@
 	property-test fleet world serve-test again-test wire-test route-test sess-test runner-test \
 	runner-net-test agent-test \
 	coord-test leave-test opstate-test estimate-test slack-test inflow-test rank-test lag-test fleet-test kv-test \
-	entry-test httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test claim-test tomb-test catchup-test withdraw-test
+	entry-test httpc-test store-test backend-test job-test web-test log-test sim-test demand-test admit-test shares-test tail-test balance-test shed-test claim-test tomb-test catchup-test withdraw-test
 TEST_O = $(TESTS:%=$(B)/test/%.o)
 $(B)/tests: $(TEST_O) $(COMMON_O) $(B)/frame.o $(B)/link.o $(B)/proc.o $(B)/log.o $(B)/web.o \
 	$(B)/platform/wire.o $(B)/platform/kv.o $(B)/base64.o $(B)/httpc.o $(B)/store.o $(B)/backend.o $(SIM_PARTS)
--- a/agentd.c
+++ b/agentd.c
@@ -19,8 +19,6 @@
 /* Connections to the worker for starts and stops; further calls are queued, as
  * a start takes about 2 ms and new connections are expensive. */
 #define WORKER_CONNECTIONS 6U
-#define IDLE_S 30U
-#define HEARTBEAT_BODY_MAX 65536U
 
 /* State of the agent daemon. */
 struct agentd {
@@ -29,8 +27,9 @@
     struct httpc *http;      /* starts, stops and immediate polls */
     struct httpc *poll_http; /* long polls */
     struct web *announce;    /* HTTP server for the worker's heartbeats */
-    char url[300];           /* of the worker */
-    uint64_t heartbeat_seq;  /* of the last heartbeat */
+    struct wl_log announce_log;
+    char url[300];                 /* of the worker */
+    uint64_t heartbeat_seq;        /* of the last heartbeat */
     uint64_t heartbeat_started_ms; /* start time of the worker that sent it */
     bool draining_logged;
     /* Response to a start while the runner decides on it; otherwise NULL. */
@@ -612,7 +611,7 @@
 {
     struct agentd *ad = dw_zero(1, sizeof(*ad));
     struct conf_endpoint at;
-    struct web_cfg cfg = {at.addr, 0, 64, HEARTBEAT_BODY_MAX, IDLE_S};
+    struct web_cfg cfg = {at.addr, 0, s->conf->ports};
 
     s->state = ad;
     ad->s = s;
@@ -654,6 +653,7 @@
     struct agentd *ad = s->state;
 
     ag_tick(&ad->agent, now);
+    wl_tick(&ad->announce_log, now, "announce", ad->announce);
     if (ag_must_read_domain(&ad->agent, now)) {
         kv_range(ad->s->kv, ad->domain_key, NULL, on_domain_read, ad);
     }
@@ -734,6 +734,7 @@
     };
 
     sv_add_metrics(b, rows, sizeof(rows) / sizeof(rows[0]));
+    sv_add_web_metrics(b, "announce", ad->announce);
     hist_format(&ad->run_ms, "dw_run", b);
 }
 
--- a/conf.c
+++ b/conf.c
@@ -139,12 +139,15 @@
         "an http:// or https:// URL"),
     NUMBER("backend.connections", backend_connections_max, 1, 10000),
     NUMBER("backend.announce_ms", announce_timeout_ms, 500, 600000),
-    NUMBER("callers.body_max", body_max_bytes, 1024, 16777216),
-    NUMBER("callers.connections", caller_connections_max, 1, 1000000),
-    NUMBER("callers.idle_s", caller_idle_s, 1, 3600),
+    NUMBER("callers.body_max", callers.body_max, 1024, 16777216),
+    NUMBER("callers.connections", callers.connections_max, 1, 1000000),
+    NUMBER("callers.idle_s", callers.idle_s, 1, 3600),
+    NUMBER("callers.header_s", callers.header_s, 1, 3600),
+    NUMBER("callers.request_s", callers.request_s, 1, 3600),
     NUMBER("callers.deadline_ms", default_deadline_ms, 10, 3600000),
     NUMBER("callers.waiting", node.front.requests_max, 1, 1000000),
     NUMBER("callers.hold_ms", node.front.owner_timeout_ms, 100, 600000),
+    NUMBER("ports.connections", ports.connections_max, 1, 10000),
     NUMBER("state.fresh_ms", node.sync.fresh_ms, 500, 60000),
     NUMBER("state.pull_ms", node.sync.pull_ms, 50, 10000),
     NUMBER("state.read_ms", node.sync.read_ms, 100, 10000),
@@ -192,6 +195,13 @@
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
 
+/* Defaults of the limits of servers, in bytes and s. */
+#define HEADER_S 10U
+#define REQUEST_S 60U
+#define PORT_BODY_MAX 65536U
+#define PORT_IDLE_S 30U
+#define PORT_REQUEST_S 10U
+
 static void
 set_defaults(struct conf *c)
 {
@@ -202,9 +212,13 @@
     c->backend_connections_max = 60;
     c->task_lease_ms = 10000;
     c->announce_timeout_ms = 3000;
-    c->body_max_bytes = 1U << 20;
-    c->caller_connections_max = 10000;
-    c->caller_idle_s = 60;
+    c->callers = (struct sd_limits){
+        .body_max = 1U << 20, .header_s = HEADER_S, .request_s = REQUEST_S};
+    c->ports = (struct sd_limits){.connections_max = 64,
+        .body_max = PORT_BODY_MAX,
+        .idle_s = PORT_IDLE_S,
+        .header_s = HEADER_S,
+        .request_s = PORT_REQUEST_S};
     c->default_deadline_ms = 30000;
     c->leave_max_ms = 60000;
     c->trail_events_max = 20000;
@@ -325,12 +339,28 @@
     return CONF_BAD_VALUE;
 }
 
+/* Defaults that depend on where the process runs. */
+static void
+set_caller_defaults(struct conf *c)
+{
+    bool on_platform = c->platform.store_url[0] != '\0';
+    struct sd_limits *l = &c->callers;
+
+    if (l->connections_max == 0) {
+        l->connections_max = on_platform ? 3000 : 10000;
+    }
+    if (l->idle_s == 0) {
+        l->idle_s = on_platform ? 30 : 60;
+    }
+}
+
 /* Check settings that depend on each other, and set the derived ones. */
 static enum conf_status
 check_combinations(struct conf *c, const char *path, struct err *e)
 {
     struct node_cfg *n = &c->node;
 
+    set_caller_defaults(c);
     /* An attempt in transit must be older than max_age_ms before the refusal
      * of its key expires, or it could still be admitted.  The longest time in
      * transit is 3000 ms (LINK_TRANSIT_MAX_MS). */
--- a/conf.h
+++ b/conf.h
@@ -13,6 +13,7 @@
 #include "log.h"
 #include "node.h"
 #include "schedconf.h"
+#include "shed.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -56,12 +57,12 @@
     uint32_t backend_connections_max; /* concurrent, to the backend server */
     uint32_t task_lease_ms;       /* lease of a running task on its worker */
     uint32_t announce_timeout_ms; /* lifetime of an announcement */
-    uint32_t body_max_bytes;      /* request body */
-    uint32_t caller_connections_max; /* concurrent */
-    uint32_t caller_idle_s;          /* until an idle connection is closed */
-    uint32_t default_deadline_ms;    /* of a job that names no deadline */
-    uint32_t leave_max_ms;           /* longest duration of a planned stop */
-    uint32_t trail_events_max;       /* submission events kept for explain */
+    struct sd_limits callers;     /* of the server for callers */
+    struct sd_limits ports; /* of each server for readiness checks, metrics
+                               and announcements */
+    uint32_t default_deadline_ms; /* of a job that names no deadline */
+    uint32_t leave_max_ms;        /* longest duration of a planned stop */
+    uint32_t trail_events_max;    /* submission events kept for explain */
     struct node_cfg node;
     struct conf_platform platform;
     struct sc_settings sched; /* section [scheduling], for an entry */
--- a/daemon.h
+++ b/daemon.h
@@ -23,6 +23,7 @@
 #include "store.h"
 #include "trail.h"
 #include "web.h"
+#include "weblog.h"
 
 struct op;
 
@@ -37,6 +38,7 @@
     struct store *store;
     struct backend *backend;
     struct web *web;
+    struct wl_log web_log;
     struct trail *trail;
     struct acts acts; /* decided by the node, not yet carried out */
     /* Sends an answer to the caller that waits for it. */
--- a/dunlinweird.c
+++ b/dunlinweird.c
@@ -170,6 +170,7 @@
     node_tick(&d->node, now, proc_wall(), &d->acts);
     carry_out(d);
     ops_tick(d, now);
+    wl_tick(&d->web_log, now, "callers", d->web);
     check_announcement(d, now);
     update_watch(d);
     check_leaving(d, now);
@@ -233,8 +234,7 @@
 open_components(struct daemon *d, struct err *e)
 {
     const struct view_member *me = &d->conf.node.me;
-    struct web_cfg web = {me->addr, me->http, d->conf.caller_connections_max,
-        d->conf.body_max_bytes, d->conf.caller_idle_s};
+    struct web_cfg web = {me->addr, me->http, d->conf.callers};
     struct backend_cfg back = {d->conf.task_lease_ms, 2000};
 
     if (link_open(&d->link, d->loop, me->id, me->addr, me->port, &link_events,
--- a/entryd-int.h
+++ b/entryd-int.h
@@ -36,8 +36,10 @@
     struct coord coord;
     struct rk_table ranks;
     struct rt_table routes;
-    struct web *callers;      /* HTTP server for jobs */
-    struct web *ready;        /* HTTP server of the readiness check */
+    struct web *callers; /* HTTP server for jobs */
+    struct web *ready;   /* HTTP server of the readiness check */
+    struct wl_log callers_log;
+    struct wl_log ready_log;
     struct follow *operators; /* configuration and withdrawn domains */
     struct follow *members;   /* registrations and run time estimates */
     struct relay relay;
--- a/entryd.c
+++ b/entryd.c
@@ -23,9 +23,6 @@
  * such a pause are stale; the calls may take longer than the window. */
 #define STALE_WINDOW_MS 40U
 #define STALE_PASSES 4U
-#define CALLERS_MAX 3000U
-#define BODY_MAX (1U << 20)
-#define IDLE_S 30U
 
 static bool
 is_ready(const struct entry *e)
@@ -68,10 +65,11 @@
 
 static int
 open_web(struct entry *e, struct web **out, const char *endpoint,
-    web_handle_fn handle, web_disconnect_fn on_disconnect, struct err *err)
+    const struct sd_limits *limits, web_handle_fn handle,
+    web_disconnect_fn on_disconnect, struct err *err)
 {
     struct conf_endpoint at;
-    struct web_cfg cfg = {at.addr, 0, CALLERS_MAX, BODY_MAX, IDLE_S};
+    struct web_cfg cfg = {at.addr, 0, *limits};
 
     conf_endpoint(&at, endpoint);
     cfg.port = at.port;
@@ -105,10 +103,10 @@
     co_init(&e->coord, &ec_co_ops, e, s->seed, s->conf->node.me.domain,
         s->conf->node.me.addr, s->conf->node.me.port);
     e->coord.settings = s->conf->sched;
-    if (open_web(e, &e->callers, p->callers_listen, ec_request, ec_caller_left,
-            err) != 0 ||
-        open_web(e, &e->ready, p->readiness_listen, on_ready_check,
-            on_ready_check_disconnected, err) != 0) {
+    if (open_web(e, &e->callers, p->callers_listen, &s->conf->callers,
+            ec_request, ec_caller_left, err) != 0 ||
+        open_web(e, &e->ready, p->readiness_listen, &s->conf->ports,
+            on_ready_check, on_ready_check_disconnected, err) != 0) {
         return -1;
     }
     ev_check_init(&e->pass_check, on_loop_pass);
@@ -301,6 +299,8 @@
     en_save_estimates(e, now);
     log_load(e, now);
     log_sharing(e, now);
+    wl_tick(&e->callers_log, now, "callers", e->callers);
+    wl_tick(&e->ready_log, now, "readiness", e->ready);
     if (ost_request_due(&e->opstate, now)) {
         en_query_peers(e);
     }
@@ -488,6 +488,8 @@
     };
 
     sv_add_metrics(b, rows, sizeof(rows) / sizeof(rows[0]));
+    sv_add_web_metrics(b, "callers", e->callers);
+    sv_add_web_metrics(b, "readiness", e->ready);
     hist_format(&e->answer_ms, "dw_answer", b);
     hist_format(&e->unread_ms, "dw_unread", b);
     hist_format(&e->outlived_ms, "dw_outlived", b);
--- a/metric.c
+++ b/metric.c
@@ -73,6 +73,15 @@
     }
 }
 
+static void
+add_web_metric(void *ctx, const char *name, uint64_t value)
+{
+    char full[64];
+
+    snprintf(full, sizeof(full), "callers_%s_total", name);
+    add_metric(ctx, COUNTER, full, value);
+}
+
 static void
 add_jobs(const struct node *n, struct buf *b)
 {
@@ -198,6 +207,7 @@
     add_state(d, now, out);
     add_link(d, out);
     add_front(&d->node, out);
+    wl_each(d->web, add_web_metric, out);
     if (d->node.agent) {
         add_jobs(&d->node, out);
         add_host(&d->node, out);
--- a/serve.c
+++ b/serve.c
@@ -391,6 +391,9 @@
     (void)loop;
     (void)revents;
     s->role->tick(s, now);
+    if (s->metrics_web != NULL) {
+        wl_tick(&s->metrics_log, now, "metrics", s->metrics_web);
+    }
     maintain_registration(s, now);
     check_conf_file(s, now);
     check_leaving(s, now);
@@ -427,6 +430,28 @@
     }
 }
 
+/* Where sv_add_web_metrics() adds to. */
+struct web_metrics {
+    struct buf *b;
+    const char *port;
+};
+
+static void
+add_web_metric(void *ctx, const char *name, uint64_t value)
+{
+    const struct web_metrics *m = ctx;
+
+    buf_addf(m->b, "dw_%s_%s %" PRIu64 "\n", m->port, name, value);
+}
+
+void
+sv_add_web_metrics(struct buf *b, const char *port, const struct web *w)
+{
+    struct web_metrics m = {b, port};
+
+    wl_each(w, add_web_metric, &m);
+}
+
 static void
 add_line(void *ctx, const char *text)
 {
@@ -475,6 +500,7 @@
         return;
     }
     sv_add_metrics(&b, rows, sizeof(rows) / sizeof(rows[0]));
+    sv_add_web_metrics(&b, "metrics", s->metrics_web);
     s->role->metrics(s, &b);
     web_reply(r, 200, "text/plain", buf_str(&b), 0);
     buf_free(&b);
@@ -491,7 +517,7 @@
 open_metrics(struct serve *s, struct err *e)
 {
     struct conf_endpoint at;
-    struct web_cfg cfg = {at.addr, 0, 16, 4096, 10};
+    struct web_cfg cfg = {at.addr, 0, s->conf->ports};
 
     if (s->conf->platform.metrics_listen[0] == '\0') {
         return 0;
--- a/serve.h
+++ b/serve.h
@@ -19,6 +19,7 @@
 #include "link.h"
 #include "platform/kv.h"
 #include "web.h"
+#include "weblog.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -91,6 +92,7 @@
     struct httpc *http; /* client connections to the store */
     struct kv *kv;
     struct web *metrics_web;
+    struct wl_log metrics_log;
     struct sv_peer *peers;
     uint64_t started_ms;
     uint64_t last_pass_ms; /* start of the last pass of the loop */
@@ -117,6 +119,8 @@
 
 /* Append one line "name value" for each metric. */
 void sv_add_metrics(struct buf *b, const struct sv_metric *rows, size_t n);
+/* Append a line for each counter of a server; port is its port's name. */
+void sv_add_web_metrics(struct buf *b, const char *port, const struct web *w);
 /* The peer of this id; if there is none, it is added (add), or NULL. */
 struct sv_peer *sv_peer(struct serve *s, uint64_t id, bool add);
 /* Set where the peer listens, as it said itself. */
--- a/test/fake-backend.c
+++ b/test/fake-backend.c
@@ -390,7 +390,7 @@
 int
 main(int argc, char **argv)
 {
-    struct web_cfg cfg = {"127.0.0.1", 0, 2000, 1U << 20, 600};
+    struct web_cfg cfg = {"127.0.0.1", 0, {2000, 1U << 20, 600, 0, 0, 0}};
     struct err e = {""};
     struct web *w;
     ev_timer timer;
--- a/test/kv-test.cc
+++ b/test/kv-test.cc
@@ -27,7 +27,7 @@
     Store()
     {
         uint16_t port = free_port();
-        web_cfg cfg = {"127.0.0.1", port, 50, 1 << 16, 30};
+        web_cfg cfg = {"127.0.0.1", port, {50, 1 << 16, 30, 0, 0, 0}};
         std::string url = "http://127.0.0.1:" + std::to_string(port);
         err e = {""};
 
--- a/test/soak-store.c
+++ b/test/soak-store.c
@@ -470,7 +470,7 @@
 fs_new(struct ev_loop *loop, uint16_t port, int32_t proxy_offset)
 {
     struct fake_store *f = dw_zero(1, sizeof(*f));
-    struct web_cfg cfg = {"127.0.0.1", port, 4000, 1 << 20, 120};
+    struct web_cfg cfg = {"127.0.0.1", port, {4000, 1 << 20, 120, 0, 0, 0}};
     struct err e = {""};
 
     f->rev = 1;
--- a/test/soak-worker.c
+++ b/test/soak-worker.c
@@ -707,7 +707,7 @@
 fw_server_new(struct ev_loop *loop, uint16_t port)
 {
     struct fw_server *server = dw_zero(1, sizeof(*server));
-    struct web_cfg cfg = {"127.0.0.1", port, 4000, 1 << 16, 120};
+    struct web_cfg cfg = {"127.0.0.1", port, {4000, 1 << 16, 120, 0, 0, 0}};
     struct err e = {""};
 
     if (web_open(&server->web, loop, &cfg, on_request, on_disconnect, server,
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -22,11 +22,12 @@
     int handled = 0;                 /* requests passed to the handler */
     std::vector<uint32_t> unread_ms; /* of the requests that were handled */
     uint16_t port = free_port();
+    sd_limits limits = {400, 1000, 30, 0, 0, 0};
 
     void
     SetUp() override
     {
-        web_cfg cfg = {"127.0.0.1", port, 400, 1000, 30};
+        web_cfg cfg = {"127.0.0.1", port, limits};
         err e = {""};
 
         ASSERT_EQ(
@@ -468,3 +469,64 @@
     EXPECT_EQ(web_stats(w)->too_large, 0U);
     close(fd);
 }
+
+namespace {
+
+/* A server with low limits. */
+class WebLimits : public Web {
+  protected:
+    WebLimits()
+    {
+        limits.connections_max = 2;
+        limits.header_s = 1;
+        limits.request_s = 1;
+    }
+};
+
+} // namespace
+
+/* Guards against connections that a byte now and then keeps open for good. */
+TEST_F(WebLimits, ARequestThatComesByteByByteIsClosed)
+{
+    static const char *const heads[] = {"GET / HTTP/1.1\r\nX: ",
+        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 900\r\n\r\n"};
+
+    for (const char *head : heads) {
+        SCOPED_TRACE(head);
+        uint64_t before = web_stats(w)->late;
+        int fd = connect_server();
+
+        EXPECT_EQ(write(fd, head, strlen(head)), (ssize_t)strlen(head));
+        EXPECT_TRUE(until([&] {
+            run_for(0.05);
+            send(fd, "a", 1, MSG_NOSIGNAL);
+            return web_stats(w)->late == before + 1;
+        }));
+        EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+        close(fd);
+    }
+    EXPECT_EQ(handled, 0);
+}
+
+/* Guards against clients that are turned away as others hold all connections
+ * and send nothing, and against a request that is cut off to make room. */
+TEST_F(WebLimits, ANewConnectionTakesThePlaceOfOneThatSendsNothing)
+{
+    int busy = connect_server();
+    int silent = connect_server();
+    char byte;
+
+    send_get(busy, "/hold");
+    ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+    int fd = connect_server();
+    send_get(fd, "/");
+    EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+    EXPECT_LE(recv(silent, &byte, 1, 0), 0);
+    EXPECT_EQ(web_stats(w)->crowded, 1U);
+    web_reply(held_request, 200, "text/plain", STR("late"), 0);
+    held_request = nullptr;
+    EXPECT_NE(read_until(busy, "late").find(" 200 "), std::string::npos);
+    close(busy);
+    close(silent);
+    close(fd);
+}
--- a/web.c
+++ b/web.c
@@ -16,6 +16,10 @@
 #include "num.h"
 
 #define CONNECTION_MEMORY_BYTES 65536U
+/* Connections accepted beyond the limit, while others are being closed. */
+#define ACCEPT_AHEAD 64U
+/* ms between checks for connections that take too long. */
+#define LATE_CHECK_MS 500U
 /* Idle timeout of connections during a drain. */
 #define DRAIN_IDLE_S 1U
 /* s between checks of connections with unread bytes behind a request, which
@@ -30,6 +34,8 @@
 struct web_conn {
     struct web *w;
     struct MHD_Connection *conn;
+    struct sd_conn use;
+    bool closing;         /* the library has yet to notice */
     uint64_t answered_ms; /* when its latest request was; 0: none was */
     struct web_conn *prev;
     struct web_conn *next;
@@ -71,11 +77,112 @@
     struct web_stats stats;
     bool draining;
     struct web_conn *conns;
+    uint32_t conn_count; /* without those that are closing */
+    uint64_t late_checked_ms;
     struct web_req *suspended;
     bool work_pending;      /* something to read or send */
     bool close_after_reply; /* see web_set_close_after_reply() */
 };
 
+/* The clock of TCP_INFO's times, which stands while the machine is suspended.
+ */
+static uint64_t
+clock_ms(void)
+{
+    struct timespec ts;
+
+    clock_gettime(CLOCK_MONOTONIC, &ts);
+    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
+}
+
+static int
+fd_of(struct MHD_Connection *conn)
+{
+    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
+static struct web_conn *
+web_conn_of(struct MHD_Connection *conn)
+{
+    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+        ->socket_context;
+}
+
+/* --- connections --- */
+
+static void
+set_phase(struct web_conn *c, enum sd_phase phase)
+{
+    c->use.phase = phase;
+    c->use.since_ms = clock_ms();
+}
+
+/* Closes the connection from outside the library, which notices the end of
+ * what it can read.  The reset frees what is still to be sent. */
+static void
+close_conn(struct web_conn *c)
+{
+    static const struct linger reset = {1, 0};
+    int fd = fd_of(c->conn);
+
+    c->closing = true;
+    c->w->conn_count--;
+    c->w->work_pending = true;
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+    shutdown(fd, SHUT_RDWR);
+}
+
+/* The connection that is to be closed first; NULL if none may be. */
+static struct web_conn *
+first_to_close(const struct web *w, enum sd_need need)
+{
+    uint64_t now = clock_ms();
+    struct web_conn *first = NULL;
+    struct web_conn *c;
+
+    DL_FOREACH (w->conns, c) {
+        if (!c->closing && sd_may_close(&c->use, need) &&
+            (first == NULL || sd_goes_first(now, &c->use, &first->use))) {
+            first = c;
+        }
+    }
+    return first;
+}
+
+/* The newest connection may be the one that has to go. */
+static void
+make_room(struct web *w)
+{
+    struct web_conn *c;
+
+    while (w->conn_count > w->cfg.limits.connections_max &&
+           (c = first_to_close(w, SD_NEED_CONNECTION)) != NULL) {
+        w->stats.crowded++;
+        close_conn(c);
+    }
+}
+
+static void
+close_late(struct web *w)
+{
+    uint64_t now = clock_ms();
+    struct web_conn *c;
+
+    if (now - w->late_checked_ms < LATE_CHECK_MS) {
+        return;
+    }
+    w->late_checked_ms = now;
+    DL_FOREACH (w->conns, c) {
+        if (!c->closing && sd_is_late(&w->cfg.limits, now, &c->use)) {
+            w->stats.late++;
+            close_conn(c);
+        }
+    }
+}
+
+/* --- the library's loop --- */
+
 static void
 arm_timer(struct web *w)
 {
@@ -134,16 +241,10 @@
 {
     (void)loop;
     (void)revents;
+    close_late(p->data);
     web_flush(p->data);
 }
 
-static int
-fd_of(struct MHD_Connection *conn)
-{
-    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-        ->connect_fd;
-}
-
 static void *
 on_request_start(void *ctx, const char *uri, struct MHD_Connection *conn)
 {
@@ -155,27 +256,10 @@
     r->path = str_dup(
         query != NULL ? str_make(uri, (size_t)(query - uri)) : str_of(uri));
     r->w->open++;
+    set_phase(web_conn_of(conn), SD_HEADER);
     return r;
 }
 
-/* The clock of TCP_INFO's times, which stands while the machine is suspended.
- */
-static uint64_t
-clock_ms(void)
-{
-    struct timespec ts;
-
-    clock_gettime(CLOCK_MONOTONIC, &ts);
-    return (uint64_t)ts.tv_sec * 1000 + (uint64_t)ts.tv_nsec / 1000000;
-}
-
-static struct web_conn *
-web_conn_of(struct MHD_Connection *conn)
-{
-    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-        ->socket_context;
-}
-
 static void
 on_request_completed(void *ctx, struct MHD_Connection *conn, void **req_ctx,
     enum MHD_RequestTerminationCode how)
@@ -187,7 +271,8 @@
     if (r == NULL) {
         return;
     }
-    web_conn_of(conn)->answered_ms = clock_ms();
+    set_phase(web_conn_of(conn), SD_IDLE);
+    web_conn_of(conn)->answered_ms = web_conn_of(conn)->use.since_ms;
     if (r->suspended) {
         ev_io_stop(w->loop, &r->disconnect_io);
         DL_DELETE(w->suspended, r);
@@ -211,6 +296,7 @@
 {
     enum MHD_Result res = MHD_queue_response(r->conn, r->status, r->response);
 
+    set_phase(web_conn_of(r->conn), SD_REPLYING);
     MHD_destroy_response(r->response);
     r->response = NULL;
     return res;
@@ -355,6 +441,7 @@
         return MHD_YES;
     }
     r->handled = true;
+    set_phase(web_conn_of(r->conn), SD_HANDLED);
     r->w->handle(r->w->ctx, r);
     if (r->disconnected) {
         return MHD_NO;
@@ -393,8 +480,10 @@
 static enum MHD_Result
 on_header(struct web_req *r)
 {
-    return announced_length(r) > r->w->cfg.body_max ? reject_too_large(r)
-                                                    : MHD_YES;
+    web_conn_of(r->conn)->use.phase = SD_BODY;
+    return announced_length(r) > r->w->cfg.limits.body_max
+               ? reject_too_large(r)
+               : MHD_YES;
 }
 
 /* MHD_NO, which closes the connection, if the body is too large: in chunks it
@@ -402,7 +491,7 @@
 static enum MHD_Result
 add_to_body(struct web_req *r, struct str piece)
 {
-    if (r->body.n + piece.n > r->w->cfg.body_max) {
+    if (r->body.n + piece.n > r->w->cfg.limits.body_max) {
         r->w->stats.too_large++;
         buf_free(&r->body);
         return MHD_NO;
@@ -419,9 +508,11 @@
     struct web_req *r = *req_ctx;
 
     (void)ctx;
-    (void)conn;
     (void)url;
     (void)version;
+    if (web_conn_of(conn)->closing) {
+        return MHD_NO;
+    }
     if (r->method == NULL) {
         r->method = method;
         return on_header(r);
@@ -474,6 +565,7 @@
     struct web_conn *c = *socket_ctx;
 
     if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+        w->conn_count -= !c->closing;
         DL_DELETE(w->conns, c);
         free(c);
         return;
@@ -482,11 +574,14 @@
     c->w = w;
     c->conn = conn;
     *socket_ctx = c;
+    set_phase(c, SD_NEW);
     DL_APPEND(w->conns, c);
+    w->conn_count++;
     probe_when_silent(fd_of(conn));
     if (w->draining) {
         set_drain_timeout(c);
     }
+    make_room(w);
 }
 
 enum web_status
@@ -512,9 +607,10 @@
             on_request_start, w, MHD_OPTION_NOTIFY_COMPLETED,
             on_request_completed, w, MHD_OPTION_NOTIFY_CONNECTION,
             on_connection, w, MHD_OPTION_CONNECTION_LIMIT,
-            cfg->connections_max, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+            cfg->limits.connections_max + ACCEPT_AHEAD,
+            MHD_OPTION_CONNECTION_MEMORY_LIMIT,
             (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-            cfg->idle_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+            cfg->limits.idle_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
             MHD_OPTION_END);
     }
     if (w->mhd == NULL) {
@@ -577,6 +673,12 @@
     return w->open;
 }
 
+uint32_t
+web_connections(const struct web *w)
+{
+    return w->conn_count;
+}
+
 const struct web_stats *
 web_stats(const struct web *w)
 {
--- a/web.h
+++ b/web.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "err.h"
+#include "shed.h"
 #include "str.h"
 
 #ifdef __cplusplus
@@ -27,17 +28,19 @@
 struct web_cfg {
     const char *addr; /* numeric IPv4 address to listen on */
     uint16_t port;
-    uint32_t connections_max;
-    uint32_t body_max; /* bytes; a larger body gets status 413 if its header
-                          announces it, else its connection is closed */
-    uint32_t idle_s;   /* connections idle for longer are closed */
+    /* A body over body_max gets status 413 if its header announces it, else
+     * its connection is closed.  At another limit connections are closed as
+     * shed.h says. */
+    struct sd_limits limits;
 };
 
 enum web_status { WEB_OK, WEB_NO_SOCKET };
 
 /* Counters since web_open(). */
 struct web_stats {
-    uint64_t too_large; /* requests whose body exceeds cfg.body_max */
+    uint64_t too_large; /* requests whose body exceeds limits.body_max */
+    uint64_t late;      /* connections closed, as a phase took too long */
+    uint64_t crowded;   /* closed to make room for new ones */
 };
 
 /* How a caller disconnected before its reply. */
@@ -77,6 +80,8 @@
 /* Requests being received, handled or replied to. */
 size_t web_open_requests(const struct web *w);
 const struct web_stats *web_stats(const struct web *w);
+/* Open connections. */
+uint32_t web_connections(const struct web *w);
 /* Send pending replies and stop the server. */
 void web_close(struct web *w);
 
