web: what all connections of a port hold together is bounded

700 bodies of 256 KiB that stopped one byte short of their end took an entry to 249 MB, where its machine may have 160; 300 of 1 MiB to 343; whole ones to 248 while they waited; 3,200 headers or request lines without an end to 215. Each was within the limit of a single connection: nothing bounded their sum.

Each server now counts what its connections hold (header, body and reply of the current request) and closes connections, in the order of shed.h, when that exceeds callers.memory_mb or ports.memory_mb; the body goes at once. What a connection has sent and nobody has parsed is not known to the server, only to the kernel: it is measured by TCP_INFO while all connections together could exceed the limit, so never with few of them. The library's memory of a connection is 32 KiB in place of 64 (a header of 16 KiB still fits, see Web.AHeaderOf16KiBIsServed), and the socket buffers are bounded, as received bytes count on the users' machines.

--- a/conf.c
+++ b/conf.c
@@ -144,10 +144,12 @@
     NUMBER("callers.idle_s", callers.idle_s, 1, 3600),
     NUMBER("callers.header_s", callers.header_s, 1, 3600),
     NUMBER("callers.request_s", callers.request_s, 1, 3600),
+    NUMBER("callers.memory_mb", callers.memory_mb, 1, 1048576),
     NUMBER("callers.deadline_ms", default_deadline_ms, 10, 3600000),
     NUMBER("callers.waiting", node.front.requests_max, 1, 1000000),
     NUMBER("callers.hold_ms", node.front.owner_timeout_ms, 100, 600000),
     NUMBER("ports.connections", ports.connections_max, 1, 10000),
+    NUMBER("ports.memory_mb", ports.memory_mb, 1, 1048576),
     NUMBER("state.fresh_ms", node.sync.fresh_ms, 500, 60000),
     NUMBER("state.pull_ms", node.sync.pull_ms, 50, 10000),
     NUMBER("state.read_ms", node.sync.read_ms, 100, 10000),
@@ -195,12 +197,14 @@
 
 #define SETTING_COUNT (sizeof(settings) / sizeof(settings[0]))
 
-/* Defaults of the limits of servers, in bytes and s. */
+/* Defaults of the limits of servers, in bytes, s and MB. */
 #define HEADER_S 10U
 #define REQUEST_S 60U
+#define MEMORY_MB 48U
 #define PORT_BODY_MAX 65536U
 #define PORT_IDLE_S 30U
 #define PORT_REQUEST_S 10U
+#define PORT_MEMORY_MB 4U
 
 static void
 set_defaults(struct conf *c)
@@ -212,13 +216,16 @@
     c->backend_connections_max = 60;
     c->task_lease_ms = 10000;
     c->announce_timeout_ms = 3000;
-    c->callers = (struct sd_limits){
-        .body_max = 1U << 20, .header_s = HEADER_S, .request_s = REQUEST_S};
+    c->callers = (struct sd_limits){.body_max = 1U << 20,
+        .header_s = HEADER_S,
+        .request_s = REQUEST_S,
+        .memory_mb = MEMORY_MB};
     c->ports = (struct sd_limits){.connections_max = 64,
         .body_max = PORT_BODY_MAX,
         .idle_s = PORT_IDLE_S,
         .header_s = HEADER_S,
-        .request_s = PORT_REQUEST_S};
+        .request_s = PORT_REQUEST_S,
+        .memory_mb = PORT_MEMORY_MB};
     c->default_deadline_ms = 30000;
     c->leave_max_ms = 60000;
     c->trail_events_max = 20000;
@@ -361,6 +368,14 @@
     struct node_cfg *n = &c->node;
 
     set_caller_defaults(c);
+    /* A single request must fit, in a buffer that doubles as it grows. */
+    if ((uint64_t)c->callers.memory_mb << 20 < 2 * c->callers.body_max) {
+        err_set(e,
+            "%s: key 'callers.memory_mb': want at least twice "
+            "callers.body_max",
+            path);
+        return CONF_BAD_VALUE;
+    }
     /* An attempt in transit must be older than max_age_ms before the refusal
      * of its key expires, or it could still be admitted.  The longest time in
      * transit is 3000 ms (LINK_TRANSIT_MAX_MS). */
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -530,3 +530,94 @@
     close(silent);
     close(fd);
 }
+
+namespace {
+
+/* A server that may hold four of the largest bodies. */
+class WebMemory : public Web {
+  protected:
+    WebMemory()
+    {
+        limits.body_max = 1 << 18;
+        limits.memory_mb = 1;
+    }
+    /* Sends a body of the largest size, less so many bytes. */
+    int
+    send_body(size_t missing)
+    {
+        std::string body(limits.body_max - missing, ' ');
+        std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                           std::to_string(limits.body_max) + "\r\n\r\n" + body;
+        int fd = connect_server();
+        size_t sent = 0;
+
+        EXPECT_TRUE(until([&] {
+            ssize_t n = send(fd, text.data() + sent, text.size() - sent,
+                MSG_DONTWAIT | MSG_NOSIGNAL);
+
+            sent += n > 0 ? (size_t)n : 0;
+            return sent == text.size();
+        }));
+        return fd;
+    }
+};
+
+} // namespace
+
+/* Guards against bodies that together take more memory than there is, and
+ * against an ordinary one that gives way to those that stopped before it. */
+TEST_F(WebMemory, TheOldestIncompleteBodiesMakeRoomForANewOne)
+{
+    std::vector<int> crowd;
+
+    for (int i = 0; i < 12; i++) {
+        crowd.push_back(send_body(1));
+    }
+    int fd = send_body(0);
+    EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+    EXPECT_EQ(handled, 1);
+    EXPECT_GE(web_stats(w)->memory, 9U);
+    EXPECT_TRUE(until([&] { return web_open_requests(w) <= 3; }));
+    for (int c : crowd) {
+        close(c);
+    }
+    EXPECT_TRUE(until([&] { return web_connections(w) == 1; }));
+    close(fd);
+}
+
+/* Guards against memory that is counted twice or never returned: then ordinary
+ * requests on connections that stay open would be closed in the end. */
+TEST_F(WebMemory, RequestsOneAfterTheOtherNeverReachTheLimit)
+{
+    int fds[3];
+
+    for (int round = 0; round < 20; round++) {
+        for (int &fd : fds) {
+            fd = send_body(0);
+            EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+            send_get(fd, "/");
+            EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+        }
+        for (int fd : fds) {
+            close(fd);
+        }
+    }
+    EXPECT_EQ(handled, 120);
+    EXPECT_EQ(web_stats(w)->memory, 0U);
+}
+
+/* Guards against a header inside the platform's limits that is rejected. */
+TEST_F(Web, AHeaderOf16KiBIsServed)
+{
+    std::string text = "GET / HTTP/1.1\r\nHost: x\r\n";
+    int fd = connect_server();
+
+    while (text.size() < 16384 - 90) {
+        text += "X-Field-" + std::to_string(text.size()) + ": " +
+                std::string(64, 'v') + "\r\n";
+    }
+    text += "\r\n";
+    EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+    EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+    close(fd);
+}
--- a/web.c
+++ b/web.c
@@ -4,8 +4,8 @@
 #include <errno.h>
 #include <jansson.h>
 #include <microhttpd.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -15,7 +15,16 @@
 
 #include "num.h"
 
-#define CONNECTION_MEMORY_BYTES 65536U
+/* Of the library for a connection: a header, and room to parse it. */
+#define POOL_BYTES 32768U
+/* Of the kernel for what a connection has received and what it is to send. */
+#define RECEIVE_BYTES 16384
+#define SEND_BYTES 65536
+/* Most that a connection holds without being asked for a body or a reply. */
+#define UNPARSED_MAX_BYTES (POOL_BYTES + RECEIVE_BYTES)
+/* ms between measurements of what connections hold unparsed, while all of them
+ * together could exceed the limit. */
+#define MEASURE_MS 50U
 /* Connections accepted beyond the limit, while others are being closed. */
 #define ACCEPT_AHEAD 64U
 /* ms between checks for connections that take too long. */
@@ -35,6 +44,9 @@
     struct web *w;
     struct MHD_Connection *conn;
     struct sd_conn use;
+    struct web_req *req;  /* the current one; NULL if there is none */
+    size_t owned_bytes;   /* header, body and reply of the request */
+    uint64_t parsed;      /* bytes received that were parsed */
     bool closing;         /* the library has yet to notice */
     uint64_t answered_ms; /* when its latest request was; 0: none was */
     struct web_conn *prev;
@@ -78,6 +90,9 @@
     bool draining;
     struct web_conn *conns;
     uint32_t conn_count; /* without those that are closing */
+    size_t owned_bytes;  /* of these connections */
+    size_t held_bytes;   /* the same, with what is not parsed as measured */
+    uint64_t measured_ms;
     uint64_t late_checked_ms;
     struct web_req *suspended;
     bool work_pending;      /* something to read or send */
@@ -118,6 +133,34 @@
     c->use.since_ms = clock_ms();
 }
 
+static void
+free_body(struct web_req *r)
+{
+    buf_free(&r->body);
+}
+
+/* Adds to what a connection owns; bytes may be negative. */
+static void
+add_owned(struct web_conn *c, ssize_t bytes)
+{
+    if (c->closing) {
+        return;
+    }
+    c->owned_bytes += (size_t)bytes;
+    c->use.bytes += (size_t)bytes;
+    c->w->owned_bytes += (size_t)bytes;
+    c->w->held_bytes += (size_t)bytes;
+}
+
+static void
+forget_bytes(struct web_conn *c)
+{
+    c->w->owned_bytes -= c->owned_bytes;
+    c->w->held_bytes -= c->use.bytes;
+    c->owned_bytes = 0;
+    c->use.bytes = 0;
+}
+
 /* Closes the connection from outside the library, which notices the end of
  * what it can read.  The reset frees what is still to be sent. */
 static void
@@ -126,6 +169,10 @@
     static const struct linger reset = {1, 0};
     int fd = fd_of(c->conn);
 
+    forget_bytes(c);
+    if (c->req != NULL && !c->req->handled) {
+        free_body(c->req);
+    }
     c->closing = true;
     c->w->conn_count--;
     c->w->work_pending = true;
@@ -163,6 +210,62 @@
     }
 }
 
+static size_t
+memory_max(const struct web *w)
+{
+    return (size_t)w->cfg.limits.memory_mb << 20;
+}
+
+static void
+free_memory(struct web *w)
+{
+    struct web_conn *c;
+
+    while (memory_max(w) != 0 && w->held_bytes > memory_max(w) &&
+           (c = first_to_close(w, SD_NEED_MEMORY)) != NULL) {
+        w->stats.memory++;
+        close_conn(c);
+    }
+}
+
+/* Bytes that the connection has received and not parsed, in the library or in
+ * the kernel; 0 if the system does not tell. */
+static size_t
+unparsed_bytes(const struct web_conn *c)
+{
+    struct tcp_info t = {0};
+    socklen_t n = sizeof(t);
+
+    if (getsockopt(fd_of(c->conn), IPPROTO_TCP, TCP_INFO, &t, &n) != 0) {
+        return 0;
+    }
+    return (size_t)num_min(
+        num_sub_sat(t.tcpi_bytes_received, c->parsed), UNPARSED_MAX_BYTES);
+}
+
+/* Measures what is not parsed, if it may matter, and frees memory. */
+static void
+check_memory(struct web *w)
+{
+    uint64_t now = clock_ms();
+    struct web_conn *c;
+
+    if (memory_max(w) == 0 || now - w->measured_ms < MEASURE_MS ||
+        w->owned_bytes + (size_t)w->conn_count * UNPARSED_MAX_BYTES <=
+            memory_max(w)) {
+        return;
+    }
+    w->measured_ms = now;
+    w->held_bytes = 0;
+    DL_FOREACH (w->conns, c) {
+        if (!c->closing) {
+            c->use.bytes = c->owned_bytes + unparsed_bytes(c);
+            w->held_bytes += c->use.bytes;
+        }
+    }
+    free_memory(w);
+}
+
 static void
 close_late(struct web *w)
 {
@@ -200,6 +303,7 @@
 {
     w->work_pending = false;
     MHD_run(w->mhd);
+    check_memory(w);
     arm_timer(w);
 }
 
@@ -256,6 +360,7 @@
     r->path = str_dup(
         query != NULL ? str_make(uri, (size_t)(query - uri)) : str_of(uri));
     r->w->open++;
+    web_conn_of(conn)->req = r;
     set_phase(web_conn_of(conn), SD_HEADER);
     return r;
 }
@@ -266,13 +371,16 @@
 {
     struct web *w = ctx;
     struct web_req *r = *req_ctx;
+    struct web_conn *c = web_conn_of(conn);
 
     (void)how;
     if (r == NULL) {
         return;
     }
-    set_phase(web_conn_of(conn), SD_IDLE);
-    web_conn_of(conn)->answered_ms = web_conn_of(conn)->use.since_ms;
+    set_phase(c, SD_IDLE);
+    c->answered_ms = c->use.since_ms;
+    c->req = NULL;
+    add_owned(c, -(ssize_t)c->owned_bytes);
     if (r->suspended) {
         ev_io_stop(w->loop, &r->disconnect_io);
         DL_DELETE(w->suspended, r);
@@ -285,7 +393,7 @@
         MHD_destroy_response(r->response);
     }
     w->open--;
-    buf_free(&r->body);
+    free_body(r);
     free(r->path);
     free(r);
     *req_ctx = NULL;
@@ -480,7 +588,14 @@
 static enum MHD_Result
 on_header(struct web_req *r)
 {
-    web_conn_of(r->conn)->use.phase = SD_BODY;
+    struct web_conn *c = web_conn_of(r->conn);
+    size_t size = MHD_get_connection_info(
+        r->conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                      ->header_size;
+
+    c->use.phase = SD_BODY;
+    c->parsed += size;
+    add_owned(c, (ssize_t)size);
     return announced_length(r) > r->w->cfg.limits.body_max
                ? reject_too_large(r)
                : MHD_YES;
@@ -491,13 +606,19 @@
 static enum MHD_Result
 add_to_body(struct web_req *r, struct str piece)
 {
+    struct web_conn *c = web_conn_of(r->conn);
+    size_t before = r->body.cap;
+
     if (r->body.n + piece.n > r->w->cfg.limits.body_max) {
         r->w->stats.too_large++;
-        buf_free(&r->body);
+        free_body(r);
         return MHD_NO;
     }
     buf_add(&r->body, piece);
-    return MHD_YES;
+    c->parsed += piece.n;
+    add_owned(c, (ssize_t)(r->body.cap - before));
+    free_memory(r->w);
+    return c->closing ? MHD_NO : MHD_YES;
 }
 
 static enum MHD_Result
@@ -565,6 +686,7 @@
     struct web_conn *c = *socket_ctx;
 
     if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+        forget_bytes(c);
         w->conn_count -= !c->closing;
         DL_DELETE(w->conns, c);
         free(c);
@@ -584,6 +706,17 @@
     make_room(w);
 }
 
+/* Connections inherit this.  A failure leaves larger buffers. */
+static void
+limit_buffers(int listen_fd)
+{
+    static const int receive = RECEIVE_BYTES;
+    static const int send = SEND_BYTES;
+
+    setsockopt(listen_fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof(receive));
+    setsockopt(listen_fd, SOL_SOCKET, SO_SNDBUF, &send, sizeof(send));
+}
+
 enum web_status
 web_open(struct web **out, struct ev_loop *loop, const struct web_cfg *cfg,
     web_handle_fn handle, web_disconnect_fn disconnected, void *ctx,
@@ -608,10 +741,9 @@
             on_request_completed, w, MHD_OPTION_NOTIFY_CONNECTION,
             on_connection, w, MHD_OPTION_CONNECTION_LIMIT,
             cfg->limits.connections_max + ACCEPT_AHEAD,
-            MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-            (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
-            cfg->limits.idle_s, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-            MHD_OPTION_END);
+            MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES,
+            MHD_OPTION_CONNECTION_TIMEOUT, cfg->limits.idle_s,
+            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     }
     if (w->mhd == NULL) {
         err_set(e, "HTTP %s:%u: %s", cfg->addr, cfg->port, strerror(errno));
@@ -619,6 +751,8 @@
         return WEB_NO_SOCKET;
     }
     info = MHD_get_daemon_info(w->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+    limit_buffers(
+        MHD_get_daemon_info(w->mhd, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd);
     ev_io_init(&w->io, on_io, info->epoll_fd, EV_READ);
     w->io.data = w;
     ev_io_start(loop, &w->io);
@@ -818,6 +952,7 @@
     }
     r->status = status;
     r->replied = true;
+    add_owned(web_conn_of(r->conn), (ssize_t)body.n);
     if (r->suspended) {
         ev_io_stop(r->w->loop, &r->disconnect_io);
         resume(r);
--- a/web.h
+++ b/web.h
@@ -41,6 +41,7 @@
     uint64_t too_large; /* requests whose body exceeds limits.body_max */
     uint64_t late;      /* connections closed, as a phase took too long */
     uint64_t crowded;   /* closed to make room for new ones */
+    uint64_t memory;    /* closed to free memory */
 };
 
 /* How a caller disconnected before its reply. */
--- a/weblog.c
+++ b/weblog.c
@@ -18,10 +18,11 @@
         return;
     }
     log_event(LOG_LEVEL_WARN, "clients_closed",
-        "port=%s late=%" PRIu64 " crowded=%" PRIu64 " too_large=%" PRIu64
-        " connections=%u",
+        "port=%s late=%" PRIu64 " crowded=%" PRIu64 " memory=%" PRIu64
+        " too_large=%" PRIu64 " connections=%u",
         port, s->late - was->late, s->crowded - was->crowded,
-        s->too_large - was->too_large, web_connections(w));
+        s->memory - was->memory, s->too_large - was->too_large,
+        web_connections(w));
     l->logged = *s;
     l->logged_ms = now;
 }
@@ -34,5 +35,6 @@
 
     add(ctx, "closed_late", s->late);
     add(ctx, "closed_crowded", s->crowded);
+    add(ctx, "closed_memory", s->memory);
     add(ctx, "too_large", s->too_large);
 }
