link: accepted connections have limits

64 clients that sent 4 MiB of a record of 16 took an entry or an agent to 272 MB, where their machines have 160 and 128, and 4,200 silent connections held as many descriptors, where a process may have 3,900: any number of connections was accepted, each with a buffer of up to 16 MiB and no time limit. A sender that was as fast as the reader could keep the loop for itself, as a connection was read until it would block.

Others get their turn after 1 MiB, and a large buffer is freed when it is empty. What is closed is counted and logged at most once a second.

--- a/conf.c
+++ b/conf.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "link.h"
 #include "resend.h"
 
 enum kind { KIND_U16, KIND_U32, KIND_SECONDS, KIND_TEXT, KIND_CHOICE };
@@ -79,6 +80,8 @@
     return strlen(text) >= 8;
 }
 
+/* One record of the largest size, in a buffer that doubles as it grows. */
+#define LINK_MEMORY_MIN_MB (2 * (LINK_RECORD_MAX_BYTES >> 20) + 1)
 #define OFFSET(field) offsetof(struct conf, field)
 #define NAME_ALLOWED "1 to 63 of a-z 0-9 '-' '_' '.'"
 
@@ -148,6 +151,9 @@
     NUMBER("callers.deadline_ms", default_deadline_ms, 10, 3600000),
     NUMBER("callers.waiting", node.front.requests_max, 1, 1000000),
     NUMBER("callers.hold_ms", node.front.owner_timeout_ms, 100, 600000),
+    NUMBER("link.connections", link.connections_max, 1, 100000),
+    NUMBER("link.memory_mb", link.memory_mb, LINK_MEMORY_MIN_MB, 1048576),
+    NUMBER("link.record_s", link.request_s, 1, 3600),
     NUMBER("ports.connections", ports.connections_max, 1, 10000),
     NUMBER("ports.memory_mb", ports.memory_mb, 1, 1048576),
     NUMBER("state.fresh_ms", node.sync.fresh_ms, 500, 60000),
@@ -201,6 +207,10 @@
 #define HEADER_S 10U
 #define REQUEST_S 60U
 #define MEMORY_MB 48U
+/* Peers close a connection that they have not used for a minute. */
+#define LINK_IDLE_S 120U
+#define LINK_RECORD_S 10U
+#define LINK_MEMORY_MB 36U
 #define PORT_BODY_MAX 65536U
 #define PORT_IDLE_S 30U
 #define PORT_REQUEST_S 10U
@@ -220,6 +230,10 @@
         .header_s = HEADER_S,
         .request_s = REQUEST_S,
         .memory_mb = MEMORY_MB};
+    c->link = (struct sd_limits){.body_max = LINK_RECORD_MAX_BYTES,
+        .idle_s = LINK_IDLE_S,
+        .request_s = LINK_RECORD_S,
+        .memory_mb = LINK_MEMORY_MB};
     c->ports = (struct sd_limits){.connections_max = 64,
         .body_max = PORT_BODY_MAX,
         .idle_s = PORT_IDLE_S,
@@ -348,7 +362,7 @@
 
 /* Defaults that depend on where the process runs. */
 static void
-set_caller_defaults(struct conf *c)
+set_derived_defaults(struct conf *c)
 {
     bool on_platform = c->platform.store_url[0] != '\0';
     struct sd_limits *l = &c->callers;
@@ -359,6 +373,9 @@
     if (l->idle_s == 0) {
         l->idle_s = on_platform ? 30 : 60;
     }
+    if (c->link.connections_max == 0) {
+        c->link.connections_max = on_platform ? 512 : 2048;
+    }
 }
 
 /* Check settings that depend on each other, and set the derived ones. */
@@ -367,7 +384,7 @@
 {
     struct node_cfg *n = &c->node;
 
-    set_caller_defaults(c);
+    set_derived_defaults(c);
     /* A single request must fit, in a buffer that doubles as it grows. */
     if ((uint64_t)c->callers.memory_mb << 20 < 2 * c->callers.body_max) {
         err_set(e,
--- a/dunlinweird.c
+++ b/dunlinweird.c
@@ -234,10 +234,11 @@
 open_components(struct daemon *d, struct err *e)
 {
     const struct view_member *me = &d->conf.node.me;
+    struct link_addr at = {me->addr, me->port};
     struct web_cfg web = {me->addr, me->http, d->conf.callers};
     struct backend_cfg back = {d->conf.task_lease_ms, 2000};
 
-    if (link_open(&d->link, d->loop, me->id, me->addr, me->port, &link_events,
+    if (link_open(&d->link, d->loop, me->id, &at, &d->conf.link, &link_events,
             d, e) != LINK_OK) {
         return -1;
     }
--- a/link.c
+++ b/link.c
@@ -4,6 +4,7 @@
 #include <endian.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <inttypes.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -32,6 +33,13 @@
 #define IDLE_TIMEOUT_MS 60000U
 /* No new attempt is made for this long after a refused connection. */
 #define REFUSED_RETRY_MS 200U
+/* Bytes read from a connection before others get their turn; a multiple of
+ * the chunk that is read at a time. */
+#define READ_MAX_BYTES (1U << 20)
+/* A larger buffer is freed when it is empty. */
+#define BUFFER_KEPT_BYTES 65536U
+/* ms between log lines on connections that were closed. */
+#define CLOSINGS_LOG_MS 1000U
 /* Interval of the checks for timeouts. */
 #define TICK_S 0.1
 
@@ -64,6 +72,7 @@
 struct inbound {
     int fd;
     ev_io io;
+    struct sd_conn use;
     struct link *link;
     struct buf in; /* received, not yet parsed */
     struct inbound *prev;
@@ -82,7 +91,12 @@
     ev_timer timer;
     uint32_t xid; /* of the newest call */
     struct peer *peers;
+    struct sd_limits limits; /* of inbounds */
     struct inbound *inbounds;
+    uint32_t inbound_count;
+    size_t inbound_bytes; /* that they hold */
+    uint64_t closings_logged_ms;
+    uint64_t closings_logged;
     size_t queued_bytes; /* in the send queues of all peers */
     struct link_stats stats;
 };
@@ -421,9 +435,11 @@
 /* --- records --- */
 
 /* Get the next complete record in b at *offset and advance *offset past it.
- * False if it is incomplete; *bad is set if the mark is invalid. */
+ * False if it is incomplete; *bad is set if the mark is invalid or the record
+ * larger than max. */
 static bool
-next_record(const struct buf *b, size_t *offset, struct str *record, bool *bad)
+next_record(const struct buf *b, size_t max, size_t *offset,
+    struct str *record, bool *bad)
 {
     uint32_t mark;
     size_t n;
@@ -434,7 +450,7 @@
     memcpy(&mark, b->p + *offset, sizeof(mark));
     mark = ntohl(mark);
     n = mark & ~FRAME_LAST;
-    if ((mark & FRAME_LAST) == 0 || n > LINK_RECORD_MAX_BYTES) {
+    if ((mark & FRAME_LAST) == 0 || n > max) {
         *bad = true;
         return false;
     }
@@ -449,17 +465,24 @@
 static void
 discard_front(struct buf *b, size_t n)
 {
-    memmove(b->p, b->p + n, b->n - n);
     b->n -= n;
+    if (b->n == 0 && b->cap > BUFFER_KEPT_BYTES) {
+        buf_free(b);
+    }
+    else if (n > 0) {
+        memmove(b->p, b->p + n, b->n);
+    }
 }
 
-/* Read until the socket would block; false if the connection has ended. */
+/* Read until the socket would block, or READ_MAX_BYTES, so that a fast sender
+ * does not keep the loop; false if the connection has ended. */
 static bool
 read_all(int fd, struct buf *b, struct link_stats *stats)
 {
     char chunk[65536];
+    size_t left = READ_MAX_BYTES;
 
-    for (;;) {
+    while (left > 0) {
         ssize_t n = recv(fd, chunk, sizeof(chunk), 0);
 
         if (n < 0) {
@@ -473,7 +496,9 @@
         if ((size_t)n < sizeof(chunk)) {
             return true;
         }
+        left -= (size_t)n;
     }
+    return true;
 }
 
 static void
@@ -499,7 +524,8 @@
             connect_peer(p, now);
             return;
         }
-        while (p->fd >= 0 && next_record(&p->in, &offset, &record, &bad)) {
+        while (p->fd >= 0 && next_record(&p->in, LINK_RECORD_MAX_BYTES,
+                                 &offset, &record, &bad)) {
             handle_reply(p, now, (char *)record.p, record.n);
         }
         if (bad) {
@@ -608,6 +634,8 @@
 {
     struct link *l = in->link;
 
+    l->inbound_count--;
+    l->inbound_bytes -= in->use.bytes;
     ev_io_stop(l->loop, &in->io);
     close(in->fd);
     if (in->prev != NULL) {
@@ -623,6 +651,87 @@
     free(in);
 }
 
+/* --- limits of accepted connections --- */
+
+static void
+set_use(struct inbound *in, enum sd_phase phase, uint64_t now)
+{
+    size_t bytes = in->in.cap;
+
+    in->link->inbound_bytes += bytes - in->use.bytes;
+    in->use = (struct sd_conn){phase, now, bytes};
+}
+
+static struct inbound *
+first_to_close(const struct link *l, uint64_t now, enum sd_need need)
+{
+    struct inbound *first = NULL;
+    struct inbound *in;
+
+    for (in = l->inbounds; in != NULL; in = in->next) {
+        if (sd_may_close(&in->use, need) &&
+            (first == NULL || sd_goes_first(now, &in->use, &first->use))) {
+            first = in;
+        }
+    }
+    return first;
+}
+
+static bool
+is_scarce(const struct link *l, enum sd_need need)
+{
+    return need == SD_NEED_CONNECTION
+               ? l->inbound_count > l->limits.connections_max
+               : l->inbound_bytes > (size_t)l->limits.memory_mb << 20;
+}
+
+static void
+free_resources(struct link *l, uint64_t now, enum sd_need need)
+{
+    uint64_t *closed = need == SD_NEED_CONNECTION ? &l->stats.closed_crowded
+                                                  : &l->stats.closed_memory;
+    struct inbound *in;
+
+    while (is_scarce(l, need) && (in = first_to_close(l, now, need)) != NULL) {
+        ++*closed;
+        free_inbound(in);
+    }
+}
+
+static void
+close_late(struct link *l, uint64_t now)
+{
+    struct inbound *in;
+    struct inbound *next;
+
+    for (in = l->inbounds; in != NULL; in = next) {
+        next = in->next;
+        if (sd_is_late(&l->limits, now, &in->use)) {
+            l->stats.closed_late++;
+            free_inbound(in);
+        }
+    }
+}
+
+static void
+log_closings(struct link *l, uint64_t now)
+{
+    const struct link_stats *s = &l->stats;
+    uint64_t sum = s->closed_late + s->closed_crowded + s->closed_memory;
+
+    if (sum == l->closings_logged ||
+        now - l->closings_logged_ms < CLOSINGS_LOG_MS) {
+        return;
+    }
+    l->closings_logged = sum;
+    l->closings_logged_ms = now;
+    log_event(LOG_LEVEL_WARN, "links_closed",
+        "late_total=%" PRIu64 " crowded_total=%" PRIu64
+        " memory_total=%" PRIu64 " connections=%u bytes=%zu",
+        s->closed_late, s->closed_crowded, s->closed_memory, l->inbound_count,
+        l->inbound_bytes);
+}
+
 static void
 reply_hello(struct inbound *in, uint32_t xid)
 {
@@ -641,14 +750,17 @@
 on_inbound_io(struct ev_loop *loop, ev_io *w, int revents)
 {
     struct inbound *in = w->data;
-    bool open = read_all(in->fd, &in->in, &in->link->stats);
+    struct link *l = in->link;
+    uint64_t now = proc_now();
+    bool open = read_all(in->fd, &in->in, &l->stats);
     struct str record;
     size_t offset = 0;
     bool bad = false;
 
     (void)loop;
     (void)revents;
-    while (!bad && next_record(&in->in, &offset, &record, &bad)) {
+    while (!bad &&
+           next_record(&in->in, l->limits.body_max, &offset, &record, &bad)) {
         uint32_t xid = 0;
 
         bad = !handle_call(in->link, (char *)record.p, record.n, true, &xid);
@@ -661,6 +773,10 @@
         return;
     }
     discard_front(&in->in, offset);
+    /* The time of a record counts from its first byte. */
+    set_use(in, in->in.n > 0 ? SD_BODY : SD_IDLE,
+        offset == 0 && in->use.phase == SD_BODY ? in->use.since_ms : now);
+    free_resources(l, now, SD_NEED_MEMORY);
 }
 
 static void
@@ -684,9 +800,12 @@
             in->next->prev = in;
         }
         l->inbounds = in;
+        l->inbound_count++;
+        set_use(in, SD_NEW, proc_now());
         ev_io_init(&in->io, on_inbound_io, fd, EV_READ);
         in->io.data = in;
         ev_io_start(l->loop, &in->io);
+        free_resources(l, proc_now(), SD_NEED_CONNECTION);
     }
 }
 
@@ -835,6 +954,8 @@
 
     (void)loop;
     (void)revents;
+    close_late(l, now);
+    log_closings(l, now);
     HASH_ITER (hh, l->peers, p, tmp) {
         struct link_addr at;
 
@@ -850,8 +971,8 @@
 /* --- opening --- */
 
 static enum link_status
-bind_socket(int fd, const struct sockaddr_in *sa, const char *addr,
-    uint16_t port, const char *kind, struct err *e)
+bind_socket(int fd, const struct sockaddr_in *sa, const struct link_addr *at,
+    const char *kind, struct err *e)
 {
     int one = 1;
 
@@ -861,50 +982,50 @@
     }
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
     if (bind(fd, (const struct sockaddr *)sa, sizeof(*sa)) != 0) {
-        err_set(e, "%s %s:%u: %s", kind, addr, port, strerror(errno));
+        err_set(e, "%s %s:%u: %s", kind, at->addr, at->port, strerror(errno));
         return LINK_NO_SOCKET;
     }
     return LINK_OK;
 }
 
 static enum link_status
-open_sockets(struct link *l, const char *addr, uint16_t port, struct err *e)
+open_sockets(struct link *l, const struct link_addr *at, struct err *e)
 {
-    struct link_addr at = {addr, port};
     struct sockaddr_in sa;
     enum link_status st;
     int size = 4 << 20;
 
-    if (!fill_address(&at, &sa)) {
-        err_set(e, "address '%s' is not a numeric IPv4 address", addr);
+    if (!fill_address(at, &sa)) {
+        err_set(e, "address '%s' is not a numeric IPv4 address", at->addr);
         return LINK_BAD_ADDRESS;
     }
     l->tcp_fd = open_socket(SOCK_STREAM);
-    st = bind_socket(l->tcp_fd, &sa, addr, port, "TCP", e);
+    st = bind_socket(l->tcp_fd, &sa, at, "TCP", e);
     if (st != LINK_OK) {
         return st;
     }
     if (listen(l->tcp_fd, 1024) != 0) {
-        err_set(e, "TCP %s:%u: %s", addr, port, strerror(errno));
+        err_set(e, "TCP %s:%u: %s", at->addr, at->port, strerror(errno));
         return LINK_NO_SOCKET;
     }
     l->udp_fd = open_socket(SOCK_DGRAM);
     if (l->udp_fd >= 0) {
         setsockopt(l->udp_fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
     }
-    return bind_socket(l->udp_fd, &sa, addr, port, "UDP", e);
+    return bind_socket(l->udp_fd, &sa, at, "UDP", e);
 }
 
 enum link_status
 link_open(struct link **out, struct ev_loop *loop, uint64_t self,
-    const char *addr, uint16_t port, const struct link_events *events,
-    void *ctx, struct err *e)
+    const struct link_addr *at, const struct sd_limits *limits,
+    const struct link_events *events, void *ctx, struct err *e)
 {
     struct link *l = dw_zero(1, sizeof(*l));
     enum link_status st;
 
     l->loop = loop;
     l->self = self;
+    l->limits = *limits;
     l->events = events;
     l->ctx = ctx;
     l->tcp_fd = -1;
@@ -915,7 +1036,7 @@
     /* Process received messages before timeouts, as they may confirm a
      * connection that would otherwise be closed. */
     ev_set_priority(&l->timer, -1);
-    st = open_sockets(l, addr, port, e);
+    st = open_sockets(l, at, e);
     if (st != LINK_OK) {
         link_close(l);
         return st;
--- a/link.h
+++ b/link.h
@@ -17,6 +17,7 @@
 
 #include "err.h"
 #include "proto.h"
+#include "shed.h"
 #include "str.h"
 
 #ifdef __cplusplus
@@ -67,12 +68,18 @@
     uint64_t dropped_other; /* for another process, malformed or too long */
     uint64_t connections_replaced; /* closed as the peer did not reply */
     uint64_t hellos;               /* HELLO calls sent */
+    /* Accepted connections that were closed; see shed.h. */
+    uint64_t closed_late;
+    uint64_t closed_crowded;
+    uint64_t closed_memory;
 };
 
 /* Listen on a numeric IPv4 address and port for both TCP and UDP.  self is
- * this process's id.  On an error *out is not set and e describes it. */
+ * this process's id.  The limits hold for accepted connections: body_max for a
+ * record, idle_s between two records, request_s for a record to be received.
+ * On an error *out is not set and e describes it. */
 enum link_status link_open(struct link **out, struct ev_loop *loop,
-    uint64_t self, const char *addr, uint16_t port,
+    uint64_t self, const struct link_addr *at, const struct sd_limits *limits,
     const struct link_events *events, void *ctx, struct err *e);
 void link_close(struct link *l);
 /* Encode and send or queue a message; msg stays the caller's.  The message is
--- a/metric.c
+++ b/metric.c
@@ -60,6 +60,9 @@
     add_metric(
         b, COUNTER, "connections_replaced_total", s->connections_replaced);
     add_metric(b, COUNTER, "hellos_total", s->hellos);
+    add_metric(b, COUNTER, "links_closed_late_total", s->closed_late);
+    add_metric(b, COUNTER, "links_closed_crowded_total", s->closed_crowded);
+    add_metric(b, COUNTER, "links_closed_memory_total", s->closed_memory);
     add_metric(b, GAUGE, "backlog_bytes", link_queued_bytes(d->link));
     buf_add(b, STR("# TYPE dunlinweir_messages counter\n"));
     for (size_t i = 0; i < 32; i++) {
--- a/serve.c
+++ b/serve.c
@@ -482,6 +482,7 @@
 {
     struct serve *s = ctx;
     const struct kv_stats *kv = kv_stats(s->kv);
+    const struct link_stats *link = link_stats(s->link);
     const struct sv_metric rows[] = {
         {"dw_uptime_ms", proc_now() - s->started_ms},
         {"dw_pauses", s->pauses},
@@ -492,6 +493,9 @@
         {"dw_store_sent_again", kv->resent},
         {"dw_store_copies", httpc_copies(s->http)},
         {"dw_log_lines_lost", log_lines_lost()},
+        {"dw_link_closed_late", link->closed_late},
+        {"dw_link_closed_crowded", link->closed_crowded},
+        {"dw_link_closed_memory", link->closed_memory},
     };
     struct buf b = {0};
 
@@ -536,8 +540,9 @@
 open_all(struct serve *s, struct err *e)
 {
     const struct view_member *me = &s->conf->node.me;
+    struct link_addr at = {me->addr, me->port};
 
-    if (link_open(&s->link, s->loop, s->id, me->addr, me->port, &link_events,
+    if (link_open(&s->link, s->loop, s->id, &at, &s->conf->link, &link_events,
             s, e) != LINK_OK) {
         return -1;
     }
--- a/test/link-test.cc
+++ b/test/link-test.cc
@@ -5,8 +5,10 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <map>
 #include <netinet/in.h>
+#include <string>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
@@ -58,6 +60,7 @@
   protected:
     struct ev_loop *loop = ev_loop_new(0);
     std::map<uint64_t, uint16_t> ports;
+    sd_limits limits = {4, 1 << 20, 120, 0, 1, 2};
     Endpoint a;
     Endpoint b;
 
@@ -65,12 +68,12 @@
     open(Endpoint &e, uint64_t id, uint16_t port)
     {
         err why = {""};
+        link_addr at = {"127.0.0.1", port};
 
         e.id = id;
         e.ports = &ports;
         ports[id] = port;
-        ASSERT_EQ(
-            link_open(&e.l, loop, id, "127.0.0.1", port, &events, &e, &why),
+        ASSERT_EQ(link_open(&e.l, loop, id, &at, &limits, &events, &e, &why),
             LINK_OK)
             << why.msg;
     }
@@ -202,14 +205,14 @@
 {
     struct ev_loop *other = ev_loop_new(0);
     err why = {""};
+    link_addr at = {"127.0.0.1", port_of(11)};
 
     open(a, 1, port_of(10));
     ports[2] = port_of(11);
     b.id = 2;
     b.ports = &ports;
     ASSERT_EQ(
-        link_open(&b.l, other, 2, "127.0.0.1", port_of(11), &events, &b, &why),
-        LINK_OK);
+        link_open(&b.l, other, 2, &at, &limits, &events, &b, &why), LINK_OK);
     auto run_both = [&](int rounds) {
         for (int i = 0; i < rounds; i++) {
             run(0.01);
@@ -251,4 +254,98 @@
     close(fd);
 }
 
+/* Sockets of somebody who is not a process of the fleet. */
+struct Strangers {
+    std::vector<int> fds;
+
+    Strangers(uint16_t port, size_t n)
+    {
+        sockaddr_in sa = {};
+
+        sa.sin_family = AF_INET;
+        sa.sin_port = htons(port);
+        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        for (size_t i = 0; i < n; i++) {
+            fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            connect(fds.back(), (sockaddr *)&sa, sizeof(sa));
+        }
+    }
+    ~Strangers()
+    {
+        for (int fd : fds) {
+            close(fd);
+        }
+    }
+    /* A record's mark and so many bytes; sends what the socket takes. */
+    void
+    send_record(uint32_t n, size_t bytes)
+    {
+        uint32_t mark = htonl(n | 0x80000000U);
+        std::string text((const char *)&mark, sizeof(mark));
+
+        text.append(bytes, '\0');
+        for (int fd : fds) {
+            EXPECT_GT(::send(fd, text.data(), text.size(), MSG_NOSIGNAL), 0);
+        }
+    }
+};
+
+/* Guards against processes that no peer reaches, as others hold all
+ * connections. */
+TEST_F(Link, ConnectionsThatSendNothingMakeRoomForPeers)
+{
+    open(a, 1, port_of(14));
+    open(b, 2, port_of(15));
+    Strangers crowd(port_of(15), 9);
+    run(0.1);
+    EXPECT_EQ(link_stats(b.l)->closed_crowded, 5U);
+    send(a, 2, 5);
+    run(0.3);
+    ASSERT_EQ(b.received.size(), 1U);
+    EXPECT_EQ(link_stats(b.l)->closed_crowded, 6U);
+}
+
+/* Guards against memory that incomplete records take without end. */
+TEST_F(Link, IncompleteRecordsAreClosedToFreeMemory)
+{
+    open(a, 1, port_of(16));
+    open(b, 2, port_of(17));
+    Strangers crowd(port_of(17), 4);
+    run(0.1);
+    for (int i = 0; i < 40; i++) {
+        crowd.send_record(1 << 20, 60000);
+        run(0.01);
+        if (link_stats(b.l)->closed_memory > 0) {
+            break;
+        }
+    }
+    EXPECT_GT(link_stats(b.l)->closed_memory, 0U);
+    send(a, 2, 5);
+    run(0.3);
+    EXPECT_EQ(b.received.size(), 1U);
+}
+
+/* Guards against records that a byte now and then keeps open for good, and
+ * against records over the limit. */
+TEST_F(Link, RecordsThatAreLateOrTooLargeCloseTheirConnection)
+{
+    open(b, 2, port_of(18));
+    Strangers late(port_of(18), 1);
+    Strangers large(port_of(18), 1);
+    run(0.1);
+    late.send_record(1000, 1);
+    large.send_record((1 << 20) + 1, 1);
+    for (int i = 0; i < 20; i++) {
+        run(0.1);
+        ::send(late.fds[0], "", 1, MSG_NOSIGNAL);
+    }
+    EXPECT_EQ(link_stats(b.l)->closed_late, 1U);
+    for (int fd : {late.fds[0], large.fds[0]}) {
+        char byte;
+
+        EXPECT_TRUE(recv(fd, &byte, 1, 0) == 0 || errno == ECONNRESET ||
+                    errno == EPIPE);
+    }
+}
+
 } // namespace
