web, entrycall: the body of a request that waits for its answer is freed

A body was kept until its reply, though it is parsed, or copied to another entry, long before: a request that waits for a worker, or for another entry's answer, held up to 1 MiB for as long as its caller waits. Requests that wait are not closed for others, so that 90 of them would have taken all of callers.memory_mb, and each further caller with a body lost its connection.

The handler now releases the body as soon as it is parsed or copied (web_release_body()). Not while a request waits for another entry that claims its job: it is parsed again when that is over.

Web: WebMemory.AReleasedBodyMakesRoom holds ten bodies of 256 KiB with 1 MiB of memory. It needs the new call, so it has no result on the code before.

--- a/api.c
+++ b/api.c
@@ -524,6 +524,7 @@
         return;
     }
     s->body_hash = str_hash(web_body(r), 1) | 1;
+    web_release_body(r);
     start_request(d, r, c, str_of(key), FRONT_SUBMIT, m, deadline_ms);
 }
 
--- a/entrycall.c
+++ b/entrycall.c
@@ -280,6 +280,18 @@
     web_problem(r, 400, "bad_job", why, 0);
 }
 
+/* The request has been parsed, or copied to be sent to another entry. */
+static void
+release_body(struct caller *c)
+{
+    if (c->req != NULL) {
+        web_release_body(c->req);
+    }
+    else {
+        buf_free(&c->forwarded->body);
+    }
+}
+
 /* True: another entry has the job; the request starts again when that is over.
  * Else s is set to what is left after an earlier wait. */
 static bool
@@ -341,6 +353,7 @@
         wire_job_free(&job);
         return;
     }
+    release_body(c);
     co_submit(&e->coord, now, &s, c);
     wire_job_free(&job);
 }
@@ -563,10 +576,11 @@
 }
 
 static void
-log_forwarded(struct entry *e, const struct caller *c)
+note_forwarded(struct entry *e, struct caller *c)
 {
     struct str job = job_id_text(path_of(c));
 
+    release_body(c);
     e->forwarded_out++;
     log_event(LOG_LEVEL_INFO, "request_given", "job=%.*s", (int)job.n, job.p);
 }
@@ -602,7 +616,7 @@
         queue_here(e, c);
         break;
     case RL_COPY_SENT:
-        log_forwarded(e, c);
+        note_forwarded(e, c);
         break;
     case RL_COPY_LOST:
         log_request_refused(e, path_of(c), "taker_lost");
@@ -622,7 +636,7 @@
             left_ms(c->req))) {
         return false;
     }
-    log_forwarded(e, c);
+    note_forwarded(e, c);
     return true;
 }
 
@@ -645,7 +659,7 @@
             left_ms(c->req))) {
         return false;
     }
-    log_forwarded(e, c);
+    note_forwarded(e, c);
     return true;
 }
 
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -17,6 +17,7 @@
     struct ev_loop *loop = ev_loop_new(0);
     struct ::web *w = nullptr;
     web_req *held_request = nullptr;
+    bool hold_all = false; /* not only requests for /hold */
     int disconnects = 0;
     enum web_end end = WEB_END_NONE; /* of the latest disconnect */
     int handled = 0;                 /* requests passed to the handler */
@@ -52,7 +53,8 @@
         EXPECT_TRUE(web_unread_ms(r, &ms));
         static_cast<Web *>(ctx)->unread_ms.push_back(ms);
         static_cast<Web *>(ctx)->handled++;
-        if (strcmp(web_path(r), "/hold") == 0) {
+        if (strcmp(web_path(r), "/hold") == 0 ||
+            static_cast<Web *>(ctx)->hold_all) {
             static_cast<Web *>(ctx)->held_request = r;
             return;
         }
@@ -621,3 +623,55 @@
     EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
     close(fd);
 }
+
+/* Guards against callers that are turned away as the bodies of requests that
+ * wait for their reply are kept, though they were parsed long before. */
+TEST_F(WebMemory, AReleasedBodyMakesRoom)
+{
+    std::vector<int> waiting;
+    std::vector<web_req *> requests;
+
+    hold_all = true;
+    for (int i = 0; i < 10; i++) {
+        waiting.push_back(send_body(0));
+        ASSERT_TRUE(until([&] { return held_request != nullptr; }));
+        EXPECT_EQ(web_body(held_request).n, limits.body_max);
+        web_release_body(held_request);
+        EXPECT_EQ(web_body(held_request).n, 0U);
+        requests.push_back(held_request);
+        held_request = nullptr;
+    }
+    EXPECT_EQ(web_stats(w)->memory, 0U);
+    for (size_t i = 0; i < requests.size(); i++) {
+        web_reply(requests[i], 200, "text/plain", STR("ok"), 0);
+        EXPECT_NE(
+            read_until(waiting[i], "ok").find(" 200 "), std::string::npos);
+        close(waiting[i]);
+    }
+}
+
+/* Guards against ordinary callers that get no answer while large requests that
+ * cannot be cut off take all memory. */
+TEST_F(WebMemory, LargeRequestsThatWaitLeaveRoomForOrdinaryOnes)
+{
+    std::vector<int> large;
+
+    hold_all = true;
+    for (int i = 0; i < 8; i++) {
+        large.push_back(send_body(0));
+    }
+    EXPECT_TRUE(until([&] { return web_stats(w)->memory >= 6; }));
+    hold_all = false;
+    int fd = connect_server();
+    std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
+                       "Content-Length: 100\r\n\r\n" +
+                       std::string(100, 'a');
+    EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+    EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
+    close(fd);
+    for (int c : large) {
+        close(c);
+    }
+    EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
+    held_request = nullptr;
+}
--- a/web.c
+++ b/web.c
@@ -868,6 +868,13 @@
     return buf_str(&r->body);
 }
 
+void
+web_release_body(struct web_req *r)
+{
+    add_owned(web_conn_of(r->conn), -(ssize_t)r->body.cap);
+    free_body(r);
+}
+
 bool
 web_is_local(const struct web_req *r)
 {
--- a/web.h
+++ b/web.h
@@ -95,6 +95,8 @@
 /* A parameter of the query string; NULL if absent. */
 const char *web_query(const struct web_req *r, const char *name);
 struct str web_body(const struct web_req *r);
+/* Frees the body, which is then empty: its request may wait for a long time. */
+void web_release_body(struct web_req *r);
 /* True if the caller's address is in 127.0.0.0/8. */
 bool web_is_local(const struct web_req *r);
 
