web: large requests that wait leave memory for small ones

A request that is being handled is never closed for others. Its body is freed early, but not its header, nor the body of one that waits for another entry, so enough of them could take all of callers.memory_mb; each further caller lost its connection until they ended.

Large requests now get half of the memory. A request is large if it owns more than an equal share of the other half, so that a small one can be handled on each connection whatever the large ones hold. One that does not fit is closed before it is handled: nothing has run.

WebMemory.LargeRequestsThatWaitLeaveRoomForOrdinaryOnes fills the memory with requests of three sizes and then sends 30 ordinary ones: without this they are not handled.

--- a/conf.c
+++ b/conf.c
@@ -385,10 +385,12 @@
     struct node_cfg *n = &c->node;
 
     set_derived_defaults(c);
-    /* A single request must fit, in a buffer that doubles as it grows. */
-    if ((uint64_t)c->callers.memory_mb << 20 < 2 * c->callers.body_max) {
+    /* A single request must fit into the half that is for requests which are
+     * handled, in a buffer that doubles as it grows. */
+    if ((uint64_t)c->callers.memory_mb << 20 <
+        4 * (uint64_t)c->callers.body_max) {
         err_set(e,
-            "%s: key 'callers.memory_mb': want at least twice "
+            "%s: key 'callers.memory_mb': want at least four times "
             "callers.body_max",
             path);
         return CONF_BAD_VALUE;
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -543,13 +543,16 @@
         limits.body_max = 1 << 18;
         limits.memory_mb = 1;
     }
-    /* Sends a body of the largest size, less so many bytes. */
+    /* Sends a body of the largest size, less so many bytes; announced is its
+     * length, 0 for the largest. */
     int
-    send_body(size_t missing)
+    send_body(size_t missing, size_t announced = 0)
     {
         std::string body(limits.body_max - missing, ' ');
-        std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
-                           std::to_string(limits.body_max) + "\r\n\r\n" + body;
+        std::string text =
+            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+            std::to_string(announced != 0 ? announced : limits.body_max) +
+            "\r\n\r\n" + body;
         int fd = connect_server();
         size_t sent = 0;
 
@@ -654,22 +657,30 @@
  * cannot be cut off take all memory. */
 TEST_F(WebMemory, LargeRequestsThatWaitLeaveRoomForOrdinaryOnes)
 {
-    std::vector<int> large;
+    std::vector<int> waiting;
+    const size_t sizes[] = {1 << 18, 20000, 2000};
 
     hold_all = true;
-    for (int i = 0; i < 8; i++) {
-        large.push_back(send_body(0));
+    for (size_t size : sizes) {
+        uint64_t before = web_stats(w)->memory;
+
+        while (web_stats(w)->memory == before && waiting.size() < 350) {
+            int handled_before = handled;
+
+            waiting.push_back(send_body(limits.body_max - size, size));
+            ASSERT_TRUE(until([&] {
+                return handled > handled_before ||
+                       web_stats(w)->memory > before;
+            }));
+        }
     }
-    EXPECT_TRUE(until([&] { return web_stats(w)->memory >= 6; }));
-    hold_all = false;
-    int fd = connect_server();
-    std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
-                       "Content-Length: 100\r\n\r\n" +
-                       std::string(100, 'a');
-    EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
-    EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
-    close(fd);
-    for (int c : large) {
+    for (int i = 0; i < 30; i++) {
+        int handled_before = handled;
+
+        waiting.push_back(send_body(limits.body_max - 100, 100));
+        EXPECT_TRUE(until([&] { return handled > handled_before; }));
+    }
+    for (int c : waiting) {
         close(c);
     }
     EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
--- a/web.c
+++ b/web.c
@@ -47,6 +47,7 @@
     struct web_req *req;  /* the current one; NULL if there is none */
     size_t owned_bytes;   /* header, body and reply of the request */
     uint64_t parsed;      /* bytes received that were parsed */
+    size_t large_bytes;   /* owned by a large request that is handled */
     bool closing;         /* the library has yet to notice */
     uint64_t answered_ms; /* when its latest request was; 0: none was */
     struct web_conn *prev;
@@ -91,7 +92,8 @@
     struct web_conn *conns;
     uint32_t conn_count; /* without those that are closing */
     size_t owned_bytes;  /* of these connections */
-    size_t held_bytes;   /* the same, with what is not parsed as measured */
+    size_t large_bytes;  /* of large requests that are handled */
+    size_t held_bytes;   /* owned_bytes, with what is not parsed as measured */
     uint64_t measured_ms;
     uint64_t late_checked_ms;
     struct web_req *suspended;
@@ -152,9 +154,17 @@
     c->w->held_bytes += (size_t)bytes;
 }
 
+static void
+release_reserve(struct web_conn *c)
+{
+    c->w->large_bytes -= c->large_bytes;
+    c->large_bytes = 0;
+}
+
 static void
 forget_bytes(struct web_conn *c)
 {
+    release_reserve(c);
     c->w->owned_bytes -= c->owned_bytes;
     c->w->held_bytes -= c->use.bytes;
     c->owned_bytes = 0;
@@ -216,6 +226,26 @@
     return (size_t)w->cfg.limits.memory_mb << 20;
 }
 
+/* True if the request may be handled, from when on it can't be closed for the
+ * sake of others.  Large ones get half of the memory; what is left is enough
+ * for a small one on each connection. */
+static bool
+reserve_for_handling(struct web_conn *c)
+{
+    struct web *w = c->w;
+    size_t half = memory_max(w) / 2;
+
+    if (half == 0 || c->owned_bytes <= half / w->cfg.limits.connections_max) {
+        return true;
+    }
+    if (w->large_bytes + c->owned_bytes > half) {
+        return false;
+    }
+    c->large_bytes = c->owned_bytes;
+    w->large_bytes += c->large_bytes;
+    return true;
+}
+
 static void
 free_memory(struct web *w)
 {
@@ -380,6 +410,7 @@
     set_phase(c, SD_IDLE);
     c->answered_ms = c->use.since_ms;
     c->req = NULL;
+    release_reserve(c);
     add_owned(c, -(ssize_t)c->owned_bytes);
     if (r->suspended) {
         ev_io_stop(w->loop, &r->disconnect_io);
@@ -548,6 +579,10 @@
     if (r->handled) {
         return MHD_YES;
     }
+    if (!reserve_for_handling(web_conn_of(r->conn))) {
+        r->w->stats.memory++;
+        return MHD_NO;
+    }
     r->handled = true;
     set_phase(web_conn_of(r->conn), SD_HANDLED);
     r->w->handle(r->w->ctx, r);
@@ -871,8 +906,13 @@
 void
 web_release_body(struct web_req *r)
 {
-    add_owned(web_conn_of(r->conn), -(ssize_t)r->body.cap);
+    struct web_conn *c = web_conn_of(r->conn);
+
+    add_owned(c, -(ssize_t)r->body.cap);
     free_body(r);
+    release_reserve(c);
+    /* It keeps its header, which may be large too. */
+    reserve_for_handling(c);
 }
 
 bool
