wire: refuse jobs that take far more memory than their text

A body of 1 MiB that is a list of empty objects takes 79 MB once it is parsed (measured with the JSON library alone: 20 MB for 256 KiB), half of what the smallest entry has, and the entry stands still meanwhile. A task_spec was accepted at any length up to the body's, although the platform's limit is 4,000 bytes, and an agent keeps a copy of it for each run: one job of 256 KiB and 1,024 tasks is 256 MB at agents of 128.

The values of a message are counted before it is parsed; over 4,096 the job is not served (503, as other jobs of a kind that is not), where a job that is served has about 20. A specification over 4,000 bytes is a bad job.

--- a/test/wire-test.cc
+++ b/test/wire-test.cc
@@ -59,6 +59,70 @@
     }
 }
 
+static std::string
+job_text(const std::string &spec, const std::string &more)
+{
+    return "{\"task_spec\":\"" + spec +
+           "\",\"best_effort\":true,\"steps\":[{\"count\":1,\"cpu\":500}]" +
+           more + "}";
+}
+
+static std::string
+repeat(const char *text, size_t n)
+{
+    std::string s;
+
+    while (n-- > 0) {
+        s += text;
+    }
+    return s;
+}
+
+/* Guards against processes that stand still or run out of memory: parsed, a
+ * message of many small values takes 80 times its text, and each run of a job
+ * has a copy of its specification at an agent. */
+TEST(Wire, RefusesJobsThatTakeFarMoreMemoryThanTheirText)
+{
+    static const struct {
+        const char *name;
+        std::string text;
+        wire_status status;
+    } cases[] = {
+        {"the longest specification", job_text(repeat("a", 4000), ""),
+            WIRE_OK},
+        {"one byte more", job_text(repeat("a", 4001), ""), WIRE_BAD},
+        {"commas, brackets and quotes in it",
+            job_text(
+                repeat(",", 2000) + repeat("\\\"", 900) + repeat("[", 1100),
+                ""),
+            WIRE_OK},
+        {"many values",
+            job_text("a", ",\"x\":[" + repeat("{},", 40000) + "0]"),
+            WIRE_UNSUPPORTED},
+        {"many steps",
+            "{\"task_spec\":\"a\",\"steps\":[" +
+                repeat("{\"count\":1},", 20000) + "{\"count\":1}]}",
+            WIRE_UNSUPPORTED},
+        {"deep", repeat("[", 5000), WIRE_UNSUPPORTED},
+        {"some values that are not known",
+            job_text("a", ",\"x\":[" + repeat("0,", 1000) + "0]"), WIRE_OK},
+    };
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.name);
+        wire_job j;
+        err e = {""};
+
+        EXPECT_EQ(
+            wire_read_job(&j, str_make(c.text.data(), c.text.size()), &e),
+            c.status)
+            << e.msg;
+        if (c.status == WIRE_OK) {
+            wire_job_free(&j);
+        }
+    }
+}
+
 struct HeartbeatCase {
     const char *text;
     bool ok;
