coord: jobs beyond a number of tasks are refused

A body of 100 bytes makes a job of 1,024 tasks, which takes 139 KB (1,024 times sizeof(struct co_task)) at its entry for as long as its caller says that it waits; the runs of a job whose caller has left are kept until they have certainly ended. Nothing bounded the sum: by calculation 1,150 such jobs are the memory of the smallest entry.

The entry counts the tasks of all jobs, with the runs that outlive theirs, and refuses a job beyond callers.tasks (100,000: 50 times what an entry of the largest fleet starts in a second) with 503 and "too_many_tasks" before it is admitted. dw_tasks_known shows the number.

Coord.JobsBeyondTheNumberOfTasksAreRefused sets the limit, so it has no result on the code before.

--- a/conf.c
+++ b/conf.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "coord.h"
 #include "link.h"
 #include "resend.h"
 
@@ -148,6 +149,7 @@
     NUMBER("callers.header_s", callers.header_s, 1, 3600),
     NUMBER("callers.request_s", callers.request_s, 1, 3600),
     NUMBER("callers.memory_mb", callers.memory_mb, 1, 1048576),
+    NUMBER("callers.tasks", tasks_max, CO_TASKS_MAX, 100000000),
     NUMBER("callers.deadline_ms", default_deadline_ms, 10, 3600000),
     NUMBER("callers.waiting", node.front.requests_max, 1, 1000000),
     NUMBER("callers.hold_ms", node.front.owner_timeout_ms, 100, 600000),
@@ -230,6 +232,7 @@
         .header_s = HEADER_S,
         .request_s = REQUEST_S,
         .memory_mb = MEMORY_MB};
+    c->tasks_max = 100000;
     c->link = (struct sd_limits){.body_max = LINK_RECORD_MAX_BYTES,
         .idle_s = LINK_IDLE_S,
         .request_s = LINK_RECORD_S,
--- a/conf.h
+++ b/conf.h
@@ -60,7 +60,8 @@
     struct sd_limits callers;     /* of the server for callers */
     struct sd_limits ports; /* of each server for readiness checks, metrics
                                and announcements */
-    struct sd_limits link;           /* of connections of other processes */
+    uint32_t tasks_max;     /* of all jobs that an entry coordinates */
+    struct sd_limits link;  /* of connections of other processes */
     uint32_t default_deadline_ms; /* of a job that names no deadline */
     uint32_t leave_max_ms;        /* longest duration of a planned stop */
     uint32_t trail_events_max;    /* submission events kept for explain */
--- a/coord.c
+++ b/coord.c
@@ -100,6 +100,7 @@
             o->since_ms = now;
             o->task = *t;
             DL_APPEND(c->outliving, o);
+            c->task_count++;
         }
     }
 }
@@ -121,6 +122,7 @@
 forget_outliving_run(struct coord *c, struct co_outliving *o)
 {
     DL_DELETE(c->outliving, o);
+    c->task_count--;
     free(o);
 }
 
@@ -224,6 +226,7 @@
     }
     dequeue(c, j);
     HASH_DEL(c->jobs, j);
+    c->task_count -= j->task_count;
     free(j->tasks);
     free(j->spec);
     free(j);
@@ -325,6 +328,9 @@
     if ((uint64_t)est->run_ms * CO_FASTEST_PERCENT / 100 >= s->timeout_ms) {
         return "too_late";
     }
+    if (c->tasks_max != 0 && c->task_count + s->task_count > c->tasks_max) {
+        return "too_many_tasks";
+    }
     if (sum.capacity <= 0 && now - c->last_capacity_ms > NO_WORKER_HOLD_MS) {
         return "no_workers";
     }
@@ -379,6 +385,7 @@
     j->tasks = dw_zero(s->task_count, sizeof(*j->tasks));
     attach(j, handle);
     HASH_ADD(hh, c->jobs, id, sizeof(j->id), j);
+    c->task_count += j->task_count;
     for (uint32_t i = 0; i < j->task_count; i++) {
         j->tasks[i].spec = s->tasks[i];
         /* Tasks of one job are similar: one estimate serves all. */
--- a/coord.h
+++ b/coord.h
@@ -234,6 +234,8 @@
     const struct co_ops *ops;
     void *ctx;
     struct sc_settings settings; /* all default after co_init() */
+    uint32_t tasks_max;  /* of all jobs; more are refused; 0: no limit */
+    uint32_t task_count; /* of all jobs, with runs that outlive theirs */
     struct fleet fleet;
     struct dm_view demand; /* unplaced work of all entries */
     struct co_job *jobs;
--- a/entryd.c
+++ b/entryd.c
@@ -103,6 +103,7 @@
     co_init(&e->coord, &ec_co_ops, e, s->seed, s->conf->node.me.domain,
         s->conf->node.me.addr, s->conf->node.me.port);
     e->coord.settings = s->conf->sched;
+    e->coord.tasks_max = s->conf->tasks_max;
     if (open_web(e, &e->callers, p->callers_listen, &s->conf->callers,
             ec_request, ec_caller_left, err) != 0 ||
         open_web(e, &e->ready, p->readiness_listen, &s->conf->ports,
@@ -441,6 +442,7 @@
         {"dw_jobs_not_run", st->not_run},
         {"dw_jobs_caller_gone", st->caller_left},
         {"dw_jobs_running", co_job_count(&e->coord)},
+        {"dw_tasks_known", e->coord.task_count},
         {"dw_runs_sent", st->runs},
         {"dw_runs_lost", st->lost},
         {"dw_runs_bounced", st->rejected},
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -285,6 +285,33 @@
     EXPECT_EQ(co_job_count(&e.c), 0u);
 }
 
+/* Guards against entries that run out of memory: callers submit jobs of many
+ * tasks and leave at once. */
+TEST(Coord, JobsBeyondTheNumberOfTasksAreRefused)
+{
+    Entry e;
+    int other;
+
+    e.c.tasks_max = 5;
+    e.submit(5, 3, &caller);
+    EXPECT_EQ(e.c.task_count, 3u);
+    e.submit(6, 3, &other);
+    ASSERT_EQ(e.callers.answers.size(), 1u);
+    EXPECT_EQ(e.callers.answers[0].second, CO_NOT_RUN);
+    EXPECT_EQ(e.callers.reasons[0], "too_many_tasks");
+    /* Its runs count until they have ended. */
+    co_caller_left(&e.c, e.now, &caller);
+    co_flush(&e.c, e.now);
+    EXPECT_EQ(co_job_count(&e.c), 0u);
+    EXPECT_EQ(e.c.task_count, 3u);
+    e.submit(7, 2, &other);
+    EXPECT_EQ(co_job_count(&e.c), 1u);
+    EXPECT_EQ(e.c.task_count, 5u);
+    e.now += 20000;
+    co_tick(&e.c, e.now);
+    EXPECT_EQ(e.c.task_count, 0u);
+}
+
 /* Guards against a job that goes on for a broken connection when the caller
  * sends it to another entry after the copy's connection has broken, too. */
 TEST(Coord, JobEndsWhenItsNewestCallerDisconnects)
