runner: runs beyond a number at a time are refused

Runs of one millicore fit a worker of 64 cores by the 64,000, and any number of those that name no cores; an agent keeps about 300 bytes and a copy of the specification (up to 4,000 bytes) for each, and has 128 MB. By calculation 30 jobs of 1,024 tasks end an agent.

An agent refuses a run beyond worker.runs (4096) as it refuses one that does not fit, and reports no free cores while it has that many, so that entries order no more.

Runner.RunsBeyondTheirNumberAreRefused sets the limit, so it has no result on the code before.

--- a/agentd.c
+++ b/agentd.c
@@ -622,6 +622,7 @@
     ad->http = httpc_new(s->loop, WORKER_CONNECTIONS);
     ad->poll_http = httpc_new(s->loop, 1);
     ag_init(&ad->agent, proc_now(), &ag_ops, ad);
+    ad->agent.runner.runs_max = s->conf->runs_max;
     conf_endpoint(&at, s->conf->platform.announce_listen);
     cfg.port = at.port;
     return web_open(&ad->announce, s->loop, &cfg, on_announce,
--- a/conf.c
+++ b/conf.c
@@ -132,6 +132,7 @@
     {"log.level", KIND_CHOICE, OFFSET(log_level), 0, 0, REQ_OPTIONAL,
         log_levels, NULL, NULL},
     NUMBER("log.trail", trail_events_max, 1, 10000000),
+    NUMBER("worker.runs", runs_max, 1, 1000000),
     NUMBER("worker.slots", node.host.slots, 1, 10000),
     NUMBER("worker.millicores", node.host.millicores, 1, 1024000),
     NUMBER("worker.memory_mb", node.host.memory_mb, 1, 4194304),
@@ -233,6 +234,7 @@
         .request_s = REQUEST_S,
         .memory_mb = MEMORY_MB};
     c->tasks_max = 100000;
+    c->runs_max = 4096;
     c->link = (struct sd_limits){.body_max = LINK_RECORD_MAX_BYTES,
         .idle_s = LINK_IDLE_S,
         .request_s = LINK_RECORD_S,
--- a/conf.h
+++ b/conf.h
@@ -61,6 +61,7 @@
     struct sd_limits ports; /* of each server for readiness checks, metrics
                                and announcements */
     uint32_t tasks_max;     /* of all jobs that an entry coordinates */
+    uint32_t runs_max;      /* that an agent has at a time */
     struct sd_limits link;  /* of connections of other processes */
     uint32_t default_deadline_ms; /* of a job that names no deadline */
     uint32_t leave_max_ms;        /* longest duration of a planned stop */
--- a/runner.c
+++ b/runner.c
@@ -479,6 +479,13 @@
                : RN_IDLE_POLL_MS;
 }
 
+/* With the run that was added last there are too many. */
+static bool
+is_over_limit(const struct runner *r)
+{
+    return r->runs_max != 0 && HASH_COUNT(r->runs) > r->runs_max;
+}
+
 /*
  * Entries that were reported the same free cores may order more than fits.
  * The excess is refused at once, so that it can be placed elsewhere instead
@@ -510,9 +517,12 @@
     run->wait_until_ms = now + order->wait_ms;
     HASH_ADD(hh, r->runs, key, sizeof(run->key), run);
     r->capacity_changed_ms = now;
-    start_queued(r, now);
+    if (!is_over_limit(r)) {
+        start_queued(r, now);
+    }
     run = find_run(r, &key);
-    if (run != NULL && run->state == RN_QUEUED && !task_active(r, run)) {
+    if (run != NULL && run->state == RN_QUEUED &&
+        (is_over_limit(r) || !task_active(r, run))) {
         r->stats.no_capacity++;
         run->evidence = RN_EVIDENCE_NOT_SENT;
         finish_run(r, now, run, DW_END_FULL);
@@ -1312,6 +1322,9 @@
     capacity->free_millicores = (int)(r->millicores - r->used_millicores);
     capacity->free_memory_mb = (int)(r->memory_mb - r->used_memory_mb);
     capacity->free_gpus = (int)(r->gpus - r->used_gpus);
+    if (r->runs_max != 0 && HASH_COUNT(r->runs) >= r->runs_max) {
+        capacity->free_millicores = 0;
+    }
     for (run = r->runs; run != NULL; run = run->hh.next) {
         if (run->state == RN_QUEUED) {
             capacity->waiting++;
--- a/runner.h
+++ b/runner.h
@@ -305,6 +305,7 @@
     const struct rn_ops *ops;
     void *ctx;
     struct rn_run *runs;
+    uint32_t runs_max;   /* further ones are refused; 0: no limit */
     struct rn_run *held; /* in state RN_HELD; not in runs */
     uint64_t started_ms; /* when rn_init() was called */
     bool capacity_known; /* reported by the worker's present incarnation */
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -152,6 +152,27 @@
 
 } // namespace
 
+/* Guards against agents that run out of memory: jobs of many small tasks fit
+ * their worker by the thousand. */
+TEST(Runner, RunsBeyondTheirNumberAreRefused)
+{
+    Fixture a;
+    dw_room room;
+
+    a.r.runs_max = 2;
+    a.order(1, 1);
+    rn_get_capacity(&a.r, a.now, &room);
+    EXPECT_EQ(room.free_millicores, 9999);
+    a.order(2, 1);
+    rn_get_capacity(&a.r, a.now, &room);
+    EXPECT_EQ(room.free_millicores, 0);
+    a.order(3, 1);
+    EXPECT_EQ(a.sent.starts.size(), 2u);
+    ASSERT_EQ(a.sent.outcomes.size(), 1u);
+    EXPECT_EQ(a.sent.outcomes[0].second, DW_END_FULL);
+    EXPECT_EQ(HASH_COUNT(a.r.runs), 2u);
+}
+
 TEST(Runner, CapacityIsNeverExceededAndStoppingRunsCount)
 {
     Fixture a;
