entry: the operators' limit on bodies has an effect

The operators' configuration has a limit on the bodies of requests. It was read into the table of routes and used nowhere: a body of 1 MiB was taken where they allow 256 KiB.

When a configuration comes into force, its limit applies below that of callers.body_max, which protects the process; a configuration without one sets none. web_set_body_max() has a test by tables.

callers.memory_mb is 128 by default on the product's own deployment, where a daemon may have 256 MB and answers carry results.

--- a/conf.c
+++ b/conf.c
@@ -209,7 +209,6 @@
 /* Defaults of the limits of servers, in bytes, s and MB. */
 #define HEADER_S 10U
 #define REQUEST_S 60U
-#define MEMORY_MB 48U
 /* Peers close a connection that they have not used for a minute. */
 #define LINK_IDLE_S 120U
 #define LINK_RECORD_S 10U
@@ -229,10 +228,8 @@
     c->backend_connections_max = 60;
     c->task_lease_ms = 10000;
     c->announce_timeout_ms = 3000;
-    c->callers = (struct sd_limits){.body_max = 1U << 20,
-        .header_s = HEADER_S,
-        .request_s = REQUEST_S,
-        .memory_mb = MEMORY_MB};
+    c->callers = (struct sd_limits){
+        .body_max = 1U << 20, .header_s = HEADER_S, .request_s = REQUEST_S};
     c->tasks_max = 100000;
     c->runs_max = 4096;
     c->link = (struct sd_limits){.body_max = LINK_RECORD_MAX_BYTES,
@@ -375,6 +372,9 @@
     if (l->connections_max == 0) {
         l->connections_max = on_platform ? 3000 : 10000;
     }
+    if (l->memory_mb == 0) {
+        l->memory_mb = on_platform ? 48 : 128;
+    }
     if (l->idle_s == 0) {
         l->idle_s = on_platform ? 30 : 60;
     }
--- a/entrystore.c
+++ b/entrystore.c
@@ -36,6 +36,18 @@
     return false;
 }
 
+/* The operators' limit holds below that of the settings, which protects the
+ * process. */
+static void
+apply_limits(struct entry *e)
+{
+    uint32_t max = e->s->conf->callers.body_max;
+    uint32_t operators = e->routes.body_max;
+
+    web_set_body_max(
+        e->callers, operators != 0 ? (uint32_t)num_min(operators, max) : max);
+}
+
 static void
 apply_config(struct entry *e, struct str text)
 {
@@ -55,6 +67,7 @@
     version = loaded.version;
     if (rt_replace(&e->routes, &loaded)) {
         co_remove_routes(&e->coord, has_route, &e->routes);
+        apply_limits(e);
         log_event(LOG_LEVEL_INFO, "config_in_force",
             "version=%" PRIu64 " routes=%zu", version, e->routes.count);
     }
--- a/route.h
+++ b/route.h
@@ -35,7 +35,7 @@
     uint64_t version; /* 0: none yet */
     struct rt_route *routes;
     size_t count;
-    uint32_t body_max; /* bytes of a request's body */
+    uint32_t body_max; /* bytes of a request's body; 0: not limited here */
 };
 
 /* Adds an empty route, to be filled in by the caller. */
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -458,6 +458,28 @@
     EXPECT_EQ(handled, 0);
 }
 
+/* Guards against operators whose limit on bodies has no effect. */
+TEST_F(Web, ALimitOnBodiesCanBeChanged)
+{
+    static const struct {
+        uint32_t max;
+        const char *reply;
+    } cases[] = {{999, " 413 "}, {1000, " 200 "}, {99, " 413 "}};
+
+    for (const auto &c : cases) {
+        SCOPED_TRACE(c.max);
+        int fd = connect_server();
+        std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
+                           "Content-Length: 1000\r\n\r\n" +
+                           std::string(1000, 'a');
+
+        web_set_body_max(w, c.max);
+        EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+        EXPECT_NE(read_until(fd, "\r\n").find(c.reply), std::string::npos);
+        close(fd);
+    }
+}
+
 /* Guards against a limit that clients inside it meet. */
 TEST_F(Web, ABodyOfExactlyTheLimitIsServed)
 {
--- a/web.c
+++ b/web.c
@@ -836,6 +836,12 @@
     w->close_after_reply = on;
 }
 
+void
+web_set_body_max(struct web *w, uint32_t bytes)
+{
+    w->cfg.limits.body_max = bytes;
+}
+
 size_t
 web_open_requests(const struct web *w)
 {
--- a/web.h
+++ b/web.h
@@ -78,6 +78,8 @@
 /* While on, send each reply with "Connection: close", so that callers
  * reconnect elsewhere. */
 void web_set_close_after_reply(struct web *w, bool on);
+/* Change limits.body_max, also for requests that are being received. */
+void web_set_body_max(struct web *w, uint32_t bytes);
 /* Requests being received, handled or replied to. */
 size_t web_open_requests(const struct web *w);
 const struct web_stats *web_stats(const struct web *w);
@@ -95,7 +97,8 @@
 /* A parameter of the query string; NULL if absent. */
 const char *web_query(const struct web_req *r, const char *name);
 struct str web_body(const struct web_req *r);
-/* Frees the body, which is then empty: its request may wait for a long time. */
+/* Frees the body, which is then empty: its request may wait for a long time.
+ */
 void web_release_body(struct web_req *r);
 /* True if the caller's address is in 127.0.0.0/8. */
 bool web_is_local(const struct web_req *r);
