--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -708,3 +708,29 @@
     EXPECT_TRUE(until([&] { return web_open_requests(w) == 0; }));
     held_request = nullptr;
 }
+
+/* Guards against memory that clients take which send requests and never read
+ * a reply. */
+TEST_F(WebLimits, AClientThatDoesNotReadItsRepliesIsClosed)
+{
+    sockaddr_in sa = {};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    int small = 4096;
+    std::string requests;
+
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+    sa.sin_family = AF_INET;
+    sa.sin_port = htons(port);
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(connect(fd, (sockaddr *)&sa, sizeof(sa)), 0);
+    while (requests.size() < 10000) {
+        requests += "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+    }
+    EXPECT_TRUE(until([&] {
+        send(
+            fd, requests.data(), requests.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        return web_stats(w)->late > 0;
+    }));
+    EXPECT_TRUE(until([&] { return web_connections(w) == 0; }));
+    close(fd);
+}
