coord: find a run that outlives its job by a hash table

Callers that submit jobs of many tasks and leave at once make the entry keep each run until it has certainly ended. Every ended run was looked for in a list of all of them: 9,000 runs took 147 ms, and the time grows with the square (callers.tasks allows 100,000), during which the entry stands still; after 350 ms of that it gives up all its jobs.

Coord.EachOfManyRunsThatOutliveTheirJobsIsFound checks that each end finds its run; it asks for no time.

--- a/claim.c
+++ b/claim.c
@@ -498,7 +498,7 @@
     for (j = coord->jobs; j != NULL; j = j->hh.next) {
         cl_hold(c, j->id, j->arrived_ms, DW_CLAIM_RUNS);
     }
-    DL_FOREACH (coord->outliving, o) {
+    for (o = coord->outliving; o != NULL; o = o->hh.next) {
         cl_hold(c, o->job, o->since_ms, DW_CLAIM_ENDS);
     }
 }
--- a/coord.c
+++ b/coord.c
@@ -86,6 +86,12 @@
 
 /* --- runs that outlive their job --- */
 
+static uint64_t
+run_key(uint64_t job, uint32_t index, uint64_t run)
+{
+    return mix64(mix64(job, index), run);
+}
+
 static void
 keep_outliving_runs(struct coord *c, uint64_t now, const struct co_job *j)
 {
@@ -95,22 +101,37 @@
 
         if (t->state == CO_DISPATCHED || t->state == CO_LOST) {
             o = dw_zero(1, sizeof(*o));
+            o->key = run_key(j->id, i, t->run);
             o->job = j->id;
             o->index = i;
             o->since_ms = now;
             o->task = *t;
-            DL_APPEND(c->outliving, o);
+            HASH_ADD(hh, c->outliving, key, sizeof(o->key), o);
             c->task_count++;
         }
     }
 }
 
+/* NULL if there is none. */
+static struct co_outliving *
+find_outliving_run(const struct coord *c, const dw_run_ref *ref)
+{
+    uint64_t key = run_key(ref->job, ref->index, ref->run);
+    struct co_outliving *o;
+
+    HASH_FIND(hh, c->outliving, &key, sizeof(key), o);
+    return o != NULL && o->job == ref->job && o->index == ref->index &&
+                   o->task.run == ref->run
+               ? o
+               : NULL;
+}
+
 static bool
 has_outliving_run(const struct coord *c, uint64_t job)
 {
     const struct co_outliving *o;
 
-    DL_FOREACH (c->outliving, o) {
+    for (o = c->outliving; o != NULL; o = o->hh.next) {
         if (o->job == job) {
             return true;
         }
@@ -121,7 +142,7 @@
 static void
 forget_outliving_run(struct coord *c, struct co_outliving *o)
 {
-    DL_DELETE(c->outliving, o);
+    HASH_DEL(c->outliving, o);
     c->task_count--;
     free(o);
 }
@@ -142,7 +163,7 @@
     struct co_outliving *o;
     struct co_outliving *tmp;
 
-    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+    HASH_ITER (hh, c->outliving, o, tmp) {
         struct co_task *t;
 
         if (o->job != j->id || o->index >= j->task_count) {
@@ -167,14 +188,10 @@
 outliving_run_ended(struct coord *c, uint64_t now, const struct fl_agent *a,
     const dw_run_ref *ref)
 {
-    struct co_outliving *o;
-    struct co_outliving *tmp;
+    struct co_outliving *o = find_outliving_run(c, ref);
 
-    DL_FOREACH_SAFE (c->outliving, o, tmp) {
-        if (o->job == ref->job && o->index == ref->index &&
-            o->task.run == ref->run && o->task.agent == a->id) {
-            outliving_run_over(c, now, o, "reported");
-        }
+    if (o != NULL && o->task.agent == a->id) {
+        outliving_run_over(c, now, o, "reported");
     }
 }
 
@@ -708,7 +725,7 @@
     struct co_outliving *o;
     struct co_job *j;
 
-    DL_FOREACH (c->outliving, o) {
+    for (o = c->outliving; o != NULL; o = o->hh.next) {
         if (o->task.state == CO_DISPATCHED && o->task.agent == a->id) {
             o->task.state = CO_LOST;
             mark_run_lost(a, &o->task, now, retry_at_ms);
@@ -735,7 +752,7 @@
     struct co_outliving *tmp;
     struct co_job *j;
 
-    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+    HASH_ITER (hh, c->outliving, o, tmp) {
         if (o->task.state == CO_LOST && o->task.agent == a->id) {
             outliving_run_over(c, now, o, "agent_clean");
         }
@@ -798,15 +815,13 @@
     for (u_int i = 0; i < m->runs.runs_len; i++) {
         const dw_run_ref *ref = &m->runs.runs_val[i];
         struct co_job *j = co_find_job(c, ref->job);
-        struct co_outliving *o;
+        struct co_outliving *o = find_outliving_run(c, ref);
 
         if (j != NULL && ref->index < j->task_count) {
             note_open(&j->tasks[ref->index], a, ref, m->clock_ms);
         }
-        DL_FOREACH (c->outliving, o) {
-            if (o->job == ref->job && o->index == ref->index) {
-                note_open(&o->task, a, ref, m->clock_ms);
-            }
+        if (o != NULL) {
+            note_open(&o->task, a, ref, m->clock_ms);
         }
     }
 }
@@ -931,7 +946,7 @@
     struct co_outliving *o;
     struct co_outliving *tmp;
 
-    DL_FOREACH_SAFE (c->outliving, o, tmp) {
+    HASH_ITER (hh, c->outliving, o, tmp) {
         if (o->task.state == CO_LOST && is_over(c, now, &o->task)) {
             outliving_run_over(c, now, o, "session_over");
         }
--- a/coord.h
+++ b/coord.h
@@ -165,12 +165,12 @@
  * given up; kept until it has certainly ended, as the job may be submitted
  * again. */
 struct co_outliving {
+    uint64_t key; /* hash of the run; table coord.outliving */
     uint64_t job;
     uint32_t index;
     uint64_t since_ms;   /* when the job was given up */
     struct co_task task; /* CO_DISPATCHED or CO_LOST */
-    struct co_outliving *prev;
-    struct co_outliving *next;
+    UT_hash_handle hh;
 };
 
 /* A job that completed, failed or was cancelled, kept to answer late copies of
@@ -241,11 +241,11 @@
     struct co_job *jobs;
     struct co_job *queue; /* jobs with waiting tasks, by objective */
     struct co_ended *ended;
-    struct co_outliving *outliving;
-    struct am_state admission;     /* corrections and counters */
-    struct es_table run_times;     /* learned run times, by route */
-    struct co_service_load *loads; /* by service */
-    struct sh_item *order;         /* buffer of co_order() */
+    struct co_outliving *outliving; /* in the order of their jobs' ends */
+    struct am_state admission;      /* corrections and counters */
+    struct es_table run_times;      /* learned run times, by route */
+    struct co_service_load *loads;  /* by service */
+    struct sh_item *order;          /* buffer of co_order() */
     size_t order_size;
     bool has_new_jobs;           /* since the last flush */
     uint32_t report_interval_ms; /* between an agent's capacity reports */
--- a/test/coord-test.cc
+++ b/test/coord-test.cc
@@ -312,6 +312,41 @@
     EXPECT_EQ(e.c.task_count, 0u);
 }
 
+/* Guards against entries that stand still while the runs of many jobs end
+ * whose callers have left: each end must find its run. */
+TEST(Coord, EachOfManyRunsThatOutliveTheirJobsIsFound)
+{
+    const uint32_t count = 1000;
+    const uint64_t jobs = 9;
+    Entry e;
+    std::vector<co_task_spec> tasks(count, {1, 0, 0, 100});
+    std::vector<dw_run_end> ends;
+    int callers[jobs];
+
+    for (uint64_t id = 1; id <= jobs; id++) {
+        struct co_submit s = {};
+
+        s.id = id;
+        s.spec = STR("x");
+        s.service = "s";
+        s.route_name = "r";
+        s.route = {1000, 100};
+        s.timeout_ms = 1500;
+        s.tasks = tasks.data();
+        s.task_count = count;
+        co_submit(&e.c, e.now, &s, &callers[id - 1]);
+        co_flush(&e.c, e.now);
+        for (uint32_t i = 0; i < count; i++) {
+            ends.push_back({{id, i, e.run_of(id)}, DW_END_STOPPED, 0});
+        }
+        co_caller_left(&e.c, e.now, &callers[id - 1]);
+        co_flush(&e.c, e.now);
+    }
+    EXPECT_EQ(e.c.task_count, jobs * count);
+    e.report(ends);
+    EXPECT_EQ(e.c.task_count, 0u);
+}
+
 /* Guards against a job that goes on for a broken connection when the caller
  * sends it to another entry after the copy's connection has broken, too. */
 TEST(Coord, JobEndsWhenItsNewestCallerDisconnects)
