web, tests: one piece of code for what the limits wrote twice

No behaviour changes. web.c loses a wrapper around buf_free(), and reads the clock for a measurement only when all connections together could exceed the limit, which each call of the HTTP library asked before. The tests take the address of a port on loopback from ports.hh, and send bodies of any length by one function, whose arguments say the length and what is missing.

--- a/test/crowd-test.cc
+++ b/test/crowd-test.cc
@@ -162,11 +162,8 @@
 
     Crowd(uint16_t port, size_t n)
     {
-        sockaddr_in sa = {};
+        sockaddr_in sa = loopback(port);
 
-        sa.sin_family = AF_INET;
-        sa.sin_port = htons(port);
-        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         for (size_t i = 0; i < n; i++) {
             int fd =
                 socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
--- a/test/link-test.cc
+++ b/test/link-test.cc
@@ -260,11 +260,8 @@
 
     Strangers(uint16_t port, size_t n)
     {
-        sockaddr_in sa = {};
+        sockaddr_in sa = loopback(port);
 
-        sa.sin_family = AF_INET;
-        sa.sin_port = htons(port);
-        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         for (size_t i = 0; i < n; i++) {
             fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
             connect(fds.back(), (sockaddr *)&sa, sizeof(sa));
--- a/test/ports.hh
+++ b/test/ports.hh
@@ -14,16 +14,25 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+inline sockaddr_in
+loopback(uint16_t port)
+{
+    sockaddr_in sa = {};
+
+    sa.sin_family = AF_INET;
+    sa.sin_port = htons(port);
+    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return sa;
+}
+
 /* A TCP port on loopback that was free when the call was made. */
 inline uint16_t
 free_port()
 {
-    sockaddr_in sa = {};
+    sockaddr_in sa = loopback(0);
     socklen_t n = sizeof(sa);
     int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-    sa.sin_family = AF_INET;
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     bind(fd, (sockaddr *)&sa, sizeof(sa));
     getsockname(fd, (sockaddr *)&sa, &n);
     close(fd);
--- a/test/process.hh
+++ b/test/process.hh
@@ -23,12 +23,9 @@
 inline int
 connect_to(uint16_t port)
 {
-    sockaddr_in sa = {};
+    sockaddr_in sa = loopback(port);
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
-    sa.sin_family = AF_INET;
-    sa.sin_port = htons(port);
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     if (connect(fd, (sockaddr *)&sa, sizeof(sa)) != 0) {
         close(fd);
         return -1;
--- a/test/web-test.cc
+++ b/test/web-test.cc
@@ -70,12 +70,9 @@
     int
     connect_server()
     {
-        sockaddr_in sa = {};
+        sockaddr_in sa = loopback(port);
         int fd = socket(AF_INET, SOCK_STREAM, 0);
 
-        sa.sin_family = AF_INET;
-        sa.sin_port = htons(port);
-        sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
         EXPECT_EQ(connect(fd, (sockaddr *)&sa, sizeof(sa)), 0);
         return fd;
     }
@@ -115,6 +112,26 @@
         until([&] { return ev_time() >= end; });
         return ev_iteration(loop) - before;
     }
+    /* A connection on which a body of this length was sent, but for its last
+     * missing bytes. */
+    int
+    send_body(size_t length, size_t missing = 0)
+    {
+        std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                           std::to_string(length) + "\r\n\r\n" +
+                           std::string(length - missing, ' ');
+        int fd = connect_server();
+        size_t sent = 0;
+
+        EXPECT_TRUE(until([&] {
+            ssize_t n = send(fd, text.data() + sent, text.size() - sent,
+                MSG_DONTWAIT | MSG_NOSIGNAL);
+
+            sent += n > 0 ? (size_t)n : 0;
+            return sent == text.size();
+        }));
+        return fd;
+    }
     /* Read until the text contains word or the connection is closed. */
     std::string
     read_until(int fd, const char *word)
@@ -468,13 +485,8 @@
 
     for (const auto &c : cases) {
         SCOPED_TRACE(c.max);
-        int fd = connect_server();
-        std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
-                           "Content-Length: 1000\r\n\r\n" +
-                           std::string(1000, 'a');
-
         web_set_body_max(w, c.max);
-        EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
+        int fd = send_body(1000);
         EXPECT_NE(read_until(fd, "\r\n").find(c.reply), std::string::npos);
         close(fd);
     }
@@ -483,12 +495,8 @@
 /* Guards against a limit that clients inside it meet. */
 TEST_F(Web, ABodyOfExactlyTheLimitIsServed)
 {
-    int fd = connect_server();
-    std::string text = "POST / HTTP/1.1\r\nHost: x\r\n"
-                       "Content-Length: 1000\r\n\r\n" +
-                       std::string(1000, 'a');
+    int fd = send_body(1000);
 
-    EXPECT_EQ(write(fd, text.data(), text.size()), (ssize_t)text.size());
     EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
     EXPECT_EQ(web_stats(w)->too_large, 0U);
     close(fd);
@@ -565,28 +573,6 @@
         limits.body_max = 1 << 18;
         limits.memory_mb = 1;
     }
-    /* Sends a body of the largest size, less so many bytes; announced is its
-     * length, 0 for the largest. */
-    int
-    send_body(size_t missing, size_t announced = 0)
-    {
-        std::string body(limits.body_max - missing, ' ');
-        std::string text =
-            "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
-            std::to_string(announced != 0 ? announced : limits.body_max) +
-            "\r\n\r\n" + body;
-        int fd = connect_server();
-        size_t sent = 0;
-
-        EXPECT_TRUE(until([&] {
-            ssize_t n = send(fd, text.data() + sent, text.size() - sent,
-                MSG_DONTWAIT | MSG_NOSIGNAL);
-
-            sent += n > 0 ? (size_t)n : 0;
-            return sent == text.size();
-        }));
-        return fd;
-    }
 };
 
 } // namespace
@@ -598,9 +584,9 @@
     std::vector<int> crowd;
 
     for (int i = 0; i < 12; i++) {
-        crowd.push_back(send_body(1));
+        crowd.push_back(send_body(limits.body_max, 1));
     }
-    int fd = send_body(0);
+    int fd = send_body(limits.body_max);
     EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
     EXPECT_EQ(handled, 1);
     EXPECT_GE(web_stats(w)->memory, 9U);
@@ -620,7 +606,7 @@
 
     for (int round = 0; round < 20; round++) {
         for (int &fd : fds) {
-            fd = send_body(0);
+            fd = send_body(limits.body_max);
             EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
             send_get(fd, "/");
             EXPECT_NE(read_until(fd, "ok").find(" 200 "), std::string::npos);
@@ -658,7 +644,7 @@
 
     hold_all = true;
     for (int i = 0; i < 10; i++) {
-        waiting.push_back(send_body(0));
+        waiting.push_back(send_body(limits.body_max));
         ASSERT_TRUE(until([&] { return held_request != nullptr; }));
         EXPECT_EQ(web_body(held_request).n, limits.body_max);
         web_release_body(held_request);
@@ -689,7 +675,7 @@
         while (web_stats(w)->memory == before && waiting.size() < 350) {
             int handled_before = handled;
 
-            waiting.push_back(send_body(limits.body_max - size, size));
+            waiting.push_back(send_body(size));
             ASSERT_TRUE(until([&] {
                 return handled > handled_before ||
                        web_stats(w)->memory > before;
@@ -699,7 +685,7 @@
     for (int i = 0; i < 30; i++) {
         int handled_before = handled;
 
-        waiting.push_back(send_body(limits.body_max - 100, 100));
+        waiting.push_back(send_body(100));
         EXPECT_TRUE(until([&] { return handled > handled_before; }));
     }
     for (int c : waiting) {
@@ -713,15 +699,12 @@
  * a reply. */
 TEST_F(WebLimits, AClientThatDoesNotReadItsRepliesIsClosed)
 {
-    sockaddr_in sa = {};
+    sockaddr_in sa = loopback(port);
     int fd = socket(AF_INET, SOCK_STREAM, 0);
     int small = 4096;
     std::string requests;
 
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-    sa.sin_family = AF_INET;
-    sa.sin_port = htons(port);
-    sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     ASSERT_EQ(connect(fd, (sockaddr *)&sa, sizeof(sa)), 0);
     while (requests.size() < 10000) {
         requests += "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
--- a/web.c
+++ b/web.c
@@ -135,12 +135,6 @@
     c->use.since_ms = clock_ms();
 }
 
-static void
-free_body(struct web_req *r)
-{
-    buf_free(&r->body);
-}
-
 /* Adds to what a connection owns; bytes may be negative. */
 static void
 add_owned(struct web_conn *c, ssize_t bytes)
@@ -181,7 +175,7 @@
 
     forget_bytes(c);
     if (c->req != NULL && !c->req->handled) {
-        free_body(c->req);
+        buf_free(&c->req->body);
     }
     c->closing = true;
     c->w->conn_count--;
@@ -277,12 +271,15 @@
 static void
 check_memory(struct web *w)
 {
-    uint64_t now = clock_ms();
+    size_t most = w->owned_bytes + (size_t)w->conn_count * UNPARSED_MAX_BYTES;
     struct web_conn *c;
+    uint64_t now;
 
-    if (memory_max(w) == 0 || now - w->measured_ms < MEASURE_MS ||
-        w->owned_bytes + (size_t)w->conn_count * UNPARSED_MAX_BYTES <=
-            memory_max(w)) {
+    if (memory_max(w) == 0 || most <= memory_max(w)) {
+        return;
+    }
+    now = clock_ms();
+    if (now - w->measured_ms < MEASURE_MS) {
         return;
     }
     w->measured_ms = now;
@@ -424,7 +421,7 @@
         MHD_destroy_response(r->response);
     }
     w->open--;
-    free_body(r);
+    buf_free(&r->body);
     free(r->path);
     free(r);
     *req_ctx = NULL;
@@ -646,7 +643,7 @@
 
     if (r->body.n + piece.n > r->w->cfg.limits.body_max) {
         r->w->stats.too_large++;
-        free_body(r);
+        buf_free(&r->body);
         return MHD_NO;
     }
     buf_add(&r->body, piece);
@@ -915,7 +912,7 @@
     struct web_conn *c = web_conn_of(r->conn);
 
     add_owned(c, -(ssize_t)r->body.cap);
-    free_body(r);
+    buf_free(&r->body);
     release_reserve(c);
     /* It keeps its header, which may be large too. */
     reserve_for_handling(c);
