crowd-test: all ways and ports at once, and the largest request in calm

Each way and each port had a crowd of its own; nothing showed that the limits hold when all are used at once, nor that a real process serves a single request of the largest size that the platform's pages allow.

One request of 256 KiB is read whole and answered; that held before.

The bounds and the way to start a process move into the fixture that both kinds of test use; the 19 cases are as they were.

--- a/test/crowd-test.cc
+++ b/test/crowd-test.cc
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <dirent.h>
 #include <functional>
+#include <memory>
 #include <vector>
 
 #include "link.h"
@@ -265,14 +266,14 @@
 
 /* --- the tests --- */
 
-class Crowds : public testing::TestWithParam<Case> {
+class Process : public testing::Test {
   protected:
     process::Daemon daemon;
     uint16_t ports[API + 1];
     size_t peak_kb = 0; /* memory, with what is received and not read */
     size_t peak_descriptors = 0;
 
-    Crowds()
+    Process()
     {
         for (uint16_t &port : ports) {
             port = free_port();
@@ -314,6 +315,27 @@
             status_kb(daemon.pid, "VmRSS:") + unread_bytes(ports) / KB);
         peak_descriptors = std::max(peak_descriptors, descriptors(daemon.pid));
     }
+    void
+    start(Role role)
+    {
+        static const Port last_port[] = {
+            [ENTRY] = READINESS, [AGENT] = ANNOUNCE, [STANDALONE] = API};
+
+        daemon.start(settings(role), ports[last_port[role]]);
+    }
+    void
+    expect_within_machine(Role role)
+    {
+        static const size_t memory_mb[] = {[ENTRY] = ENTRY_MB,
+            [AGENT] = AGENT_MB,
+            [STANDALONE] = STANDALONE_MB};
+
+        EXPECT_LT(status_kb(daemon.pid, "VmHWM:") / KB, memory_mb[role]);
+        EXPECT_LT(peak_kb / KB, memory_mb[role]);
+        EXPECT_LT(peak_descriptors, DESCRIPTORS);
+        printf(
+            "peak: %zu MB, %zu descriptors\n", peak_kb / KB, peak_descriptors);
+    }
     std::string
     ordinary_request(Port port) const
     {
@@ -368,6 +390,8 @@
     }
 };
 
+class Crowds : public Process, public testing::WithParamInterface<Case> {};
+
 } // namespace
 
 /* Guards against processes that are ended for their memory or their
@@ -375,13 +399,9 @@
  * incomplete or nothing at all. */
 TEST_P(Crowds, OthersAreAnsweredAndTheProcessStaysWithinItsMachine)
 {
-    static const size_t memory_mb[] = {
-        [ENTRY] = ENTRY_MB, [AGENT] = AGENT_MB, [STANDALONE] = STANDALONE_MB};
-    static const Port last_port[] = {
-        [ENTRY] = READINESS, [AGENT] = ANNOUNCE, [STANDALONE] = API};
     const Case &c = GetParam();
 
-    daemon.start(settings(c.role), ports[last_port[c.role]]);
+    start(c.role);
     ASSERT_TRUE(is_answered(c.port));
     {
         Crowd crowd(ports[c.port], c.clients);
@@ -391,16 +411,62 @@
         observe();
         ASSERT_TRUE(daemon.lives());
     }
-    EXPECT_LT(status_kb(daemon.pid, "VmHWM:") / KB, memory_mb[c.role]);
-    EXPECT_LT(peak_kb / KB, memory_mb[c.role]);
-    EXPECT_LT(peak_descriptors, DESCRIPTORS);
+    expect_within_machine(c.role);
     EXPECT_TRUE(is_answered(c.port)) << "after the crowd";
     ASSERT_TRUE(daemon.lives());
-    RecordProperty("peak_mb", (int)(peak_kb / KB));
-    printf("peak: %zu MB, %zu descriptors\n", peak_kb / KB, peak_descriptors);
 }
 
 INSTANTIATE_TEST_SUITE_P(, Crowds, testing::ValuesIn(cases),
     [](const testing::TestParamInfo<Case> &i) {
         return std::string(i.param.name);
     });
+
+/* Guards against limits that hold for each way and each port alone, but not
+ * for all of them at once. */
+TEST_F(Process, MixedCrowdsAtAllPortsLeaveItWithinItsMachine)
+{
+    const size_t part = 4; /* of each crowd */
+    const Port ordinary[] = {CALLERS, READINESS, METRICS, LINK};
+
+    start(ENTRY);
+    {
+        std::vector<std::unique_ptr<Crowd>> crowds;
+        std::vector<const Sends *> sends;
+
+        for (const Case &c : cases) {
+            if (c.role == ENTRY) {
+                crowds.emplace_back(
+                    new Crowd(ports[c.port], c.clients / part));
+                sends.push_back(&c.sends);
+            }
+        }
+        for (size_t i = 0; i < crowds.size(); i++) {
+            crowds[i]->send_all(*sends[i], [this] { observe(); });
+        }
+        for (Port port : ordinary) {
+            EXPECT_TRUE(is_answered(port)) << "beside, port " << port;
+        }
+        observe();
+        ASSERT_TRUE(daemon.lives());
+    }
+    expect_within_machine(ENTRY);
+    for (Port port : ordinary) {
+        EXPECT_TRUE(is_answered(port)) << "afterwards, port " << port;
+    }
+    ASSERT_TRUE(daemon.lives());
+}
+
+/* Guards against limits that a single request inside the platform's meets. */
+TEST_F(Process, ARequestOfTheLargestSizeIsServedInCalm)
+{
+    std::string text = with_length(BODY_MAX) + std::string(BODY_MAX, ' ');
+
+    start(ENTRY);
+    int fd = process::connect_to(ports[CALLERS]);
+    EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+        (ssize_t)text.size());
+    /* There is no store, so what is read whole is refused for that. */
+    EXPECT_NE(process::read_until(fd, "}").find("no_configuration"),
+        std::string::npos);
+    close(fd);
+}
